--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/settings/ProgramCommand.kt
@@ -0,0 +1,62 @@
+package redwingcross.process.settings
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.multiple
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import redwingcross.request.Finding
+
+/** Exit code of a program whose input is wrong; nothing was started. */
+const val EXIT_BAD_INPUT: Int = 2
+
+/**
+ * Command line of a program. Each setting is a flag and an environment variable with the same name; the flag wins.
+ * All findings are printed together and the program exits with [EXIT_BAD_INPUT] before anything is started.
+ */
+abstract class ProgramCommand(
+    name: String,
+    private val summary: String,
+    private val environment: (String) -> String? = System::getenv,
+) : CliktCommand(name) {
+    private val settings = mutableListOf<Setting<*>>()
+    private val printSettings by option("--print-settings", help = "Print every setting with its source and exit.")
+        .flag()
+
+    // Unknown flags arrive here, so that they are reported together with the other findings.
+    private val unexpected by argument("arguments", help = "No argument is accepted.").multiple()
+
+    override val treatUnknownOptionsAsArgs: Boolean = true
+
+    override fun help(context: Context): String = summary
+
+    /** Declares a setting that must be given unless [default] is set. */
+    protected fun <T : Any> setting(
+        flag: String,
+        help: String,
+        kind: SettingKind<T>,
+        default: String? = null,
+        secret: Boolean = false,
+    ): Setting<T> = Setting(flag, kind, default, secret).also { setting ->
+        val defaultNote = default?.let { " Default: $it." }.orEmpty()
+        val given = option(flag, help = "$help Also ${setting.variable}.$defaultNote", metavar = "value")
+        registerOption(given)
+        setting.readFlag = { given.value }
+        settings += setting
+    }
+
+    override fun run() {
+        val findings = settings.flatMap { it.resolve(environment) } +
+            unexpected.map { Finding(it.substringBefore('='), "is not a known flag") }
+        if (findings.isNotEmpty()) {
+            findings.forEach { echo(it.toString(), err = true) }
+            throw ProgramResult(EXIT_BAD_INPUT)
+        }
+        if (printSettings) settings.forEach { echo(it.describe()) } else start()
+    }
+
+    /** Runs the program; every setting has its value. */
+    protected abstract fun start()
+}
