--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/operation/Proposal.kt
@@ -0,0 +1,93 @@
+package redwingcross.version.operation
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import redwingcross.version.bundle.Bundle
+import redwingcross.version.bundle.BundleVersion
+import redwingcross.version.control.AcceptedBundle
+import java.security.MessageDigest
+
+/** Names a proposal; chosen by the operator who submits it. */
+@Serializable
+@JvmInline
+value class ProposalId(val value: String) {
+    override fun toString(): String = value
+}
+
+/** The value of the platform object `proposals/{id}`: a checked bundle that waits for its sign-off. */
+@Serializable
+data class Proposal(
+    val id: ProposalId,
+    val bundle: Bundle,
+    /** SHA-256 of [bundle], in hexadecimal. */
+    val digest: String,
+    /** Version that was in force when the proposal was made; null before the first bundle. */
+    val base: BundleVersion?,
+    val submittedBy: String,
+    val signOff: SignOff? = null,
+    /** Identifies the write, so that its writer recognises it after a lost answer. */
+    val nonce: String,
+)
+
+/** The approval of exactly the body with [digest]. */
+@Serializable
+data class SignOff(val by: String, val digest: String)
+
+/** Whether a step of a roll-out may be written, and if not, why. */
+sealed interface OperationResult<out T> {
+    /** The value to write, conditional on what was read. */
+    data class Write<T>(val value: T) : OperationResult<T>
+
+    /** The wanted state holds already. */
+    data object AlreadyDone : OperationResult<Nothing>
+
+    /** Another operator was first, or a step is missing; [reason] says who did what. */
+    data class Conflict(val reason: String) : OperationResult<Nothing>
+}
+
+/** Writes defaults as well, so that a digest does not change when a default does. */
+internal val completeJson: Json = Json { encodeDefaults = true }
+
+/** SHA-256 of the JSON form of [bundle], in hexadecimal. */
+fun bundleDigest(bundle: Bundle): String = MessageDigest.getInstance("SHA-256")
+    .digest(completeJson.encodeToString(Bundle.serializer(), bundle).encodeToByteArray())
+    .joinToString("") { "%02x".format(it) }
+
+/** Signs a proposal off. A second sign-off by another person is a conflict that names the first. */
+fun signOff(proposal: Proposal, by: String, nonce: String): OperationResult<Proposal> {
+    val existing = proposal.signOff
+    return when {
+        existing == null ->
+            OperationResult.Write(proposal.copy(signOff = SignOff(by, proposal.digest), nonce = nonce))
+        existing.by == by -> OperationResult.AlreadyDone
+        else -> OperationResult.Conflict("proposal ${proposal.id} was already signed off by ${existing.by}")
+    }
+}
+
+/** Accepts a signed-off proposal as the next version after [current]; versions only rise. */
+fun rollOut(current: AcceptedBundle?, proposal: Proposal, nonce: String): OperationResult<AcceptedBundle> {
+    val signOff = proposal.signOff
+    return when {
+        signOff == null -> OperationResult.Conflict("proposal ${proposal.id} is not signed off")
+        signOff.digest != bundleDigest(proposal.bundle) ->
+            OperationResult.Conflict("the body of proposal ${proposal.id} is not the one that ${signOff.by} signed off")
+        current != null && current.digest == proposal.digest && current.version != proposal.base ->
+            OperationResult.AlreadyDone
+        current?.version != proposal.base -> OperationResult.Conflict(staleBase(current, proposal))
+        else -> OperationResult.Write(
+            AcceptedBundle(
+                version = BundleVersion((current?.version?.value ?: 0) + 1),
+                bundle = proposal.bundle,
+                digest = proposal.digest,
+                signedOffBy = signOff.by,
+                nonce = nonce,
+            ),
+        )
+    }
+}
+
+private fun staleBase(current: AcceptedBundle?, proposal: Proposal): String {
+    val inForce = current?.let { "version ${it.version}, signed off by ${it.signedOffBy}," } ?: "no version"
+    val base = proposal.base?.let { "version $it" } ?: "no version"
+    return "proposal ${proposal.id} was made over $base, but $inForce is in force; submit it again"
+}
