Add the platform client and the stand-ins of the platform and a service

Cause: configuration, placement and booking records live in the platform, and nothing could read or write them yet.

A write is reported as without effect only if the HTTP client had not begun to send it.

--- /dev/null
+++ b/connection/src/main/kotlin/redwingcross/connection/platform/PlatformExchange.kt
@@ -0,0 +1,163 @@
+package redwingcross.connection.platform
+
+import kotlinx.coroutines.suspendCancellableCoroutine
+import okhttp3.Call
+import okhttp3.Callback
+import okhttp3.ConnectionPool
+import okhttp3.Dispatcher
+import okhttp3.EventListener
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Protocol
+import okhttp3.Request
+import okhttp3.RequestBody
+import okhttp3.Response
+import okio.Buffer
+import okio.BufferedSink
+import java.io.IOException
+import java.util.UUID
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.coroutines.resume
+import kotlin.time.Duration
+import kotlin.time.toJavaDuration
+
+/** What became of one HTTP exchange with the platform. */
+internal sealed interface ExchangeResult {
+    class Answer(val status: Int, val version: String?, val kindVersion: String?, val body: ByteArray) : ExchangeResult
+
+    /** [sent] is false only if no byte of the request can have been sent. */
+    data class Failed(val detail: String, val sent: Boolean) : ExchangeResult
+}
+
+/** Carries out single HTTP exchanges without any retry. Waiting suspends; only threads of the HTTP client block. */
+internal class PlatformExchange(settings: PlatformClientSettings) {
+    private val pool = ConnectionPool(MAX_IDLE, IDLE_SECONDS, TimeUnit.SECONDS)
+    private val threads = Executors.newCachedThreadPool { task ->
+        Thread(task, "platform-http").apply { isDaemon = true }
+    }
+    private val client = OkHttpClient.Builder()
+        .dispatcher(
+            Dispatcher(threads).apply {
+                maxRequests = settings.concurrentCalls + MAX_WATCHES
+                maxRequestsPerHost = settings.concurrentCalls + MAX_WATCHES
+            },
+        )
+        .connectionPool(pool)
+        .protocols(listOf(Protocol.HTTP_1_1))
+        .connectTimeout(settings.connectTimeout.toJavaDuration())
+        // The call timeout bounds each exchange as a whole, so a separate read timeout would only end long polls early.
+        .readTimeout(Duration.ZERO.toJavaDuration())
+        .retryOnConnectionFailure(false)
+        .followRedirects(false)
+        .eventListener(SendListener)
+        .build()
+    private val identity = UUID.randomUUID().toString()
+    private val exchanges = AtomicLong()
+
+    suspend fun run(request: Request, timeout: Duration): ExchangeResult {
+        val progress = SendProgress()
+        val id = "$identity-${exchanges.incrementAndGet()}"
+        val call = client.newCall(
+            request.newBuilder().header(REQUEST_ID, id).tag(SendProgress::class.java, progress).build(),
+        )
+        call.timeout().timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        return suspendCancellableCoroutine { continuation ->
+            continuation.invokeOnCancellation { call.cancel() }
+            call.enqueue(
+                object : Callback {
+                    override fun onFailure(call: Call, e: IOException) {
+                        // Other idle connections may have gone silent with this one; the next call opens a new one.
+                        pool.evictAll()
+                        continuation.resume(failed(call.request(), "${e.javaClass.simpleName} ${e.message}", progress))
+                    }
+
+                    override fun onResponse(call: Call, response: Response) =
+                        continuation.resume(readAnswer(call, response, id, progress))
+                },
+            )
+        }
+    }
+
+    fun close() {
+        client.dispatcher.cancelAll()
+        threads.shutdown()
+        pool.evictAll()
+    }
+
+    private fun readAnswer(call: Call, response: Response, id: String, progress: SendProgress): ExchangeResult = try {
+        response.use {
+            val answeredId = response.header(REQUEST_ID)
+            val body = Buffer()
+            when {
+                answeredId != null && answeredId != id -> discard(call, "answer belongs to another request", progress)
+                !response.body.source().readAtMost(body) -> discard(call, "answer above $MAX_BYTES bytes", progress)
+                else -> ExchangeResult.Answer(
+                    response.code,
+                    response.header("X-Version"),
+                    response.header("X-Kind-Version"),
+                    body.readByteArray(),
+                )
+            }
+        }
+    } catch (e: IOException) {
+        pool.evictAll()
+        failed(call.request(), "${e.javaClass.simpleName} ${e.message}", progress)
+    }
+
+    /** Cancelling before the response is closed also closes its connection. */
+    private fun discard(call: Call, detail: String, progress: SendProgress): ExchangeResult {
+        call.cancel()
+        return failed(call.request(), detail, progress)
+    }
+
+    private fun failed(request: Request, detail: String, progress: SendProgress) =
+        ExchangeResult.Failed("${request.method} ${request.url}: $detail", progress.started)
+
+    private companion object {
+        const val REQUEST_ID = "X-Request-Id"
+        const val MAX_IDLE = 16
+        const val IDLE_SECONDS = 30L
+        const val MAX_WATCHES = 64
+
+        /** Bounds the memory of one answer; the largest expected one lists 24 h of idempotency records. */
+        const val MAX_BYTES = 64L shl 20
+
+        fun okio.BufferedSource.readAtMost(target: Buffer): Boolean {
+            while (target.size <= MAX_BYTES) if (read(target, CHUNK_BYTES) < 0) return true
+            return false
+        }
+
+        const val CHUNK_BYTES = 64L shl 10
+    }
+}
+
+/** Whether the HTTP client has begun to write the request. */
+private class SendProgress {
+    @Volatile
+    var started = false
+}
+
+private object SendListener : EventListener() {
+    override fun requestHeadersStart(call: Call) {
+        call.request().tag(SendProgress::class.java)?.started = true
+    }
+}
+
+/** A body that the HTTP client must not send a second time, whatever the platform answers. */
+internal class OneShotBody(private val bytes: ByteArray) : RequestBody() {
+    override fun contentType() = JSON
+
+    override fun contentLength() = bytes.size.toLong()
+
+    override fun isOneShot() = true
+
+    override fun writeTo(sink: BufferedSink) {
+        sink.write(bytes)
+    }
+
+    private companion object {
+        val JSON = "application/json".toMediaType()
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/redwingcross/standins/service/ServiceMain.kt
@@ -0,0 +1,21 @@
+package redwingcross.standins.service
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.restrictTo
+
+private class ServiceCommand : CliktCommand("redwingcross-service") {
+    private val port: Int by option(help = "port on the loopback interface; 0 takes a free one")
+        .int().restrictTo(0..65_535).default(0)
+
+    override fun run() = echo("event=started standin=service port=${ServiceStandin(port).start().port}")
+}
+
+/** Runs the plain-service stand-in as its own process until it is stopped. */
+object ServiceMain {
+    @JvmStatic
+    fun main(arguments: Array<String>) = ServiceCommand().main(arguments)
+}
