Decide which control state a node acts on

Cause: a gateway needs a bundle, overrides and the list of leaving VMs that never go back, and a time until which it may act on them. Change: ControlDecision adopts higher versions only, counts the age of a view from the time the question was sent, keeps the rosters in force during the last share transition, and ControlTask owns this state and follows the platform. ControlState and ConfirmationStamp carry the leaving VMs as well, so that a node cut off from the platform learns of them from its peers. Ruled out: counting the age from the arrival of an answer, because a partition or a pause can delay the arrival by any time.

--- a/version/src/main/kotlin/redwingcross/version/control/ConfirmationStamp.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ConfirmationStamp.kt
@@ -9,4 +9,10 @@
  * passes a stamp on adds the time for which it held it.
  */
 @Serializable
-data class ConfirmationStamp(val bundle: BundleVersion, val overrides: OverridesVersion, val age: Duration)
+data class ConfirmationStamp(
+    val bundle: BundleVersion,
+    val overrides: OverridesVersion,
+    val age: Duration,
+    /** Version of the list of VMs that the node then had. */
+    val vms: VmListVersion = VmListVersion(0),
+)
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
@@ -0,0 +1,169 @@
+package redwingcross.version.control
+
+import redwingcross.request.Transition
+import redwingcross.version.bundle.Bundle
+import kotlin.time.Duration
+
+/**
+ * Decides which control state a node acts on. A part of the state is adopted only if its version is higher than the
+ * node's own, so neither an outdated read nor an outdated peer takes it back.
+ */
+class ControlDecision(
+    private val settings: ViewSettings,
+    /** Number of peers that a restarted node asks when the platform does not answer. */
+    private val seedPeers: Int,
+) {
+    /** One step; [now] is a reading of the process clock. */
+    fun step(memory: ControlMemory, message: ControlMessage, now: Duration): Transition<ControlMemory, ControlEffect> {
+        val next = when (message) {
+            is ControlMessage.ControlHeard -> controlHeard(memory, message, now)
+            is ControlMessage.VmsHeard -> Transition(vmsHeard(memory, message))
+            is ControlMessage.PeerState -> peerState(memory, message, now)
+            is ControlMessage.StampHeard -> stampHeard(memory, message)
+            is ControlMessage.MajorityReachable ->
+                Transition(memory.copy(majorityAt = later(memory.majorityAt, message.probedAt)))
+            ControlMessage.MajorityLost -> Transition(memory.copy(majorityAt = null))
+            ControlMessage.Tick -> Transition(memory)
+        }
+        val settled = settle(next.state, now)
+        val before = memory.control.versions()
+        val after = settled.control.versions()
+        val adopted = ControlEffect.Adopted(after.bundle, after.overrides, after.leaving).takeIf { after != before }
+        return Transition(settled, next.effects + listOfNotNull(adopted))
+    }
+
+    private fun controlHeard(
+        memory: ControlMemory,
+        message: ControlMessage.ControlHeard,
+        now: Duration,
+    ): Transition<ControlMemory, ControlEffect> {
+        val own = memory.control
+        val outdated = (message.bundle != null && message.bundle.version < own.bundleVersion()) ||
+            (message.overrides != null && message.overrides.version < own.overrides.version)
+        val adopted = adopt(memory, message.bundle, message.overrides, now)
+        if (outdated) {
+            val effect = ControlEffect.OutdatedAnswer(message.bundle?.version, message.overrides?.version)
+            return Transition(adopted.copy(controlOutdated = true), listOf(effect))
+        }
+        // "Nothing changed" refers to the previous answer, so after an outdated one it confirms nothing.
+        val hasContent = message.bundle != null || message.overrides != null
+        val stillOutdated = adopted.controlOutdated && !hasContent
+        val heardAt = if (stillOutdated) adopted.controlHeardAt else later(adopted.controlHeardAt, message.askedAt)
+        return Transition(adopted.copy(controlOutdated = stillOutdated, controlHeardAt = heardAt))
+    }
+
+    private fun vmsHeard(memory: ControlMemory, message: ControlMessage.VmsHeard): ControlMemory {
+        val known = memory.listedVersions
+        val outdated = message.vms.any { it.version < (known[it.vm] ?: 0) }
+        val stillOutdated = outdated || (memory.vmsOutdated && message.vms.isEmpty())
+        if (stillOutdated) return memory.copy(vmsOutdated = true)
+        val own = memory.control.leaving
+        val newest = message.vms.maxOfOrNull { it.version } ?: 0
+        val leaving = when {
+            message.complete && newest >= own.version.value -> emptySet()
+            // A set taken over from a peer already reflects every change up to its version.
+            else -> own.vms - message.vms.filter { it.version > own.version.value }.map { it.vm }.toSet()
+        } + message.vms.filter { it.leaving }.map { it.vm }
+        val listed = message.vms.associate { it.vm to it.version }
+        return memory.copy(
+            control = memory.control.copy(leaving = LeavingVms(maxOf(VmListVersion(newest), own.version), leaving)),
+            listedVersions = if (message.complete) listed else known + listed,
+            vmsHeardAt = later(memory.vmsHeardAt, message.askedAt),
+            vmsOutdated = false,
+        )
+    }
+
+    private fun peerState(
+        memory: ControlMemory,
+        message: ControlMessage.PeerState,
+        now: Duration,
+    ): Transition<ControlMemory, ControlEffect> {
+        val adopted = adopt(memory, message.control.bundle, message.control.overrides, now)
+        val leaving = maxOf(adopted.control.leaving, message.control.leaving, compareBy { it.version })
+        val answered = if (message.asked) memory.answered + message.from else memory.answered
+        return Transition(
+            adopted.copy(control = adopted.control.copy(leaving = leaving), answered = answered),
+        )
+    }
+
+    private fun stampHeard(
+        memory: ControlMemory,
+        message: ControlMessage.StampHeard,
+    ): Transition<ControlMemory, ControlEffect> {
+        val at = message.askedAt - message.stamp.age
+        val stamped = message.stamp.versions()
+        if (memory.control.versions().covers(stamped)) {
+            return Transition(memory.copy(stampedAt = later(memory.stampedAt, at)))
+        }
+        val ahead = memory.ahead?.takeIf { it.at >= at && it.versions.covers(stamped) } ?: AheadStamp(stamped, at)
+        return Transition(memory.copy(ahead = ahead), listOf(ControlEffect.AskPeer(message.from)))
+    }
+
+    private fun adopt(
+        memory: ControlMemory,
+        bundle: AcceptedBundle?,
+        overrides: Overrides?,
+        now: Duration,
+    ): ControlMemory {
+        val own = memory.control
+        val newBundle = bundle?.takeIf { it.version > own.bundleVersion() }
+        val newOverrides = overrides?.takeIf { it.version > own.overrides.version }
+        if (newBundle == null && newOverrides == null) return memory
+        val control = own.copy(bundle = newBundle ?: own.bundle, overrides = newOverrides ?: own.overrides)
+        return memory.copy(control = control, history = extend(memory, control, now))
+    }
+
+    /** The history after [next] replaced the control state of [memory]. */
+    private fun extend(memory: ControlMemory, next: ControlState, now: Duration): RosterHistory {
+        val body = next.bundle?.bundle ?: return RosterHistory()
+        val previous = memory.control
+        val previousBody = previous.bundle?.bundle ?: return RosterHistory(listOf(eraOf(body, next.overrides)), now)
+        val recent = memory.history.within(settings.shareTransition, now).map {
+            it.copy(
+                replacedAt =
+                it.replacedAt ?: now,
+            )
+        }
+        val passed = passedRosters(previousBody, body, previous, next).map { it.copy(replacedAt = now) }
+        val skipped = next.bundleVersion().value > previous.bundleVersion().value + 1 ||
+            next.overrides.version.value > previous.overrides.version.value + 1
+        val wasFresh = memory.freshUntil(settings)?.let { now < it } ?: false
+        // While the view was stale, other gateways may have raised their shares under a version that was skipped here.
+        val completeSince = if (skipped && !wasFresh) now else memory.history.completeSince
+        return RosterHistory((recent + passed).distinct() + eraOf(body, next.overrides), completeSince)
+    }
+
+    /**
+     * Rosters that may have been in force between two states. Bundle and overrides change independently, so either may
+     * have come first. For overrides that were skipped, the roster with no zone taken out gives the smallest share.
+     */
+    private fun passedRosters(old: Bundle, new: Bundle, before: ControlState, after: ControlState): List<RosterEra> {
+        val overridesSkipped = after.overrides.version.value > before.overrides.version.value + 1
+        val bundleChanged = after.bundleVersion() != before.bundleVersion()
+        val overridesChanged = after.overrides.version != before.overrides.version
+        val mixed = if (bundleChanged && overridesChanged) {
+            listOf(eraOf(old, after.overrides), eraOf(new, before.overrides))
+        } else {
+            emptyList()
+        }
+        val full = if (overridesSkipped) listOf(eraOf(old, Overrides()), eraOf(new, Overrides())) else emptyList()
+        return mixed + full
+    }
+
+    /** Draws the conclusions that hold after every message. */
+    private fun settle(memory: ControlMemory, now: Duration): ControlMemory {
+        val reached = memory.ahead?.takeIf { memory.control.versions().covers(it.versions) }
+        val stamped = if (reached ==
+            null
+        ) {
+            memory
+        } else {
+            memory.copy(ahead = null, stampedAt = later(memory.stampedAt, reached.at))
+        }
+        val confirmed = stamped.confirmedAt()?.let { now < it + settings.viewLifetime } ?: false
+        val heardByPeers = stamped.answered.size * 2 > seedPeers
+        return stamped.copy(established = stamped.established || confirmed || heardByPeers)
+    }
+}
+
+private fun later(first: Duration?, second: Duration): Duration = maxOf(first ?: second, second)
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlMemory.kt
@@ -0,0 +1,62 @@
+package redwingcross.version.control
+
+import redwingcross.request.ProcessName
+import redwingcross.request.Vm
+import redwingcross.version.bundle.BundleVersion
+import kotlin.time.Duration
+
+/** Versions of the three parts of the control state. */
+data class ControlVersions(val bundle: BundleVersion, val overrides: OverridesVersion, val leaving: VmListVersion) {
+    /** Whether no part is older than in [other]. */
+    fun covers(other: ControlVersions): Boolean =
+        bundle >= other.bundle && overrides >= other.overrides && leaving >= other.leaving
+}
+
+internal fun ControlState.bundleVersion(): BundleVersion = bundle?.version ?: BundleVersion(0)
+
+internal fun ControlState.versions(): ControlVersions =
+    ControlVersions(bundleVersion(), overrides.version, leaving.version)
+
+internal fun ConfirmationStamp.versions(): ControlVersions = ControlVersions(bundle, overrides, vms)
+
+/** Versions that the platform held at [at], by a stamp that is ahead of the node's own versions. */
+data class AheadStamp(val versions: ControlVersions, val at: Duration)
+
+/** The state of [ControlDecision]. A restarted node starts with an empty memory. */
+data class ControlMemory(
+    val control: ControlState = ControlState(),
+    val history: RosterHistory = RosterHistory(),
+    /** Object versions of the VMs as the platform listed them; they expose an outdated list. */
+    val listedVersions: Map<Vm, Long> = emptyMap(),
+    /** When the newest question was sent whose answer confirmed kind `control`. */
+    val controlHeardAt: Duration? = null,
+    /** When the newest question was sent whose answer confirmed kind `vms`. */
+    val vmsHeardAt: Duration? = null,
+    /** Whether the last answer about kind `control` was older than this node's versions. */
+    val controlOutdated: Boolean = false,
+    /** Whether the last answer about kind `vms` was older than an earlier one. */
+    val vmsOutdated: Boolean = false,
+    /** When some node heard from the platform that this node's versions are in force. */
+    val stampedAt: Duration? = null,
+    val ahead: AheadStamp? = null,
+    val majorityAt: Duration? = null,
+    /** Peers that sent their control state since the start of this process. */
+    val answered: Set<ProcessName> = emptySet(),
+    /** Whether the node has known the versions in force at some time since its start. */
+    val established: Boolean = false,
+) {
+    /** When the platform is known to have held no higher versions than this node has. */
+    fun confirmedAt(): Duration? {
+        val heard = if (controlHeardAt != null && vmsHeardAt != null) minOf(controlHeardAt, vmsHeardAt) else null
+        return listOfNotNull(heard, stampedAt).maxOrNull()
+    }
+
+    /** Reading of the process clock from which the view is stale, by rules (a) to (c) of the design page, 5.2. */
+    fun freshUntil(settings: ViewSettings): Duration? {
+        val confirmed = confirmedAt()
+        val byMajority = majorityAt?.takeIf { established && ahead == null }
+        return listOfNotNull(confirmed, byMajority).maxOrNull()?.plus(settings.viewLifetime)
+    }
+
+    fun view(settings: ViewSettings): ControlView = ControlView(control, history, freshUntil(settings), confirmedAt())
+}
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlObjects.kt
@@ -0,0 +1,70 @@
+package redwingcross.version.control
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import redwingcross.connection.platform.ObjectKey
+import redwingcross.connection.platform.StoredObject
+import redwingcross.connection.platform.WatchEvent
+import redwingcross.request.Vm
+import kotlin.time.Duration
+
+private val logger = KotlinLogging.logger {}
+private val json = Json { ignoreUnknownKeys = true }
+
+/** Name of the object that holds the accepted bundle. */
+const val BUNDLE_OBJECT = "bundle"
+
+/** Name of the object that holds the overrides. */
+const val OVERRIDES_OBJECT = "overrides"
+
+/** Translates a watch event of kind `control`; null if it proves nothing about the objects in force. */
+internal fun controlMessage(event: WatchEvent, askedAt: Duration): ControlMessage? = when (event) {
+    is WatchEvent.Snapshot -> controlHeard(event.objects, askedAt)
+    is WatchEvent.Changed -> controlHeard(listOf(event.value), askedAt)
+    // Neither object is ever deleted by the system; the node keeps what it adopted.
+    is WatchEvent.Deleted -> null
+    WatchEvent.Unchanged -> ControlMessage.ControlHeard(null, null, askedAt)
+    is WatchEvent.Unavailable -> null
+}
+
+/** Translates a watch event of kind `vms`; null if it proves nothing about the list in force. */
+internal fun vmsMessage(event: WatchEvent, askedAt: Duration): ControlMessage? = when (event) {
+    is WatchEvent.Snapshot -> vmsHeard(event.objects, complete = true, askedAt)
+    is WatchEvent.Changed -> vmsHeard(listOf(event.value), complete = false, askedAt)
+    is WatchEvent.Deleted, WatchEvent.Unchanged -> ControlMessage.VmsHeard(emptyList(), complete = false, askedAt)
+    is WatchEvent.Unavailable -> null
+}
+
+private fun controlHeard(objects: List<StoredObject>, askedAt: Duration): ControlMessage? {
+    val byName = objects.associateBy { it.key.name }
+    val bundle = byName[BUNDLE_OBJECT]?.let { decode(it, AcceptedBundle.serializer()) ?: return null }
+    val overrides = byName[OVERRIDES_OBJECT]?.let { decode(it, Overrides.serializer()) ?: return null }
+    return ControlMessage.ControlHeard(bundle, overrides, askedAt)
+}
+
+private fun vmsHeard(objects: List<StoredObject>, complete: Boolean, askedAt: Duration): ControlMessage? {
+    val vms = objects.map { stored ->
+        val state = runCatching { stored.value.jsonObject["state"]?.jsonPrimitive?.content }.getOrNull()
+        if (state == null) {
+            rejected(stored.key, "no field state")
+            return null
+        }
+        ListedVm(Vm(stored.key.name), stored.version.value, leaving = state == "leaving")
+    }
+    return ControlMessage.VmsHeard(vms, complete, askedAt)
+}
+
+private fun <T : Any> decode(stored: StoredObject, format: DeserializationStrategy<T>): T? = try {
+    json.decodeFromJsonElement(format, stored.value)
+} catch (fault: SerializationException) {
+    rejected(stored.key, fault.message)
+    null
+}
+
+private fun rejected(key: ObjectKey, detail: String?) {
+    logger.error { "event=control_object_invalid object=$key detail=\"${detail?.lineSequence()?.first()}\"" }
+}
--- a/version/src/main/kotlin/redwingcross/version/control/ControlState.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlState.kt
@@ -39,6 +39,23 @@
     val nonce: String = "",
 )
 
-/** The newest bundle and overrides that a node has adopted; both only ever rise. */
+/** Highest object version that a node has seen in the platform's list of VMs. */
 @Serializable
-data class ControlState(val bundle: AcceptedBundle? = null, val overrides: Overrides = Overrides())
+@JvmInline
+value class VmListVersion(val value: Long) : Comparable<VmListVersion> {
+    override fun compareTo(other: VmListVersion): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+}
+
+/** The VMs that the platform is about to stop. */
+@Serializable
+data class LeavingVms(val version: VmListVersion = VmListVersion(0), val vms: Set<Vm> = emptySet())
+
+/** The newest bundle, overrides and leaving VMs that a node has adopted; their versions only ever rise. */
+@Serializable
+data class ControlState(
+    val bundle: AcceptedBundle? = null,
+    val overrides: Overrides = Overrides(),
+    val leaving: LeavingVms = LeavingVms(),
+)
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlTask.kt
@@ -0,0 +1,110 @@
+package redwingcross.version.control
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import redwingcross.connection.platform.ObjectKind
+import redwingcross.connection.platform.WatchEvent
+import redwingcross.connection.platform.WatchKind
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ProcessName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+private val logger = KotlinLogging.logger {}
+private const val MAILBOX_SIZE = 64
+private val TICK = 1.seconds
+
+/** Kind of the objects `control/bundle` and `control/overrides`. */
+val CONTROL_KIND = ObjectKind("control")
+
+/** Kind of the platform's list of VMs. */
+val VMS_KIND = ObjectKind("vms")
+
+/** Requests the control state of a peer; the answer is passed to [ControlTask.peerState]. It must not wait for it. */
+typealias AskPeer = (ProcessName) -> Unit
+
+/**
+ * Owns the control state of a node. Senders suspend while the mailbox is full.
+ *
+ * [watch] must return flows without a buffer, because a question is taken to be sent after the previous event was
+ * collected, and emit the changes of one answer in the order of their versions.
+ */
+class ControlTask(
+    private val decision: ControlDecision,
+    private val settings: ViewSettings,
+    private val clock: MonotonicClock,
+    private val watch: WatchKind,
+    private val askPeer: AskPeer,
+) {
+    private val mailbox = Channel<ControlMessage>(MAILBOX_SIZE)
+    private val published = MutableStateFlow(ControlView())
+
+    /** The newest view; each value is immutable. */
+    val view: StateFlow<ControlView> = published.asStateFlow()
+
+    /** Runs until it is cancelled. */
+    suspend fun run(): Unit = coroutineScope {
+        launch { follow(CONTROL_KIND, ::controlMessage) }
+        launch { follow(VMS_KIND, ::vmsMessage) }
+        launch {
+            while (isActive) {
+                delay(TICK)
+                mailbox.send(ControlMessage.Tick)
+            }
+        }
+        var memory = ControlMemory()
+        for (message in mailbox) {
+            val transition = decision.step(memory, message, clock.now())
+            memory = transition.state
+            published.value = memory.view(settings)
+            transition.effects.forEach(::carryOut)
+        }
+    }
+
+    /** A peer passed on [stamp] in an exchange that this node began at [askedAt] on the process clock. */
+    suspend fun stampHeard(from: ProcessName, stamp: ConfirmationStamp, askedAt: Duration): Unit =
+        mailbox.send(ControlMessage.StampHeard(from, stamp, askedAt))
+
+    /** A peer or an operator's command sent its control state; [asked] if this node had requested it. */
+    suspend fun peerState(from: ProcessName, control: ControlState, asked: Boolean): Unit =
+        mailbox.send(ControlMessage.PeerState(from, control, asked))
+
+    /** Membership found a majority of the roster reachable by probes sent at [probedAt] or later. */
+    suspend fun majorityReachable(probedAt: Duration): Unit = mailbox.send(ControlMessage.MajorityReachable(probedAt))
+
+    /** Membership no longer finds a majority of the roster reachable. */
+    suspend fun majorityLost(): Unit = mailbox.send(ControlMessage.MajorityLost)
+
+    /** The stamp to pass on to peers; null if nobody confirmed the view within the lifetime of a view. */
+    fun stamp(): ConfirmationStamp? = published.value.stamp(clock.now(), settings.viewLifetime)
+
+    private suspend fun follow(kind: ObjectKind, translate: (WatchEvent, Duration) -> ControlMessage?) {
+        var askedAt = clock.now()
+        watch(kind).collect { event ->
+            translate(event, askedAt)?.let { mailbox.send(it) }
+            if (event is WatchEvent.Unavailable) {
+                logger.warn { "event=watch_unavailable kind=$kind detail=\"${event.detail}\"" }
+            }
+            askedAt = clock.now()
+        }
+    }
+
+    private fun carryOut(effect: ControlEffect) {
+        when (effect) {
+            is ControlEffect.AskPeer -> askPeer(effect.peer)
+            is ControlEffect.Adopted -> logger.info {
+                "event=control_adopted bundle=${effect.bundle} overrides=${effect.overrides} vms=${effect.leaving}"
+            }
+            is ControlEffect.OutdatedAnswer -> logger.warn {
+                "event=control_answer_outdated bundle=${effect.bundle} overrides=${effect.overrides}"
+            }
+        }
+    }
+}
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/control/ViewSettings.kt
@@ -0,0 +1,18 @@
+package redwingcross.version.control
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Times that bound how long an outdated view can have an effect. All gateways of a region must use the same values. */
+data class ViewSettings(
+    /** Time after which a view that nobody confirmed admits no more work. */
+    val viewLifetime: Duration = 5.seconds,
+    /** Longest time that one attempt runs at a back end. */
+    val maxRequestDuration: Duration = 120.seconds,
+) {
+    /**
+     * Time after which no request runs any more that was admitted under a replaced roster: a gateway may admit under
+     * it until its view expires, and the request then runs for at most [maxRequestDuration].
+     */
+    val shareTransition: Duration get() = maxRequestDuration + viewLifetime
+}
