Route requests by static shares and fair queues

Cause: a gateway has to choose a server for each request without exceeding what the servers bear in sum over all gateways. Change: FairQueue orders the waiting requests; RoutingTable decides which servers are usable and how many slots belong to this gateway; Router combines both as a pure state machine; RouterTask owns it and implements SlotSource. The stateful properties are not written yet.

--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/routing/ServerLoad.kt
@@ -0,0 +1,10 @@
+package redwingcross.version.routing
+
+import redwingcross.request.slot.SlotRequest
+
+/** What this gateway has at one server. */
+data class ServerLoad(val requests: Int = 0, val heldBytes: Long = 0) {
+    operator fun plus(request: SlotRequest): ServerLoad = ServerLoad(requests + 1, heldBytes + request.heldBytes)
+
+    operator fun minus(request: SlotRequest): ServerLoad = ServerLoad(requests - 1, heldBytes - request.heldBytes)
+}
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/routing/SlotOffer.kt
@@ -0,0 +1,39 @@
+package redwingcross.version.routing
+
+import redwingcross.request.ServiceName
+import redwingcross.request.slot.SlotRequest
+import kotlin.math.ceil
+import kotlin.time.Duration
+
+/** The servers on offer in one step of the router, looked up once for each service. */
+internal class SlotOffer(private val table: RoutingTable, private val now: Duration) {
+    private val ownZone = table.zone
+    private val candidates = mutableMapOf<ServiceName, List<Candidate>>()
+
+    /** The server to send [request] to, or null if none has room for it. */
+    fun choose(state: RouterState, request: SlotRequest): Candidate? {
+        val free = of(request.service).filter { it.hasSlot(state.loadOf(it.server)) }
+        if (free.isEmpty()) return null
+        return chooseServer(free, request, ownZone, table.settings.otherZonePenalty, state::loadOf)
+    }
+
+    /**
+     * Whether the customer of [request] holds less than its weighted share of the service's slots. The share is divided
+     * among the customers that hold slots of the service or wait for one, and is at least one slot.
+     */
+    fun isBelowShare(state: RouterState, request: SlotRequest): Boolean {
+        val service = request.service
+        val total = of(service).sumOf { it.slots }
+        val waiting = state.queue.customers.filter { customer ->
+            state.queue.waitingOf(customer).any { it.request.service == service }
+        }
+        val holding = state.held.values.filter { it.request.service == service }.map { it.request.customer }
+        val weights = (waiting + holding).toSet().associateWith { table.weightOf(it) }
+        val weight = table.weightOf(request.customer)
+        val share = ceil(total.toDouble() * weight / maxOf(1, weights.values.sum())).toInt()
+        return state.heldBy(request.customer, service) < maxOf(1, share)
+    }
+
+    private fun of(service: ServiceName): List<Candidate> =
+        candidates.getOrPut(service) { table.candidates(service, now) }
+}
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/routing/StableHash.kt
@@ -0,0 +1,23 @@
+package redwingcross.version.routing
+
+private const val FNV_OFFSET = -3750763034362895579L
+private const val FNV_PRIME = 1099511628211L
+private const val BYTE_MASK = 0xffL
+private const val COMBINE_FACTOR = 31
+private const val FIRST_SHIFT = 30
+private const val FIRST_FACTOR = -4658895280553007687L
+private const val SECOND_SHIFT = 27
+private const val SECOND_FACTOR = -7723592293110705685L
+private const val LAST_SHIFT = 31
+
+/** 64-bit FNV-1a; every gateway must compute the same order, so it does not depend on the virtual machine. */
+internal fun stableHash(text: String): Long =
+    text.encodeToByteArray().fold(FNV_OFFSET) { hash, byte -> (hash xor (byte.toLong() and BYTE_MASK)) * FNV_PRIME }
+
+/** One hash of two, mixed by the finalizer of SplitMix64, which spreads every bit of both. */
+internal fun combineHashes(first: Long, second: Long): Long {
+    val sum = first * COMBINE_FACTOR + second
+    val once = (sum xor (sum ushr FIRST_SHIFT)) * FIRST_FACTOR
+    val twice = (once xor (once ushr SECOND_SHIFT)) * SECOND_FACTOR
+    return twice xor (twice ushr LAST_SHIFT)
+}
