Connect processes by sockets, membership and gossip

Cause: gateways and controllers had no way to exchange versions, zone statuses and liveness.

Ruled out: taking over a death that another process declared, because news from a process that was cut off would then remove live members; each process declares it after its own suspicion time. Adopting ages from messages that nobody asked for, because such a message may have waited in a socket while its receiver was stopped; ages come only from answers, with the time of the request added.

Change: Ktor sockets with length-prefixed CBOR frames, one task for each connection, a bounded pool of outgoing connections and a bounded listener; the membership and gossip decisions; the task that runs both; the answers to the other peer frames through function types of the program.

A test connects two processes over loopback sockets.

Conclusion: a gateway receives statuses, stamps and control state of a controller.

--- /dev/null
+++ b/connection/src/main/kotlin/redwingcross/connection/peer/IncomingConnection.kt
@@ -0,0 +1,88 @@
+package redwingcross.connection.peer
+
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+import java.util.concurrent.Semaphore
+
+/** A connection opened by a peer: reads its requests and writes their answers. */
+internal class IncomingConnection(
+    private val place: String,
+    private val settings: PeerSettings,
+    private val answer: AnswerFrame,
+) {
+    private val answers = Channel<PeerFrame>(settings.mailboxFrames)
+
+    /** Requests being answered. Further frames of a peer that sends faster than it is answered are dropped. */
+    private val permits = Semaphore(settings.mailboxFrames)
+
+    /** Serves [socket] until it ends, and closes it. */
+    suspend fun run(socket: Socket): ConnectionEnd = socket.use {
+        coroutineScope {
+            val reading = Channel<ConnectionEnd>(1)
+            val writing = Channel<ConnectionEnd>(1)
+            launch { reading.send(readRequests(it.openReadChannel(), this@coroutineScope)) }
+            launch { writing.send(writeAnswers(it.openWriteChannel())) }
+            val end =
+                select {
+                    reading.onReceive { end -> end }
+                    writing.onReceive { end -> end }
+                }
+            currentCoroutineContext().cancelChildren()
+            end
+        }
+    }
+
+    private suspend fun readRequests(channel: ByteReadChannel, handlers: CoroutineScope): ConnectionEnd {
+        var offset = 0L
+        while (true) {
+            val reading =
+                withTimeoutOrNull(settings.idle * 2) { channel.readFrame(settings.maximumFrameBytes, place, offset) }
+            when (reading) {
+                null -> return ConnectionEnd.Idle
+                FrameReading.Ended -> return ConnectionEnd.Closed
+                is FrameReading.Malformed -> return ConnectionEnd.Malformed(reading.finding)
+                is FrameReading.Read -> {
+                    offset += reading.bytes
+                    if (permits.tryAcquire()) handlers.launch { answerOne(reading.frame) }
+                }
+            }
+        }
+    }
+
+    private suspend fun answerOne(frame: PeerFrame) {
+        try {
+            answer(frame)?.let { answers.trySend(it) }
+        } finally {
+            permits.release()
+        }
+    }
+
+    private suspend fun writeAnswers(channel: ByteWriteChannel): ConnectionEnd {
+        try {
+            for (frame in answers) {
+                val document = PeerFrameCodec.encode(frame)
+                if (document.size > settings.maximumFrameBytes) continue
+                withTimeoutOrNull(settings.silence) {
+                    channel.writeFully(withLength(document))
+                    channel.flush()
+                } ?: return ConnectionEnd.Silent(settings.silence)
+            }
+        } catch (_: IOException) {
+            return ConnectionEnd.Closed
+        }
+        return ConnectionEnd.Closed
+    }
+}
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipPayload.kt
@@ -0,0 +1,23 @@
+package redwingcross.process.gossip
+
+import redwingcross.process.membership.Member
+import redwingcross.process.membership.MemberChange
+import redwingcross.process.membership.TableDigest
+
+/** The content of a `Gossip`, `Ping` or `Ack` frame. */
+sealed interface GossipPayload {
+    /** Content of a ping or its acknowledgement. */
+    data class Introduction(val sender: Member, val changes: List<MemberChange>) : GossipPayload
+
+    data class Digest(val digest: GossipDigest) : GossipPayload
+
+    data class Answer(val answer: GossipAnswer) : GossipPayload
+
+    data class ZonesRequest(val keys: List<ZoneKey>) : GossipPayload
+
+    data class Zones(val zones: List<ZoneNews>) : GossipPayload
+
+    data class Sync(val sender: Member, val digest: TableDigest) : GossipPayload
+
+    data class Table(val digest: TableDigest, val changes: List<MemberChange>) : GossipPayload
+}
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipRequests.kt
@@ -0,0 +1,130 @@
+package redwingcross.process.gossip
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.SendChannel
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
+import redwingcross.connection.peer.BuildFrame
+import redwingcross.connection.peer.PeerAnswer
+import redwingcross.connection.peer.PeerEndpoint
+import redwingcross.connection.peer.PeerFrame
+import redwingcross.connection.peer.RequestPeer
+import redwingcross.process.membership.Member
+import redwingcross.process.membership.MemberChange
+import redwingcross.process.membership.MembershipMessage
+import redwingcross.process.membership.MembershipSettings
+import redwingcross.process.membership.TableDigest
+import redwingcross.request.Checked
+import redwingcross.request.MonotonicClock
+import redwingcross.version.bundle.Endpoint
+import redwingcross.version.control.ControlState
+import java.util.concurrent.Semaphore
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Requests of the membership task to its peers. Each runs in a coroutine and reports its answer to [inputs]. */
+internal class GossipRequests(
+    private val scope: CoroutineScope,
+    private val request: RequestPeer,
+    private val clock: MonotonicClock,
+    private val inputs: SendChannel<TaskInput>,
+    private val self: () -> Member,
+    private val settings: MembershipSettings,
+) {
+    /** Further requests are left out; they are repeated in later rounds. */
+    private val permits = Semaphore(MAXIMUM_REQUESTS)
+
+    fun ping(target: Member, changes: List<MemberChange>) {
+        val bytes = encode(GossipPayload.Introduction(self(), changes))
+        start {
+            val sentAt = clock.now()
+            val answer =
+                request(target.peer.toPeer(), settings.probePeriod) { PeerFrame.Ping(self().name, it, bytes) }
+            if (!report(answer, sentAt)) tell(MembershipMessage.PingFailed(target.name))
+        }
+    }
+
+    fun pingIndirectly(via: Member, target: Member) =
+        ask(via.peer, settings.probePeriod) { PeerFrame.PingRequest(self().name, it, target.peer.value) }
+
+    fun sync(endpoint: Endpoint, digest: TableDigest) {
+        val bytes = encode(GossipPayload.Sync(self(), digest))
+        ask(endpoint, CONTENT_TIMEOUT, SyncRequest(endpoint, digest)) { PeerFrame.Gossip(self().name, it, bytes) }
+    }
+
+    fun sendChanges(endpoint: Endpoint, changes: List<MemberChange>) =
+        send(endpoint, GossipPayload.Introduction(self(), changes))
+
+    fun gossip(peer: Member, digest: GossipDigest) = send(peer.peer, GossipPayload.Digest(digest))
+
+    fun fetchZones(endpoint: Endpoint, keys: List<ZoneKey>) = send(endpoint, GossipPayload.ZonesRequest(keys))
+
+    fun fetchControl(endpoint: Endpoint, adopt: suspend (ControlState) -> Unit) = start {
+        val answer = request(endpoint.toPeer(), CONTENT_TIMEOUT) { PeerFrame.ControlRequest(self().name, it) }
+        val frame = (answer as? PeerAnswer.Answered)?.frame as? PeerFrame.ControlAnswer
+        frame?.let { readControl(it) }?.let { adopt(it) }
+    }
+
+    private fun send(endpoint: Endpoint, payload: GossipPayload) {
+        val bytes = encode(payload)
+        ask(endpoint, CONTENT_TIMEOUT) { PeerFrame.Gossip(self().name, it, bytes) }
+    }
+
+    private fun ask(endpoint: Endpoint, timeout: Duration, sync: SyncRequest? = null, build: BuildFrame) = start {
+        val sentAt = clock.now()
+        report(request(endpoint.toPeer(), timeout, build), sentAt, sync)
+    }
+
+    /** Whether [answer] came from the peer and could be read. */
+    private suspend fun report(answer: PeerAnswer, sentAt: Duration, sync: SyncRequest? = null): Boolean {
+        val frame = (answer as? PeerAnswer.Answered)?.frame ?: return false
+        val bytes =
+            when (frame) {
+                is PeerFrame.Ack -> frame.gossip.takeIf { frame.reached }
+                is PeerFrame.Gossip -> frame.gossip
+                else -> null
+            } ?: return false
+        return when (val decoded = GossipCodec.decode(bytes, clock.now())) {
+            is Checked.Valid -> {
+                inputs.send(TaskInput.Answered(frame.from, sentAt, decoded.value, sync))
+                true
+            }
+            is Checked.Invalid -> {
+                logger.warn { "event=gossip_malformed peer=${frame.from} finding=\"${decoded.findings.first()}\"" }
+                false
+            }
+        }
+    }
+
+    private suspend fun tell(message: MembershipMessage) = inputs.send(TaskInput.ForMembership(message))
+
+    private fun encode(payload: GossipPayload): ByteArray = GossipCodec.encode(payload, clock.now())
+
+    private fun start(block: suspend () -> Unit) {
+        if (!permits.tryAcquire()) return
+        scope.launch {
+            try {
+                block()
+            } finally {
+                permits.release()
+            }
+        }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        const val MAXIMUM_REQUESTS = 64
+        val CONTENT_TIMEOUT = 2.seconds
+    }
+}
+
+internal fun Endpoint.toPeer() = PeerEndpoint(value)
+
+private val json = Json { ignoreUnknownKeys = true }
+
+/** Null if the document is not a control state. */
+internal fun readControl(frame: PeerFrame.ControlAnswer): ControlState? =
+    runCatching { json.decodeFromString(ControlState.serializer(), frame.control) }.getOrNull()
+
+internal fun writeControl(state: ControlState): String = json.encodeToString(ControlState.serializer(), state)
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/gossip/MembershipTask.kt
@@ -0,0 +1,267 @@
+package redwingcross.process.gossip
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import redwingcross.connection.peer.RequestPeer
+import redwingcross.process.membership.Availability
+import redwingcross.process.membership.ChoiceSeed
+import redwingcross.process.membership.Member
+import redwingcross.process.membership.MemberCondition
+import redwingcross.process.membership.MemberEntry
+import redwingcross.process.membership.Membership
+import redwingcross.process.membership.MembershipEffect
+import redwingcross.process.membership.MembershipMessage
+import redwingcross.process.membership.MembershipSettings
+import redwingcross.process.membership.MembershipState
+import redwingcross.process.membership.Roster
+import redwingcross.process.membership.TableDigest
+import redwingcross.request.Checked
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ProcessName
+import redwingcross.version.bundle.Endpoint
+import redwingcross.version.control.ConfirmationStamp
+import redwingcross.version.placement.BootId
+import redwingcross.version.placement.ZoneStatus
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Input of the membership task besides the frames of peers. */
+internal sealed interface TaskInput {
+    class ForMembership(val message: MembershipMessage) : TaskInput
+
+    class ForGossip(val message: GossipMessage) : TaskInput
+
+    /** [peer] answered a request sent at [sentAt] with [payload]. */
+    class Answered(val peer: ProcessName, val sentAt: Duration, val payload: GossipPayload, val sync: SyncRequest?) :
+        TaskInput
+}
+
+/** The comparison of tables that an answer belongs to. */
+internal class SyncRequest(val endpoint: Endpoint, val digest: TableDigest)
+
+/** Owns the member table and the gossip state, and carries out their effects. */
+class MembershipTask(
+    self: Member,
+    seeds: List<Endpoint>,
+    choice: ChoiceSeed,
+    private val request: RequestPeer,
+    private val handlers: PeerHandlers,
+    private val clock: MonotonicClock = MonotonicClock.system,
+    private val membershipSettings: MembershipSettings = MembershipSettings(sizeOf = GossipCodec.changeSize),
+    private val gossipSettings: GossipSettings = GossipSettings(sizes = GossipCodec.sizes),
+) {
+    private class Incoming(val from: ProcessName, val payload: GossipPayload) {
+        val answer = CompletableDeferred<GossipPayload?>()
+    }
+
+    private val membership = Membership(membershipSettings)
+    private val gossip = Gossip(gossipSettings)
+    private var members: MembershipState = membership.start(self, seeds, choice, clock.now())
+    private var news: GossipState = gossip.start(self.name, clock.now())
+    private val views = MutableStateFlow(PeerView(members, news))
+
+    /** Frames of peers; a process that falls behind answers the newest. */
+    private val incoming =
+        Channel<Incoming>(MAILBOX, BufferOverflow.DROP_OLDEST) { it.answer.complete(null) }
+    private val inputs = Channel<TaskInput>(MAILBOX)
+
+    /** The newest snapshot. */
+    val view: StateFlow<PeerView> = views.asStateFlow()
+
+    /** This process heard from the platform. */
+    suspend fun confirmed(stamp: ConfirmationStamp) = tell(GossipMessage.Confirmed(stamp))
+
+    /** This process adopted these versions. */
+    suspend fun adopted(versions: ControlVersions) = tell(GossipMessage.Adopted(versions))
+
+    /** This process observed a zone; the sequence in [status] is replaced. */
+    suspend fun observed(status: ZoneStatus) = tell(GossipMessage.Observed(status))
+
+    /** This process saw that an engine turned cold without a restart. */
+    suspend fun turnedCold(incarnation: BootId) = tell(GossipMessage.TurnedCold(incarnation))
+
+    /** The gateways of which a majority counts. */
+    suspend fun rosterChanged(gateways: Collection<ProcessName>) =
+        tell(GossipMessage.RosterChanged(Roster.of(gateways)))
+
+    /** Peer listeners to try while members are missing. */
+    suspend fun seedsChanged(seeds: List<Endpoint>) = tell(MembershipMessage.SeedsChanged(seeds))
+
+    /** What this process announces about itself. */
+    suspend fun announce(availability: Availability) = tell(MembershipMessage.Announce(availability))
+
+    /** Tells the others that this process exits now. */
+    suspend fun leave() = tell(MembershipMessage.Leave)
+
+    private suspend fun tell(message: GossipMessage) = inputs.send(TaskInput.ForGossip(message))
+
+    private suspend fun tell(message: MembershipMessage) = inputs.send(TaskInput.ForMembership(message))
+
+    /** Answers a ping or gossip of a peer; null if it is malformed or the task is overloaded. */
+    internal suspend fun exchange(from: ProcessName, bytes: ByteArray): ByteArray? {
+        val payload =
+            when (val decoded = GossipCodec.decode(bytes, clock.now())) {
+                is Checked.Valid -> decoded.value
+                is Checked.Invalid -> {
+                    logger.warn { "event=gossip_malformed peer=$from finding=\"${decoded.findings.first()}\"" }
+                    return null
+                }
+            }
+        val message = Incoming(from, payload)
+        incoming.send(message)
+        return message.answer.await()?.let { GossipCodec.encode(it, clock.now()) }
+    }
+
+    /** Runs until cancelled. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    suspend fun run() = coroutineScope {
+        val requests = GossipRequests(this, request, clock, inputs, { members.self }, membershipSettings)
+        var nextTick = clock.now()
+        while (true) {
+            val now = clock.now()
+            if (now >= nextTick) {
+                nextTick = now + TICK
+                step(MembershipMessage.Tick, requests)
+                step(GossipMessage.Tick, requests)
+            }
+            views.value = PeerView(members, news)
+            select {
+                inputs.onReceive { take(it, requests) }
+                incoming.onReceive { it.answer.complete(answer(it, requests)) }
+                onTimeout((nextTick - clock.now()).coerceAtLeast(Duration.ZERO)) {}
+            }
+        }
+    }
+
+    private fun take(input: TaskInput, requests: GossipRequests) {
+        when (input) {
+            is TaskInput.ForMembership -> step(input.message, requests)
+            is TaskInput.ForGossip -> step(input.message, requests)
+            is TaskInput.Answered -> answered(input, requests)
+        }
+    }
+
+    private fun answered(input: TaskInput.Answered, requests: GossipRequests) {
+        step(MembershipMessage.Contacted(input.peer), requests)
+        step(GossipMessage.Contacted(input.peer, input.sentAt), requests)
+        when (val payload = input.payload) {
+            is GossipPayload.Introduction -> {
+                step(MembershipMessage.AckReceived(payload.sender, payload.changes), requests)
+                step(GossipMessage.Contacted(payload.sender.name, input.sentAt), requests)
+            }
+            is GossipPayload.Answer -> {
+                step(MembershipMessage.ChangesReceived(payload.answer.changes), requests)
+                step(GossipMessage.AnswerReceived(input.peer, payload.answer, input.sentAt), requests)
+            }
+            is GossipPayload.Zones -> step(GossipMessage.ZonesReceived(payload.zones, input.sentAt), requests)
+            is GossipPayload.Table ->
+                input.sync?.let {
+                    val message =
+                        MembershipMessage.SyncAnswered(it.endpoint, it.digest, payload.digest, payload.changes)
+                    step(message, requests)
+                }
+            else -> logger.warn { "event=gossip_unexpected_answer peer=${input.peer}" }
+        }
+    }
+
+    private fun answer(message: Incoming, requests: GossipRequests): GossipPayload? =
+        when (val payload = message.payload) {
+            is GossipPayload.Introduction ->
+                step(MembershipMessage.PingReceived(payload.sender, payload.changes), requests)
+            is GossipPayload.Sync -> step(MembershipMessage.SyncReceived(payload.sender, payload.digest), requests)
+            is GossipPayload.Digest -> {
+                step(MembershipMessage.ChangesReceived(payload.digest.changes), requests)
+                step(GossipMessage.DigestReceived(message.from, payload.digest, members.present().size), requests)
+            }
+            is GossipPayload.ZonesRequest -> step(GossipMessage.ZonesRequested(payload.keys), requests)
+            else -> null
+        }
+
+    /** Carries out one membership step; returns the answer to the peer, if the step made one. */
+    private fun step(message: MembershipMessage, requests: GossipRequests): GossipPayload? {
+        val (state, effects) = membership.step(members, message, clock.now())
+        members = state
+        var answer: GossipPayload? = null
+        for (effect in effects) {
+            when (effect) {
+                is MembershipEffect.Ping -> requests.ping(effect.target, effect.changes)
+                is MembershipEffect.PingIndirectly -> requests.pingIndirectly(effect.via, effect.target)
+                is MembershipEffect.Sync -> requests.sync(effect.endpoint, effect.digest)
+                is MembershipEffect.SendChanges -> requests.sendChanges(effect.endpoint, effect.changes)
+                is MembershipEffect.Acknowledge -> answer = GossipPayload.Introduction(members.self, effect.changes)
+                is MembershipEffect.AnswerSync -> answer = GossipPayload.Table(effect.digest, effect.changes)
+                is MembershipEffect.Changed -> logChange(effect.entry)
+                is MembershipEffect.Replaced -> handlers.replaced(effect.successor)
+            }
+        }
+        return answer
+    }
+
+    /** Carries out one gossip step; returns the answer to the peer, if the step made one. */
+    private fun step(message: GossipMessage, requests: GossipRequests): GossipPayload? {
+        val (state, effects) = gossip.step(news, message, clock.now())
+        news = state
+        var answer: GossipPayload? = null
+        for (effect in effects) {
+            when (effect) {
+                GossipEffect.StartRound -> startRound(requests)
+                is GossipEffect.Answer -> answer = GossipPayload.Answer(withChanges(effect.answer, message))
+                is GossipEffect.AnswerZones -> answer = GossipPayload.Zones(effect.zones)
+                is GossipEffect.FetchControl ->
+                    members.endpointOf(effect.from)?.let { requests.fetchControl(it, handlers.adoptControl) }
+                is GossipEffect.FetchZones -> members.endpointOf(effect.from)?.let {
+                    requests.fetchZones(it, effect.keys)
+                }
+                is GossipEffect.StampHeard -> handlers.stampHeard(effect.stamp, clock.now())
+                is GossipEffect.ZoneHeard -> handlers.zoneHeard(effect.status, clock.now() - effect.age)
+                is GossipEffect.ColdHeard -> handlers.coldHeard(effect.incarnation)
+            }
+        }
+        return answer
+    }
+
+    private fun startRound(requests: GossipRequests) {
+        val (state, peers) = membership.pickPeer(members)
+        members = state
+        val peer = peers.firstOrNull() ?: return
+        val now = clock.now()
+        val (taken, changes) = membership.takeChanges(members, peer.name, gossipSettings.changeBytes, now)
+        members = taken
+        val (next, digests) = gossip.digest(news, changes, members.present().size, members.choice, now)
+        news = next
+        requests.gossip(peer, digests.first())
+    }
+
+    private fun withChanges(answer: GossipAnswer, message: GossipMessage): GossipAnswer {
+        if (message !is GossipMessage.DigestReceived) return answer
+        val (state, changes) =
+            membership.takeChanges(members, message.from, gossipSettings.changeBytes, clock.now())
+        members = state
+        return answer.copy(changes = changes)
+    }
+
+    private companion object {
+        const val MAILBOX = 256
+        val TICK = 100.milliseconds
+    }
+}
+
+private val logger = KotlinLogging.logger {}
+
+private fun logChange(entry: MemberEntry) {
+    val member = entry.member
+    val line = {
+        "event=member_${entry.condition.name.lowercase()} member=${member.name} peer=${member.peer.value} " +
+            "incarnation=${member.incarnation.value} availability=${member.availability.name.lowercase()}"
+    }
+    if (entry.condition == MemberCondition.SUSPECT) logger.debug(line) else logger.info(line)
+}
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/gossip/PeerAnswers.kt
@@ -0,0 +1,51 @@
+package redwingcross.process.gossip
+
+import redwingcross.connection.peer.PeerAnswer
+import redwingcross.connection.peer.PeerEndpoint
+import redwingcross.connection.peer.PeerFrame
+import redwingcross.connection.peer.RequestPeer
+import redwingcross.process.membership.MembershipSettings
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ProcessName
+
+/** Answers the frames of peers: pings and gossip by the membership task, the others by the program's handlers. */
+class PeerAnswers(
+    private val self: ProcessName,
+    private val task: MembershipTask,
+    private val handlers: PeerHandlers,
+    private val request: RequestPeer,
+    private val clock: MonotonicClock = MonotonicClock.system,
+    private val settings: MembershipSettings = MembershipSettings(sizeOf = GossipCodec.changeSize),
+) {
+    /** The answer to [frame]; null for frames that are answers themselves or can't be answered. */
+    suspend fun answer(frame: PeerFrame): PeerFrame? = when (frame) {
+        is PeerFrame.Ping ->
+            task.exchange(frame.from, frame.gossip)?.let { PeerFrame.Ack(self, frame.correlation, it) }
+        is PeerFrame.Gossip ->
+            task.exchange(frame.from, frame.gossip)?.let { PeerFrame.Gossip(self, frame.correlation, it) }
+        is PeerFrame.PingRequest -> probe(frame)
+        is PeerFrame.ControlRequest -> controlAnswer(frame)
+        is PeerFrame.ControlAnswer -> {
+            // An operator spreads an accepted change; the answer shows which versions are in force here.
+            readControl(frame)?.let { handlers.adoptControl(it) }
+            controlAnswer(frame)
+        }
+        is PeerFrame.StateRequest -> PeerFrame.StateAnswer(self, frame.correlation, handlers.describeState())
+        is PeerFrame.AbandonAttempt ->
+            PeerFrame.AbandonAnswer(self, frame.correlation, handlers.abandonAttempt(frame.attempt))
+        is PeerFrame.Ack, is PeerFrame.AbandonAnswer, is PeerFrame.StateAnswer -> null
+    }
+
+    private fun controlAnswer(frame: PeerFrame) =
+        PeerFrame.ControlAnswer(self, frame.correlation, writeControl(handlers.controlState()))
+
+    /** The target's own acknowledgement is passed on, so that the asker learns its incarnation. */
+    private suspend fun probe(frame: PeerFrame.PingRequest): PeerFrame {
+        val introduction = GossipPayload.Introduction(task.view.value.self, emptyList())
+        val bytes = GossipCodec.encode(introduction, clock.now())
+        val answer =
+            request(PeerEndpoint(frame.target), settings.directTimeout) { PeerFrame.Ping(self, it, bytes) }
+        val ack = (answer as? PeerAnswer.Answered)?.frame as? PeerFrame.Ack
+        return PeerFrame.Ack(self, frame.correlation, ack?.gossip ?: ByteArray(0), reached = ack != null)
+    }
+}
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/membership/MembershipStep.kt
@@ -0,0 +1,211 @@
+package redwingcross.process.membership
+
+import redwingcross.request.ProcessName
+import redwingcross.version.bundle.Endpoint
+import kotlin.time.Duration
+
+/** The working copy of one step of [Membership]. */
+internal class MembershipStep(
+    private val settings: MembershipSettings,
+    private val table: MemberTable,
+    private val now: Duration,
+) {
+    private var state by table::state
+    private val effects get() = table.effects
+
+    fun take(message: MembershipMessage) {
+        when (message) {
+            MembershipMessage.Tick -> tick()
+            is MembershipMessage.PingReceived -> pingReceived(message)
+            is MembershipMessage.AckReceived -> ackReceived(message)
+            is MembershipMessage.Contacted -> contacted()
+            is MembershipMessage.PingFailed -> probeIndirectly(message.target)
+            is MembershipMessage.ChangesReceived -> message.changes.forEach(table::adopt)
+            is MembershipMessage.SyncReceived -> syncReceived(message)
+            is MembershipMessage.SyncAnswered -> syncAnswered(message)
+            is MembershipMessage.Announce -> announce(message.availability)
+            MembershipMessage.Leave -> leave()
+            is MembershipMessage.SeedsChanged -> state = state.copy(seeds = message.seeds)
+        }
+    }
+
+    private fun tick() {
+        val gap = now - state.lastTick
+        state = state.copy(lastTick = now)
+        if (gap >= settings.pause) resumeAfterPause(gap)
+        expire()
+        advanceProbe()
+        if (state.hasLeft) return
+        if (now >= state.nextProbe) startProbe()
+        synchronise()
+    }
+
+    /** Members could not answer or refute while this process was stopped, so their time starts again. */
+    private fun resumeAfterPause(gap: Duration) {
+        state =
+            state.copy(
+                probe = null,
+                nextProbe = now,
+                entries =
+                state.entries.mapValues { (_, entry) ->
+                    if (entry.condition == MemberCondition.SUSPECT) entry.copy(since = entry.since + gap) else entry
+                },
+            )
+    }
+
+    private fun expire() {
+        val absent = state.entries.values.filter { it.condition != MemberCondition.ALIVE }
+        for (entry in absent) {
+            val age = now - entry.since
+            if (entry.condition == MemberCondition.SUSPECT) {
+                if (age >= settings.suspicion) table.put(entry.copy(condition = MemberCondition.DEAD, since = now))
+            } else if (age >= settings.forgetAfter) {
+                val name = entry.member.name
+                state = state.copy(entries = state.entries - name, unsent = state.unsent - name)
+            }
+        }
+    }
+
+    private fun advanceProbe() {
+        val probe = state.probe ?: return
+        val age = now - probe.startedAt
+        if (age >= settings.probePeriod) {
+            state = state.copy(probe = null)
+            suspect(probe.target)
+        } else if (age >= settings.directTimeout) {
+            probeIndirectly(probe.target)
+        }
+    }
+
+    private fun startProbe() {
+        state = state.copy(nextProbe = now + settings.probePeriod)
+        val target = nextTarget() ?: return
+        state = state.copy(probe = Probe(target.name, now))
+        effects += MembershipEffect.Ping(target, table.takeChanges(target.name, settings.pingChangeBytes))
+    }
+
+    /** Goes through all members in random order, so that each is probed within 2n periods. */
+    private fun nextTarget(): Member? {
+        var order = state.probeOrder.dropWhile { state.entries[it]?.isPresent != true }
+        if (order.isEmpty()) {
+            order = state.choice.shuffle(state.entries.values.filter { it.isPresent }.map { it.member.name })
+            state = state.copy(choice = state.choice.next())
+        }
+        state = state.copy(probeOrder = order.drop(1))
+        return order.firstOrNull()?.let { state.entries[it]?.member }
+    }
+
+    private fun probeIndirectly(name: ProcessName) {
+        val probe = state.probe?.takeIf { it.target == name && !it.isIndirect } ?: return
+        val target = state.entries[name]?.member ?: return
+        state = state.copy(probe = probe.copy(isIndirect = true), choice = state.choice.next())
+        val helpers = state.entries.values.filter { it.condition == MemberCondition.ALIVE && it.member.name != name }
+        state.choice.shuffle(helpers).take(settings.indirectProbes).forEach {
+            effects += MembershipEffect.PingIndirectly(it.member, target)
+        }
+    }
+
+    private fun suspect(name: ProcessName) {
+        val entry = state.entries[name]?.takeIf { it.condition == MemberCondition.ALIVE } ?: return
+        val shared = !isIsolated()
+        table.put(entry.copy(condition = MemberCondition.SUSPECT, since = now, shared = shared))
+        if (shared) table.queue(name)
+    }
+
+    private fun isIsolated(): Boolean = now - state.lastContact > settings.isolation
+
+    private fun contacted() {
+        if (isIsolated()) {
+            state.entries.values
+                .filter { !it.shared && it.condition > MemberCondition.ALIVE }
+                .forEach { table.put(it.copy(condition = MemberCondition.ALIVE, since = now, shared = true)) }
+        }
+        state = state.copy(lastContact = now)
+    }
+
+    private fun pingReceived(message: MembershipMessage.PingReceived) {
+        table.adopt(MemberChange(message.sender, MemberCondition.ALIVE))
+        message.changes.forEach(table::adopt)
+        effects += MembershipEffect.Acknowledge(table.takeChanges(message.sender.name, settings.pingChangeBytes))
+    }
+
+    private fun ackReceived(message: MembershipMessage.AckReceived) {
+        contacted()
+        table.adopt(MemberChange(message.sender, MemberCondition.ALIVE))
+        message.changes.forEach(table::adopt)
+        val name = message.sender.name
+        if (state.probe?.target == name) state = state.copy(probe = null)
+        val entry = state.entries[name] ?: return
+        // The answer itself proves that the member runs, whatever others suspect.
+        val isSame = entry.member.start == message.sender.start && entry.condition != MemberCondition.LEFT
+        if (isSame && entry.condition != MemberCondition.ALIVE) {
+            table.put(entry.copy(condition = MemberCondition.ALIVE, since = now, shared = true))
+        }
+    }
+
+    private fun announce(availability: Availability) {
+        if (availability == state.self.availability) return
+        state = state.copy(self = state.self.copy(availability = availability))
+        table.raise(state.self.incarnation)
+    }
+
+    private fun leave() {
+        if (state.hasLeft) return
+        table.raise(state.self.incarnation)
+        state = state.copy(hasLeft = true, probe = null, choice = state.choice.next())
+        state.choice.shuffle(state.entries.values.filter { it.isPresent }).take(LEAVE_PINGS).forEach {
+            effects += MembershipEffect.Ping(it.member, table.takeChanges(it.member.name, settings.pingChangeBytes))
+        }
+    }
+
+    private fun synchronise() {
+        val present = state.entries.values.filter { it.isPresent }
+        if (now >= state.nextSync && present.isNotEmpty()) {
+            state = state.copy(nextSync = now + settings.syncPeriod)
+            sync(present.map { it.member.peer })
+        }
+        if (now >= state.nextRejoin) {
+            state =
+                state.copy(nextRejoin = now + if (present.isEmpty()) settings.probePeriod else settings.rejoinPeriod)
+            val known = present.mapTo(mutableSetOf(state.self.peer)) { it.member.peer }
+            val dead = state.entries.values.filter { it.condition == MemberCondition.DEAD }.map { it.member.peer }
+            sync((state.seeds + dead).filter { it !in known }.distinct())
+        }
+    }
+
+    private fun sync(endpoints: List<Endpoint>) {
+        if (endpoints.isEmpty()) return
+        val chosen = endpoints[state.choice.index(endpoints.size)]
+        state = state.copy(choice = state.choice.next())
+        effects += MembershipEffect.Sync(chosen, state.digest())
+    }
+
+    private fun syncReceived(message: MembershipMessage.SyncReceived) {
+        table.adopt(MemberChange(message.sender, MemberCondition.ALIVE))
+        val digest = state.digest()
+        effects += MembershipEffect.AnswerSync(digest, table.changesAt(digest, message.digest))
+    }
+
+    private fun syncAnswered(message: MembershipMessage.SyncAnswered) {
+        contacted()
+        val theirs = message.changes.associateBy { it.member.name }
+        val missing =
+            table.changesAt(message.digest, message.answerDigest).filter { ours ->
+                val their = theirs[ours.member.name]
+                if (their ==
+                    null
+                ) {
+                    ours.condition <= MemberCondition.SUSPECT
+                } else {
+                    ours.replaces(MemberEntry(their.member, their.condition, now))
+                }
+            }
+        message.changes.forEach(table::adopt)
+        if (missing.isNotEmpty()) effects += MembershipEffect.SendChanges(message.endpoint, missing)
+    }
+
+    private companion object {
+        /** A leaving process tells a few members at once; the rest hear it from them. */
+        const val LEAVE_PINGS = 3
+    }
+}
