Look up the bundle's entries by name in the router

Cause: each choice of a server scanned every VM of the bundle, which is 480 VMs for 60 groups. Change: BundleIndex is built once for each adopted version. Shares are kept by model and incarnation, because one engine process may serve another model later. The confirmation of a plain service call also checks the share.

--- a/version/src/main/kotlin/redwingcross/version/routing/Router.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/Router.kt
@@ -1,10 +1,8 @@
 package redwingcross.version.routing
 
-import redwingcross.request.Customer
 import redwingcross.request.NotRunReason
 import redwingcross.request.ProcessName
 import redwingcross.request.Transition
-import redwingcross.request.admission.CustomerTerms
 import redwingcross.request.admission.FairQueue
 import redwingcross.request.admission.Offered
 import redwingcross.request.admission.Waiting
@@ -58,18 +56,13 @@
         }
         val waiting = Waiting(message.ticket, request, now)
         if (reason != null) return refuse(state, listOf(waiting), reason)
-        return when (val offered = state.queue.offer(waiting, termsOf(state, request.customer))) {
+        return when (val offered = state.queue.offer(waiting, state.table.index.termsOf(request.customer))) {
             is Offered.Full -> refuse(state, listOf(waiting), NotRunReason.QUEUE_FULL)
             is Offered.Queued ->
                 refuse(state.copy(queue = offered.queue), listOfNotNull(offered.shed), NotRunReason.QUEUE_FULL)
         }
     }
 
-    private fun termsOf(state: RouterState, customer: Customer): CustomerTerms =
-        state.table.control.control.bundle?.bundle?.customers?.find { it.customer == customer }
-            ?.let { CustomerTerms(maxOf(1, it.weight), it.queueLimit) }
-            ?: CustomerTerms()
-
     private fun release(
         state: RouterState,
         message: RouterMessage.Release,
@@ -84,11 +77,8 @@
     }
 
     private fun controlChanged(state: RouterState, view: ControlView): RouterState {
-        val known = view.control.bundle?.bundle?.customers.orEmpty().map { it.customer }.toSet()
-        return state.copy(
-            table = state.table.controlChanged(view),
-            customers = state.customers.filterKeys { it in known },
-        )
+        val table = state.table.controlChanged(view)
+        return state.copy(table = table, customers = state.customers.filterKeys(table.index::isKnown))
     }
 
     /** Refuses the waiting requests that can't be served any more. */
@@ -144,7 +134,7 @@
     private fun serveOne(state: RouterState, offer: SlotOffer, now: Duration): Transition<RouterState, RouterEffect>? {
         // Customers below their share go first; the others may use what these can't.
         val taken =
-            state.queue.next { offer.isBelowShare(state, it.request) && offer.choose(state, it.request) != null }
+            state.queue.next { offer.choose(state, it.request) != null && offer.isBelowShare(state, it.request) }
                 ?: state.queue.next { offer.choose(state, it.request) != null }
                 ?: return null
         val request = taken.taken.request
--- a/version/src/main/kotlin/redwingcross/version/routing/RouterState.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/RouterState.kt
@@ -39,7 +39,7 @@
         val holder = held[id] ?: return false
         val slot = holder.slot
         val requests = loadOf(slot.server).requests
-        val group = slot.group ?: return table.mayDispatch(holder.request.service, slot.server, now)
+        val group = slot.group ?: return table.mayDispatch(holder.request.service, slot.server, requests, now)
         val view = table.statuses.groups[group] ?: return false
         return table.mayDispatch(group, slot.generation, slot.incarnation, now) && requests <= table.slots(view, now)
     }
--- a/version/src/main/kotlin/redwingcross/version/routing/RoutingTable.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/RoutingTable.kt
@@ -2,11 +2,9 @@
 
 import redwingcross.request.AvailabilityZone
 import redwingcross.request.BackendServer
-import redwingcross.request.Customer
 import redwingcross.request.GroupId
 import redwingcross.request.ProcessName
 import redwingcross.request.ServiceName
-import redwingcross.version.bundle.Bundle
 import redwingcross.version.bundle.ServiceInstance
 import redwingcross.version.control.ControlView
 import redwingcross.version.placement.GroupStatus
@@ -30,6 +28,9 @@
 /** The server that takes the requests of a group. */
 val GroupStatus.server: BackendServer get() = BackendServer(leader.value)
 
+/** One engine process may serve another model later, with other limits. */
+private val GroupStatus.shareKey: String get() = "$model/$incarnation"
+
 /** Everything that decides which servers may take a request. */
 data class RoutingTable(
     val gateway: ProcessName,
@@ -38,11 +39,11 @@
     val statuses: GroupStatuses = GroupStatuses(),
     val health: ServerHealth = ServerHealth(),
     private val shares: Map<String, ServerShare> = emptyMap(),
+    val index: BundleIndex = BundleIndex(null),
 ) {
-    private val bundle: Bundle? get() = control.control.bundle?.bundle
 
     /** Zone of this gateway by the bundle in force. */
-    val zone: AvailabilityZone? get() = bundle?.gateways?.find { it.gateway == gateway }?.zone
+    val zone: AvailabilityZone? get() = index.gatewayZones[gateway]
 
     /** Whether this gateway belongs to the roster in force; without it, it has no share of any server. */
     val isInRoster: Boolean get() = control.history.eras.lastOrNull()?.gateways?.contains(gateway) ?: false
@@ -50,15 +51,12 @@
     /** Whether the bundle in force has [service]. */
     fun knows(service: ServiceName): Boolean = control.history.eras.lastOrNull()?.limits?.containsKey(service) ?: false
 
-    /** Weight of [customer] by the bundle in force. */
-    fun weightOf(customer: Customer): Int =
-        bundle?.customers?.find { it.customer == customer }?.weight?.coerceAtLeast(1) ?: 1
-
     /** Replaces the control view and computes the shares under its rosters. */
     fun controlChanged(next: ControlView): RoutingTable {
-        val table = copy(control = next)
-        if (next.history == control.history) return table
-        return table.copy(shares = table.computeShares(emptyMap()), health = health.keepOnly(table.configured()))
+        if (next.history == control.history) return copy(control = next)
+        val nextIndex = BundleIndex(next.control.bundle?.bundle)
+        val table = copy(control = next, index = nextIndex, health = health.keepOnly(nextIndex.servers))
+        return table.copy(shares = table.computeShares(emptyMap()))
     }
 
     /** Replaces the statuses and computes the shares of new incarnations. */
@@ -69,12 +67,11 @@
 
     /** Servers of [service] that may take requests at [now], those without a slot for this gateway included. */
     fun candidates(service: ServiceName, now: Duration): List<Candidate> {
-        val body = bundle ?: return emptyList()
         if (!control.isFresh(now)) return emptyList()
         val groups = statuses.groups.values
             .filter { it.status.model == service && isUsable(it, now) }
             .map { candidate(it, now) }
-        val instances = body.services.find { it.service == service }?.instances.orEmpty()
+        val instances = index.instances[service].orEmpty()
             .filter { isAllowed(it) }
             .map { candidate(service, it, now) }
         return limitStragglers(groups, settings) { health.firstBytes[it]?.usual } + instances
@@ -89,10 +86,11 @@
             isUsable(view, now)
     }
 
-    /** Whether a call may be sent to the instance [server] of the plain service [service] at [now]. */
-    fun mayDispatch(service: ServiceName, server: BackendServer, now: Duration): Boolean = control.isFresh(now) &&
-        bundle?.services?.find { it.service == service }?.instances?.any { it.server == server && isAllowed(it) }
-            ?: false
+    /** Whether one of [calls] calls may be sent to the instance [server] of the plain service [service] at [now]. */
+    fun mayDispatch(service: ServiceName, server: BackendServer, calls: Int, now: Duration): Boolean {
+        val instance = index.instances[service].orEmpty().find { it.server == server } ?: return false
+        return control.isFresh(now) && isAllowed(instance) && calls <= slots(service, instance, now)
+    }
 
     /** Concurrent requests that this gateway may have at a group's server at [now]. */
     fun slots(view: GroupView, now: Duration): Int {
@@ -100,7 +98,7 @@
         val completeSince = control.history.completeSince ?: return 0
         // Requests of this gateway's previous process, or under rosters that it never saw, may still run.
         if (serving.isBoundBy(completeSince, settings.view, now)) return 0
-        return shares[view.status.incarnation.value]?.slots(serving, settings.view, now) ?: 0
+        return shares[view.status.shareKey]?.slots(serving, settings.view, now) ?: 0
     }
 
     /** Concurrent calls that this gateway may have at an instance of a plain service at [now]. */
@@ -113,12 +111,12 @@
     private fun isUsable(view: GroupView, now: Duration): Boolean {
         val status = view.status
         val overrides = control.control.overrides
-        val vms = bundle?.vms.orEmpty().filter { it.vm in status.members }
+        val zones = status.members.mapNotNull { index.vmZones[it] }
         return view.isReady(now, settings.statusLifetime) &&
-            bundle?.models?.any { it.model == status.model } == true &&
-            vms.size == status.members.size &&
+            status.model in index.models &&
+            zones.size == status.members.size &&
             view.zone !in overrides.zonesOut &&
-            vms.none { it.zone in overrides.zonesOut } &&
+            zones.none { it in overrides.zonesOut } &&
             status.members.none { it in overrides.drainedVms || it in control.leavingVms } &&
             status.members.none { BackendServer(it.value) in overrides.drainedServers } &&
             status.incarnation !in health.replaced &&
@@ -144,7 +142,7 @@
     private fun candidate(view: GroupView, now: Duration): Candidate {
         val status = view.status
         val serving = servingTime(view, now)
-        val share = shares[status.incarnation.value] ?: ServerShare(emptyList())
+        val share = shares[status.shareKey] ?: ServerShare(emptyList())
         return Candidate(
             status.server,
             view.zone,
@@ -168,20 +166,16 @@
         position = shares[shareKey(service, instance)]?.position ?: Int.MAX_VALUE,
     )
 
-    private fun configured(): Set<BackendServer> = bundle?.let { body ->
-        body.vms.map { BackendServer(it.vm.value) } + body.services.flatMap { it.instances }.map { it.server }
-    }.orEmpty().toSet()
-
     /** Shares of every server under every roster; [known] ones are kept, because the order takes long to compute. */
     private fun computeShares(known: Map<String, ServerShare>): Map<String, ServerShare> {
         val groups = statuses.groups.values.associate { view ->
-            val key = view.status.incarnation.value
+            val key = view.status.shareKey
             key to (known[key] ?: share(key, view.status.model))
         }
-        val instances = bundle?.services.orEmpty().flatMap { entry ->
-            entry.instances.map { instance ->
-                val key = shareKey(entry.service, instance)
-                key to (known[key] ?: share(key, entry.service))
+        val instances = index.instances.flatMap { (service, instances) ->
+            instances.map { instance ->
+                val key = shareKey(service, instance)
+                key to (known[key] ?: share(key, service))
             }
         }
         return groups + instances
--- a/version/src/main/kotlin/redwingcross/version/routing/SlotOffer.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/SlotOffer.kt
@@ -28,8 +28,8 @@
             state.queue.waitingOf(customer).any { it.request.service == service }
         }
         val holding = state.held.values.filter { it.request.service == service }.map { it.request.customer }
-        val weights = (waiting + holding).toSet().associateWith { table.weightOf(it) }
-        val weight = table.weightOf(request.customer)
+        val weights = (waiting + holding).toSet().associateWith { table.index.termsOf(it).weight }
+        val weight = table.index.termsOf(request.customer).weight
         val share = ceil(total.toDouble() * weight / maxOf(1, weights.values.sum())).toInt()
         return state.heldBy(request.customer, service) < maxOf(1, share)
     }
