Demand a majority of answers after every lapse of the view

Cause: rule (c) of the freshness decision admits work while no platform contact is known but a majority of the roster is reachable. A node that was paused or cut off while a zone was taken out met this rule as soon as it was back, before gossip brought it the higher version. Change: rule (c) holds only while the view has been fresh without a break since the node knew the versions in force, or after a majority of the seed peers answered within one view lifetime, as after a restart. Stamps are passed on even when they confirm nothing, so that versions spread during an outage. Ruled out: counting a majority of gossip answers, which takes minutes with 350 gateways. Conclusion: closes a way to send work to a zone that was taken out.

--- a/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
@@ -10,7 +10,7 @@
  */
 class ControlDecision(
     private val settings: ViewSettings,
-    /** Number of peers that a restarted node asks when the platform does not answer. */
+    /** Number of peers that a node asks while its view is stale; a majority of them must answer at about one time. */
     private val seedPeers: Int,
 ) {
     /** One step; [now] is a reading of the process clock. */
@@ -23,9 +23,14 @@
             is ControlMessage.MajorityReachable ->
                 Transition(memory.copy(majorityAt = later(memory.majorityAt, message.probedAt)))
             ControlMessage.MajorityLost -> Transition(memory.copy(majorityAt = null))
-            ControlMessage.Tick -> Transition(memory)
+            ControlMessage.Tick -> Transition(
+                memory,
+                listOf(ControlEffect.AskSeedPeers).filter {
+                    !memory.isFresh(settings, now)
+                },
+            )
         }
-        val settled = settle(next.state, now)
+        val settled = settle(memory, next.state, now)
         val before = memory.control.versions()
         val after = settled.control.versions()
         val adopted = ControlEffect.Adopted(after.bundle, after.overrides, after.leaving).takeIf { after != before }
@@ -80,7 +85,7 @@
     ): Transition<ControlMemory, ControlEffect> {
         val adopted = adopt(memory, message.control.bundle, message.control.overrides, now)
         val leaving = maxOf(adopted.control.leaving, message.control.leaving, compareBy { it.version })
-        val answered = if (message.asked) memory.answered + message.from else memory.answered
+        val answered = message.askedAt?.let { memory.answered + (message.from to it) } ?: memory.answered
         return Transition(
             adopted.copy(control = adopted.control.copy(leaving = leaving), answered = answered),
         )
@@ -127,9 +132,8 @@
         val passed = passedRosters(previousBody, body, previous, next).map { it.copy(replacedAt = now) }
         val skipped = next.bundleVersion().value > previous.bundleVersion().value + 1 ||
             next.overrides.version.value > previous.overrides.version.value + 1
-        val wasFresh = memory.freshUntil(settings)?.let { now < it } ?: false
         // While the view was stale, other gateways may have raised their shares under a version that was skipped here.
-        val completeSince = if (skipped && !wasFresh) now else memory.history.completeSince
+        val completeSince = if (skipped && !memory.isFresh(settings, now)) now else memory.history.completeSince
         return RosterHistory((recent + passed).distinct() + eraOf(body, next.overrides), completeSince)
     }
 
@@ -150,19 +154,18 @@
         return mixed + full
     }
 
-    /** Draws the conclusions that hold after every message. */
-    private fun settle(memory: ControlMemory, now: Duration): ControlMemory {
+    /** Draws the conclusions that hold after every message; [before] is the memory before it. */
+    private fun settle(before: ControlMemory, memory: ControlMemory, now: Duration): ControlMemory {
         val reached = memory.ahead?.takeIf { memory.control.versions().covers(it.versions) }
-        val stamped = if (reached ==
-            null
-        ) {
+        val stamped = if (reached == null) {
             memory
         } else {
             memory.copy(ahead = null, stampedAt = later(memory.stampedAt, reached.at))
         }
         val confirmed = stamped.confirmedAt()?.let { now < it + settings.viewLifetime } ?: false
-        val heardByPeers = stamped.answered.size * 2 > seedPeers
-        return stamped.copy(established = stamped.established || confirmed || heardByPeers)
+        val heardByPeers = stamped.answered.values.count { now < it + settings.viewLifetime } * 2 > seedPeers
+        val unbroken = before.established && before.isFresh(settings, now)
+        return stamped.copy(established = unbroken || confirmed || heardByPeers)
     }
 }
 
--- a/version/src/main/kotlin/redwingcross/version/control/ControlMemory.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlMemory.kt
@@ -40,9 +40,12 @@
     val stampedAt: Duration? = null,
     val ahead: AheadStamp? = null,
     val majorityAt: Duration? = null,
-    /** Peers that sent their control state since the start of this process. */
-    val answered: Set<ProcessName> = emptySet(),
-    /** Whether the node has known the versions in force at some time since its start. */
+    /** When each peer was asked whose control state arrived. */
+    val answered: Map<ProcessName, Duration> = emptyMap(),
+    /**
+     * Whether the view has been fresh without a break since a time when the node knew the versions in force. Only then
+     * does hearing nothing of a higher version mean that there is none.
+     */
     val established: Boolean = false,
 ) {
     /** When the platform is known to have held no higher versions than this node has. */
@@ -58,5 +61,8 @@
         return listOfNotNull(confirmed, byMajority).maxOrNull()?.plus(settings.viewLifetime)
     }
 
+    internal fun isFresh(settings: ViewSettings, now: Duration): Boolean =
+        freshUntil(settings)?.let { now < it } ?: false
+
     fun view(settings: ViewSettings): ControlView = ControlView(control, history, freshUntil(settings), confirmedAt())
 }
--- a/version/src/main/kotlin/redwingcross/version/control/ControlMessage.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlMessage.kt
@@ -18,8 +18,8 @@
     /** The platform answered about kind `vms`. A [complete] answer lists every VM, another one only changes. */
     data class VmsHeard(val vms: List<ListedVm>, val complete: Boolean, val askedAt: Duration) : ControlMessage
 
-    /** A peer or an operator's command sent its control state; [asked] if this node had requested it. */
-    data class PeerState(val from: ProcessName, val control: ControlState, val asked: Boolean) : ControlMessage
+    /** A peer sent its control state, asked for at [askedAt], or an operator's command sent it unasked (null). */
+    data class PeerState(val from: ProcessName, val control: ControlState, val askedAt: Duration?) : ControlMessage
 
     /** A peer passed on a stamp; its age is counted from [askedAt]. */
     data class StampHeard(val from: ProcessName, val stamp: ConfirmationStamp, val askedAt: Duration) : ControlMessage
@@ -42,6 +42,9 @@
     /** Request the control state of a peer that reported a higher version. */
     data class AskPeer(val peer: ProcessName) : ControlEffect
 
+    /** The view is stale: request the control state of every seed peer. */
+    data object AskSeedPeers : ControlEffect
+
     /** A higher version was adopted. */
     data class Adopted(val bundle: BundleVersion, val overrides: OverridesVersion, val leaving: VmListVersion) :
         ControlEffect
--- a/version/src/main/kotlin/redwingcross/version/control/ControlTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlTask.kt
@@ -42,6 +42,7 @@
     private val clock: MonotonicClock,
     private val watch: WatchKind,
     private val askPeer: AskPeer,
+    private val askSeedPeers: () -> Unit,
 ) {
     private val mailbox = Channel<ControlMessage>(MAILBOX_SIZE)
     private val published = MutableStateFlow(ControlView())
@@ -72,9 +73,9 @@
     suspend fun stampHeard(from: ProcessName, stamp: ConfirmationStamp, askedAt: Duration): Unit =
         mailbox.send(ControlMessage.StampHeard(from, stamp, askedAt))
 
-    /** A peer or an operator's command sent its control state; [asked] if this node had requested it. */
-    suspend fun peerState(from: ProcessName, control: ControlState, asked: Boolean): Unit =
-        mailbox.send(ControlMessage.PeerState(from, control, asked))
+    /** A peer sent the control state that this node requested at [askedAt], or an operator's command sent it (null). */
+    suspend fun peerState(from: ProcessName, control: ControlState, askedAt: Duration?): Unit =
+        mailbox.send(ControlMessage.PeerState(from, control, askedAt))
 
     /** Membership found a majority of the roster reachable by probes sent at [probedAt] or later. */
     suspend fun majorityReachable(probedAt: Duration): Unit = mailbox.send(ControlMessage.MajorityReachable(probedAt))
@@ -82,8 +83,8 @@
     /** Membership no longer finds a majority of the roster reachable. */
     suspend fun majorityLost(): Unit = mailbox.send(ControlMessage.MajorityLost)
 
-    /** The stamp to pass on to peers; null if nobody confirmed the view within the lifetime of a view. */
-    fun stamp(): ConfirmationStamp? = published.value.stamp(clock.now(), settings.viewLifetime)
+    /** The stamp to pass on to peers, see [ControlView.stamp]. */
+    fun stamp(): ConfirmationStamp? = published.value.stamp(clock.now())
 
     private suspend fun follow(kind: ObjectKind, translate: (WatchEvent, Duration) -> ControlMessage?) {
         var askedAt = clock.now()
@@ -99,6 +100,7 @@
     private fun carryOut(effect: ControlEffect) {
         when (effect) {
             is ControlEffect.AskPeer -> askPeer(effect.peer)
+            ControlEffect.AskSeedPeers -> askSeedPeers()
             is ControlEffect.Adopted -> logger.info {
                 "event=control_adopted bundle=${effect.bundle} overrides=${effect.overrides} vms=${effect.leaving}"
             }
