Add the request path from callers to back ends

The programs need a path for model requests and calls of plain services. The stock http4k Undertow server was ruled out because it buffers whole bodies.

Change: a pure state machine for model requests (request.model), OkHttp tasks for engines and services on a connection of their own for each call (connection.backend), and an http4k adapter for Undertow with a bounded mailbox between the reader of the back end and the writer to the caller (connection.caller).

Guards removed one at a time: reading the whole body before writing makes 'each event reaches the caller before the next one is produced' fail; without the mailbox's limit 29 MB wait and 'a mailbox that nobody empties' fails; without the limit on stalled writes 'a caller that reads nothing is disconnected' fails because no slot is released. Removing only the flush after each part changes nothing that the tests see, because Undertow passes chunks on without buffering.

Conclusion: events reach callers one by one and a caller that reads nothing stops the reading. Faults of back ends are not covered by tests yet.

--- /dev/null
+++ b/connection/src/main/kotlin/redwingcross/connection/backend/BackendLog.kt
@@ -0,0 +1,5 @@
+package redwingcross.connection.backend
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+
+internal val backendLog = KotlinLogging.logger("redwingcross.connection.backend")
--- /dev/null
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ModelExchange.kt
@@ -0,0 +1,137 @@
+package redwingcross.connection.caller
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import redwingcross.request.NotRunReason
+import redwingcross.request.Transition
+import redwingcross.request.model.AttemptFault
+import redwingcross.request.model.CallerLoss
+import redwingcross.request.model.ModelAttempt
+import redwingcross.request.model.ModelRequestEffect
+import redwingcross.request.model.ModelRequestEvent
+import redwingcross.request.model.ModelRequestState
+import redwingcross.request.model.next
+import redwingcross.request.model.startModelRequest
+import redwingcross.request.slot.SlotAnswer
+import redwingcross.request.slot.SlotRequest
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The task of one model request. It owns the request's state, carries out its effects and is the only one that gives
+ * its slots back. Attempts hand over each event without a buffer, so a full mailbox of the caller stops the reading.
+ */
+internal class ModelExchange(
+    private val services: CallerServices,
+    private val request: SlotRequest,
+    private val engineBody: ByteArray,
+    private val output: ModelOutput,
+    private val callerLoss: Deferred<CallerLoss>,
+) {
+    private val inbox = Channel<ModelRequestEvent>(Channel.RENDEZVOUS)
+    private val clock = services.clock
+    private var waitingForSlot = false
+    private var attemptJob: Job? = null
+
+    /** Runs the request to its end, which comes soon after its deadline at the latest; cancelling it has no effect. */
+    suspend fun run() = withContext(NonCancellable) {
+        coroutineScope {
+            var step: Transition<ModelRequestState, ModelRequestEffect> =
+                startModelRequest(request, services.modelLimits)
+            while (true) {
+                val followUp = carryOut(step.effects)
+                // A slot that is granted after the end has to be given back.
+                if (step.state is ModelRequestState.Finished && !waitingForSlot) break
+                val event = followUp ?: nextEvent(step.state)
+                if (event is ModelRequestEvent.SlotAnswered) waitingForSlot = false
+                step = step.state.next(event, clock.now())
+            }
+        }
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun nextEvent(state: ModelRequestState): ModelRequestEvent = select {
+        if (state !is ModelRequestState.Finished) callerLoss.onAwait { ModelRequestEvent.CallerLost(it) }
+        inbox.onReceive { it }
+        state.wakeUpAt?.let { wakeUpAt ->
+            onTimeout((wakeUpAt - clock.now()).coerceAtLeast(Duration.ZERO)) { ModelRequestEvent.Tick }
+        }
+    }
+
+    /** Carries out the effects in order; returns the event that delivering output led to. */
+    private suspend fun CoroutineScope.carryOut(effects: List<ModelRequestEffect>): ModelRequestEvent? {
+        var followUp: ModelRequestEvent? = null
+        for (effect in effects) {
+            when (effect) {
+                is ModelRequestEffect.Acquire -> acquire(effect.request)
+                is ModelRequestEffect.Dispatch -> dispatch(effect)
+                is ModelRequestEffect.Deliver -> followUp = outputEvent { output.deliver(effect.token) }
+                is ModelRequestEffect.KeepCallerAlive -> followUp = outputEvent { output.keepAlive() }
+                is ModelRequestEffect.Release -> services.slots.release(effect.slot.id, effect.result)
+                is ModelRequestEffect.Abandon -> abandon(effect)
+                is ModelRequestEffect.Finish -> output.finish(effect.result)
+            }
+        }
+        return followUp
+    }
+
+    private fun CoroutineScope.acquire(wanted: SlotRequest) {
+        waitingForSlot = true
+        // Never cancelled, because a slot that is granted at the same moment would be lost.
+        launch {
+            val answer = runCatching { services.slots.acquire(wanted) }.getOrElse { failure ->
+                callerLog.error(failure) { "event=acquire-failed request=${request.request}" }
+                SlotAnswer.Refused(NotRunReason.SHUTTING_DOWN, 1.seconds)
+            }
+            inbox.send(ModelRequestEvent.SlotAnswered(answer, services.newAttemptId()))
+        }
+    }
+
+    private fun CoroutineScope.dispatch(effect: ModelRequestEffect.Dispatch) {
+        val attempt = ModelAttempt(
+            slot = effect.slot,
+            attempt = effect.attempt,
+            request = request.request,
+            priority = request.priority,
+            resumeAt = effect.resumeAt,
+            body = engineBody,
+        )
+        attemptJob = launch {
+            runCatching { services.runAttempt(attempt, services.slots.confirm) { inbox.send(it) } }
+                .exceptionOrNull()?.let { failure ->
+                    if (failure is CancellationException) throw failure
+                    callerLog.error(failure) { "event=attempt-failed attempt=${effect.attempt}" }
+                    val fault = AttemptFault.Broken(failure.toString())
+                    inbox.send(ModelRequestEvent.AttemptFailed(effect.attempt, fault))
+                }
+        }
+    }
+
+    private fun CoroutineScope.abandon(effect: ModelRequestEffect.Abandon) {
+        attemptJob?.cancel()
+        // The slot is free only once the engine has stopped, else the engine would get more than its limit.
+        launch {
+            runCatching { services.cancelAttempt(effect.slot, effect.attempt) }.onFailure { failure ->
+                callerLog.warn { "event=cancel-failed attempt=${effect.attempt} cause=\"$failure\"" }
+            }
+            services.slots.release(effect.slot.id, effect.result)
+        }
+    }
+
+    /** Hands output to the caller's mailbox; a caller that has not taken it by the deadline counts as stalled. */
+    private suspend fun outputEvent(hand: suspend () -> CallerLoss?): ModelRequestEvent =
+        withTimeoutOrNull(request.deadline - clock.now()) {
+            hand()?.let(ModelRequestEvent::CallerLost) ?: ModelRequestEvent.OutputTaken
+        } ?: ModelRequestEvent.CallerLost(CallerLoss.STALLED)
+}
--- /dev/null
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ResponseWriter.kt
@@ -0,0 +1,70 @@
+package redwingcross.connection.caller
+
+import io.undertow.server.HttpServerExchange
+import io.undertow.util.Headers
+import io.undertow.util.HttpString
+import org.http4k.core.Response
+import org.xnio.IoUtils
+import org.xnio.channels.StreamSinkChannel
+import redwingcross.request.MonotonicClock
+import java.io.IOException
+import java.nio.ByteBuffer
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** Writes http4k responses to the sockets of callers; each read of a streaming body is flushed at once. */
+internal class ResponseWriter(private val writeStall: Duration, private val clock: MonotonicClock) {
+    /** Writes the whole response on the calling worker thread; a failure closes the connection. */
+    fun write(exchange: HttpServerExchange, response: Response) {
+        try {
+            response.use { writeHeadAndBody(exchange, it) }
+            exchange.endExchange()
+        } catch (failure: IOException) {
+            callerLog.debug { "event=caller-disconnected peer=${exchange.sourceAddress} cause=\"$failure\"" }
+            IoUtils.safeClose(exchange.connection)
+        }
+    }
+
+    private fun writeHeadAndBody(exchange: HttpServerExchange, response: Response) {
+        exchange.statusCode = response.status.code
+        response.headers.forEach { (name, value) -> exchange.responseHeaders.add(HttpString(name), value.orEmpty()) }
+        val length = response.body.length
+        if (length != null && !exchange.responseHeaders.contains(Headers.CONTENT_LENGTH)) {
+            exchange.responseContentLength = length
+        }
+        val channel = exchange.responseChannel ?: throw IOException("the exchange has no response channel")
+        response.body.stream.use { body ->
+            val buffer = ByteArray(BUFFER_BYTES)
+            var count = body.read(buffer)
+            while (count >= 0) {
+                writeFully(channel, ByteBuffer.wrap(buffer, 0, count))
+                flushFully(channel)
+                count = body.read(buffer)
+            }
+        }
+        channel.shutdownWrites()
+        flushFully(channel)
+    }
+
+    private fun writeFully(channel: StreamSinkChannel, bytes: ByteBuffer) {
+        var lastProgress = clock.now()
+        while (bytes.hasRemaining()) {
+            if (channel.write(bytes) > 0) lastProgress = clock.now() else awaitWritable(channel, lastProgress)
+        }
+    }
+
+    private fun flushFully(channel: StreamSinkChannel) {
+        val start = clock.now()
+        while (!channel.flush()) awaitWritable(channel, start)
+    }
+
+    private fun awaitWritable(channel: StreamSinkChannel, lastProgress: Duration) {
+        val remaining = lastProgress + writeStall - clock.now()
+        if (!remaining.isPositive()) throw IOException("the caller took nothing for $writeStall")
+        channel.awaitWritable(remaining.inWholeMilliseconds + 1, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        const val BUFFER_BYTES = 8192
+    }
+}
