Form and repair serving groups from the accepted bundle

Ruled out: counting the time since the last report alone as an absence. After a pause of the controller every member would count as lost; the number of missed reports has to agree.

--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/placement/OrderPlan.kt
@@ -0,0 +1,68 @@
+package redwingcross.version.placement
+
+import redwingcross.request.Vm
+import redwingcross.version.bundle.VmEntry
+import kotlin.time.Duration
+
+/** Orders for the VMs whose reports differ from the placement, within the number of loads allowed at once. */
+internal class OrderPlan(
+    private val state: PlacementState,
+    private val placement: Placement,
+    private val hold: Hold,
+    private val now: Duration,
+) {
+    private val entries = state.entries
+    private val settings = state.settings
+
+    /** VMs of one group that are of use only together. */
+    private class OrderUnit(val targets: List<Target>)
+
+    private inner class Target(val entry: VmEntry, val assignment: Assignment, val members: List<Vm>) {
+        val view = state.views[entry.vm]
+        val report = view?.report
+        val isCarriedOut = report?.assignment == assignment
+        val isOrdered =
+            state.orders[entry.vm]?.let { it.assignment == assignment && now < it.sentAt + settings.orderRetry } == true
+        val holdsWeights = report?.ready == true && report.assignment?.shard == assignment.shard
+
+        /** Whether the engine loads, or was just told to load, the weights of the assignment. */
+        val isLoading = !holdsWeights && (isCarriedOut || isOrdered)
+        val needsOrder = !isCarriedOut && !isOrdered && isReachable()
+
+        private fun isReachable(): Boolean = view != null &&
+            view.misses == 0 &&
+            view.isCurrent(now, settings.members) &&
+            (entry.checksFencing || now >= hold.unfencedFrom)
+    }
+
+    fun orders(): List<MemberOrder> {
+        if (placement.zone in state.control.overrides.zonesOut) return emptyList()
+        val units = placement.groups.flatMap { listOf(memberUnit(it), spareUnit(it)) }
+        var free = settings.maxConcurrentLoads - units.sumOf { unit -> unit.targets.count { it.isLoading } }
+        return units.sortedBy(::loadsNeeded).flatMap { it.targets }.filter { it.needsOrder }.filter {
+            val admitted = it.holdsWeights || free > 0
+            if (admitted && !it.holdsWeights) free -= 1
+            admitted
+        }.map(::order)
+    }
+
+    /** The unit that needs the fewest loads is served first, because it is ready soonest. */
+    private fun loadsNeeded(unit: OrderUnit): Int = unit.targets.count { !it.holdsWeights }
+
+    private fun memberUnit(group: ServingGroup) =
+        OrderUnit(group.assignments().mapNotNull { (vm, assignment) -> target(vm, assignment, group.members) })
+
+    private fun spareUnit(group: ServingGroup) =
+        OrderUnit(group.preparations().mapNotNull { (vm, assignment) -> target(vm, assignment, emptyList()) })
+
+    private fun target(vm: Vm, assignment: Assignment, members: List<Vm>): Target? =
+        entries[vm]?.let { Target(it, assignment, members) }
+
+    private fun order(target: Target) = MemberOrder(
+        vm = target.entry.vm,
+        endpoint = target.entry.engine,
+        epoch = hold.epoch,
+        assignment = target.assignment,
+        members = target.members.mapNotNull { vm -> entries[vm]?.let { vm to it.engine } },
+    )
+}
--- a/version/src/main/kotlin/redwingcross/version/placement/Placement.kt
+++ b/version/src/main/kotlin/redwingcross/version/placement/Placement.kt
@@ -48,4 +48,6 @@
     val epoch: LeaseEpoch,
     val groups: List<ServingGroup>,
     val nonce: String,
+    /** Number of the next new group; it only rises, so that a group id is never used for two groups. */
+    val nextGroup: Long = 1,
 )
