Carry the control state between its task and the peers

Cause: gossip did not pass on the version of the list of leaving VMs nor who sent a stamp, and a majority that was reachable up to 5 s ago gave the control task no time since which it was proved.

Ruled out: reporting the majority as proved 5 s ago, which makes a view that relies on it stale at once.

--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipMessage.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipMessage.kt
@@ -3,8 +3,8 @@
 import redwingcross.process.membership.Roster
 import redwingcross.request.ProcessName
 import redwingcross.version.control.ConfirmationStamp
-import redwingcross.version.placement.BootId
 import redwingcross.version.placement.ZoneStatus
+import redwingcross.version.routing.ColdReport
 import kotlin.time.Duration
 
 /** Input of the gossip decision. */
@@ -20,8 +20,8 @@
     /** This process observed a zone. The sequence is assigned by gossip. */
     data class Observed(val status: ZoneStatus) : GossipMessage
 
-    /** This process saw that [incarnation] turned cold. */
-    data class TurnedCold(val incarnation: BootId) : GossipMessage
+    /** This process saw that a server turned cold. */
+    data class TurnedCold(val report: ColdReport) : GossipMessage
 
     data class RosterChanged(val roster: Roster) : GossipMessage
 
@@ -54,11 +54,11 @@
 
     data class FetchZones(val from: ProcessName, val keys: List<ZoneKey>) : GossipEffect
 
-    /** A newer stamp than before; its age is valid now. */
-    data class StampHeard(val stamp: ConfirmationStamp) : GossipEffect
+    /** A newer stamp than before, passed on by [from]; its age is valid now. */
+    data class StampHeard(val from: ProcessName, val stamp: ConfirmationStamp) : GossipEffect
 
     /** A newer status than before, with its [age] now. */
     data class ZoneHeard(val status: ZoneStatus, val age: Duration) : GossipEffect
 
-    data class ColdHeard(val incarnation: BootId) : GossipEffect
+    data class ColdHeard(val report: ColdReport) : GossipEffect
 }
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipNews.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipNews.kt
@@ -7,20 +7,26 @@
 import redwingcross.version.bundle.BundleVersion
 import redwingcross.version.control.ConfirmationStamp
 import redwingcross.version.control.OverridesVersion
-import redwingcross.version.placement.BootId
+import redwingcross.version.control.VmListVersion
 import redwingcross.version.placement.GroupStatus
+import redwingcross.version.routing.ColdReport
 import kotlin.time.Duration
 
 /** Versions of the control state that a process has adopted; 0 stands for none. */
 data class ControlVersions(
     val bundle: BundleVersion = BundleVersion(0),
     val overrides: OverridesVersion = OverridesVersion(0),
+    val leaving: VmListVersion = VmListVersion(0),
 ) {
-    /** Whether either part is newer than in [other]. */
-    fun isAheadOf(other: ControlVersions): Boolean = bundle > other.bundle || overrides > other.overrides
+    /** Whether any part is newer than in [other]. */
+    fun isAheadOf(other: ControlVersions): Boolean =
+        bundle > other.bundle || overrides > other.overrides || leaving > other.leaving
 
-    internal fun max(other: ControlVersions): ControlVersions =
-        ControlVersions(maxOf(bundle, other.bundle), maxOf(overrides, other.overrides))
+    internal fun max(other: ControlVersions): ControlVersions = ControlVersions(
+        maxOf(bundle, other.bundle),
+        maxOf(overrides, other.overrides),
+        maxOf(leaving, other.leaving),
+    )
 }
 
 /** Whose status of which zone. */
@@ -32,8 +38,8 @@
 /** A heartbeat with its [age] when the message was made. [groups] is null when the receiver holds the content. */
 data class ZoneNews(val heartbeat: ZoneHeartbeat, val age: Duration, val groups: List<GroupStatus>?)
 
-/** An incarnation that turned cold without a restart, known for [age]. */
-data class ColdReport(val incarnation: BootId, val age: Duration)
+/** A server that turned cold without a restart, known for [age]. */
+data class ColdNews(val report: ColdReport, val age: Duration)
 
 /**
  * The first message of an exchange: what the sender holds. Its ages only tell the receiver what is worth answering.
@@ -44,7 +50,7 @@
     val stamp: ConfirmationStamp?,
     val zones: List<ZoneHeartbeat>,
     val changes: List<MemberChange> = emptyList(),
-    val cold: List<ColdReport> = emptyList(),
+    val cold: List<ColdNews> = emptyList(),
     /** Whether the sender may soon have to rely on a majority and wants proofs. */
     val wantsReachability: Boolean = false,
 )
@@ -55,6 +61,6 @@
     val stamp: ConfirmationStamp?,
     val zones: List<ZoneNews>,
     val changes: List<MemberChange> = emptyList(),
-    val cold: List<ColdReport> = emptyList(),
+    val cold: List<ColdNews> = emptyList(),
     val reachability: ReachabilityAges? = null,
 )
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipSettings.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipSettings.kt
@@ -34,4 +34,4 @@
 )
 
 /** Encoded sizes in bytes, given by the codec, so that the decision stays free of the encoding. */
-class GossipSizes(val heartbeat: (ZoneHeartbeat) -> Int, val zone: (ZoneNews) -> Int, val cold: (ColdReport) -> Int)
+class GossipSizes(val heartbeat: (ZoneHeartbeat) -> Int, val zone: (ZoneNews) -> Int, val cold: (ColdNews) -> Int)
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipState.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipState.kt
@@ -3,15 +3,15 @@
 import redwingcross.process.membership.Reachability
 import redwingcross.request.ProcessName
 import redwingcross.version.control.ConfirmationStamp
-import redwingcross.version.placement.BootId
 import redwingcross.version.placement.GroupReadiness
 import redwingcross.version.placement.GroupStatus
 import redwingcross.version.placement.ZoneStatus
+import redwingcross.version.routing.ColdReport
 import kotlin.time.Duration
 
 /** Versions confirmed by the platform at [bornAt], the earliest possible time on the local clock. */
 internal data class HeldStamp(val versions: ControlVersions, val bornAt: Duration) {
-    fun at(now: Duration) = ConfirmationStamp(versions.bundle, versions.overrides, now - bornAt)
+    fun at(now: Duration) = ConfirmationStamp(versions.bundle, versions.overrides, now - bornAt, versions.leaving)
 
     /**
      * A stamp with lower versions comes from a read that the platform answered from an older state, so it confirms
@@ -25,7 +25,7 @@
     }
 }
 
-internal fun ConfirmationStamp.heldAt(at: Duration) = HeldStamp(ControlVersions(bundle, overrides), at - age)
+internal fun ConfirmationStamp.heldAt(at: Duration) = HeldStamp(ControlVersions(bundle, overrides, vms), at - age)
 
 /** The newest status of one observer. */
 internal data class HeldZone(
@@ -60,7 +60,7 @@
     internal val zones: Map<ZoneKey, HeldZone> = emptyMap(),
     /** Highest sequences heard for zones that this process observes, from a process before it under its name. */
     internal val floors: Map<ZoneKey, Long> = emptyMap(),
-    internal val cold: Map<BootId, HeldCold> = emptyMap(),
+    internal val cold: Map<ColdReport, HeldCold> = emptyMap(),
     /** Requests under way, with the time after which they may be repeated. */
     internal val fetching: Map<Fetch, Duration> = emptyMap(),
     internal val nextRound: Duration,
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipStep.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipStep.kt
@@ -23,7 +23,7 @@
             is GossipMessage.Confirmed -> confirmed(message.stamp)
             is GossipMessage.Adopted -> state = state.copy(versions = state.versions.max(message.versions))
             is GossipMessage.Observed -> observed(message.status)
-            is GossipMessage.TurnedCold -> table.learnCold(message.incarnation, now, isOwn = true)
+            is GossipMessage.TurnedCold -> table.learnCold(message.report, now, isOwn = true)
             is GossipMessage.RosterChanged ->
                 state = state.copy(reachability = state.reachability.withRoster(message.roster))
             is GossipMessage.Contacted -> contacted(message.from, message.sentAt)
@@ -97,7 +97,7 @@
 
     private fun digestReceived(message: GossipMessage.DigestReceived) {
         val digest = message.digest
-        digest.cold.forEach { table.learnCold(it.incarnation, now - it.age, isOwn = false) }
+        digest.cold.forEach { table.learnCold(it.report, now - it.age, isOwn = false) }
         table.fetchControl(message.from, digest.versions)
         table.fetchZones(message.from, digest.zones)
         val reachability =
@@ -141,8 +141,8 @@
         answer.reachability?.let {
             state = state.copy(reachability = state.reachability.merge(it, message.sentAt))
         }
-        answer.stamp?.let { table.learnStamp(it, message.sentAt) }
-        answer.cold.forEach { table.learnCold(it.incarnation, message.sentAt - it.age, isOwn = false) }
+        answer.stamp?.let { table.learnStamp(it, message.sentAt, message.from) }
+        answer.cold.forEach { table.learnCold(it.report, message.sentAt - it.age, isOwn = false) }
         table.fetchControl(message.from, answer.versions)
         val missing = answer.zones.filterNot { table.learnZone(it, message.sentAt) }
         table.fetchZones(message.from, missing.map { it.heartbeat })
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipWire.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipWire.kt
@@ -29,7 +29,7 @@
 
 @Serializable
 @CborArray
-internal class WireStamp(val bundle: Long, val overrides: Long, val age: Long)
+internal class WireStamp(val bundle: Long, val overrides: Long, val age: Long, val leaving: Long)
 
 @Serializable
 @CborArray
@@ -56,13 +56,20 @@
 
 @Serializable
 @CborArray
-internal class WireCold(val incarnation: String, val age: Long)
+internal class WireCold(
+    val server: String,
+    val incarnation: String,
+    val reporter: String,
+    val number: Long,
+    val age: Long,
+)
 
 @Serializable
 @CborArray
 internal class WireDigest(
     val bundle: Long,
     val overrides: Long,
+    val leaving: Long,
     val stamp: WireStamp?,
     val zones: List<WireHeartbeat>,
     val changes: List<WireMember>,
@@ -75,6 +82,7 @@
 internal class WireAnswer(
     val bundle: Long,
     val overrides: Long,
+    val leaving: Long,
     val stamp: WireStamp?,
     val zones: List<WireZone>,
     val changes: List<WireMember>,
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipWireConversion.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipWireConversion.kt
@@ -2,6 +2,7 @@
 
 import redwingcross.process.membership.ReachabilityAges
 import redwingcross.request.AvailabilityZone
+import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.ProcessName
 import redwingcross.request.ServiceName
@@ -10,10 +11,12 @@
 import redwingcross.version.bundle.Endpoint
 import redwingcross.version.control.ConfirmationStamp
 import redwingcross.version.control.OverridesVersion
+import redwingcross.version.control.VmListVersion
 import redwingcross.version.placement.BootId
 import redwingcross.version.placement.Generation
 import redwingcross.version.placement.GroupReadiness
 import redwingcross.version.placement.GroupStatus
+import redwingcross.version.routing.ColdReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -21,10 +24,14 @@
 internal fun Duration.age(): Long =
     inWholeMilliseconds.let { if (it.milliseconds < this) it + 1 else it }.coerceAtLeast(0)
 
-private fun ConfirmationStamp.toWire() = WireStamp(bundle.value, overrides.value, age.age())
+private fun ConfirmationStamp.toWire() = WireStamp(bundle.value, overrides.value, age.age(), vms.value)
 
-private fun WireStamp.toStamp() =
-    ConfirmationStamp(BundleVersion(bundle), OverridesVersion(overrides), age.coerceAtLeast(0).milliseconds)
+private fun WireStamp.toStamp() = ConfirmationStamp(
+    BundleVersion(bundle),
+    OverridesVersion(overrides),
+    age.coerceAtLeast(0).milliseconds,
+    VmListVersion(leaving),
+)
 
 internal fun ZoneHeartbeat.toWire() = WireHeartbeat(key.zone.value, key.observer.value, sequence, contentSequence)
 
@@ -63,13 +70,23 @@
     reason = reason,
 )
 
-internal fun ColdReport.toWire() = WireCold(incarnation.value, age.age())
+internal fun ColdNews.toWire() = WireCold(
+    server = report.server.value,
+    incarnation = report.incarnation.value,
+    reporter = report.reporter.value,
+    number = report.number,
+    age = age.age(),
+)
 
-private fun WireCold.toReport() = ColdReport(BootId(incarnation), age.coerceAtLeast(0).milliseconds)
+private fun WireCold.toNews() = ColdNews(
+    ColdReport(BackendServer(server), BootId(incarnation), ProcessName(reporter), number),
+    age.coerceAtLeast(0).milliseconds,
+)
 
 internal fun GossipDigest.toWire(now: Duration) = WireDigest(
     bundle = versions.bundle.value,
     overrides = versions.overrides.value,
+    leaving = versions.leaving.value,
     stamp = stamp?.toWire(),
     zones = zones.map { it.toWire() },
     changes = changes.map { it.toWire(now) },
@@ -78,17 +95,18 @@
 )
 
 internal fun WireDigest.toDigest(now: Duration) = GossipDigest(
-    versions = ControlVersions(BundleVersion(bundle), OverridesVersion(overrides)),
+    versions = ControlVersions(BundleVersion(bundle), OverridesVersion(overrides), VmListVersion(leaving)),
     stamp = stamp?.toStamp(),
     zones = zones.map { it.toHeartbeat() },
     changes = changes.map { it.toChange(now) },
-    cold = cold.map { it.toReport() },
+    cold = cold.map { it.toNews() },
     wantsReachability = wantsReachability,
 )
 
 internal fun GossipAnswer.toWire(now: Duration) = WireAnswer(
     bundle = versions.bundle.value,
     overrides = versions.overrides.value,
+    leaving = versions.leaving.value,
     stamp = stamp?.toWire(),
     zones = zones.map { it.toWire() },
     changes = changes.map { it.toWire(now) },
@@ -98,11 +116,11 @@
 )
 
 internal fun WireAnswer.toAnswer(now: Duration) = GossipAnswer(
-    versions = ControlVersions(BundleVersion(bundle), OverridesVersion(overrides)),
+    versions = ControlVersions(BundleVersion(bundle), OverridesVersion(overrides), VmListVersion(leaving)),
     stamp = stamp?.toStamp(),
     zones = zones.map { it.toNews() },
     changes = changes.map { it.toChange(now) },
-    cold = cold.map { it.toReport() },
+    cold = cold.map { it.toNews() },
     reachability = roster?.let { ReachabilityAges(it, requireNotNull(ages)) },
 )
 
--- a/process/src/main/kotlin/redwingcross/process/gossip/MembershipTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/MembershipTask.kt
@@ -29,8 +29,8 @@
 import redwingcross.request.ProcessName
 import redwingcross.version.bundle.Endpoint
 import redwingcross.version.control.ConfirmationStamp
-import redwingcross.version.placement.BootId
 import redwingcross.version.placement.ZoneStatus
+import redwingcross.version.routing.ColdReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -86,8 +86,8 @@
     /** This process observed a zone; the sequence in [status] is replaced. */
     suspend fun observed(status: ZoneStatus) = tell(GossipMessage.Observed(status))
 
-    /** This process saw that an engine turned cold without a restart. */
-    suspend fun turnedCold(incarnation: BootId) = tell(GossipMessage.TurnedCold(incarnation))
+    /** This process saw that a server turned cold without a restart. */
+    suspend fun turnedCold(report: ColdReport) = tell(GossipMessage.TurnedCold(report))
 
     /** The gateways of which a majority counts. */
     suspend fun rosterChanged(gateways: Collection<ProcessName>) =
@@ -221,9 +221,9 @@
                 is GossipEffect.FetchZones -> members.endpointOf(effect.from)?.let {
                     requests.fetchZones(it, effect.keys)
                 }
-                is GossipEffect.StampHeard -> handlers.stampHeard(effect.stamp, clock.now())
+                is GossipEffect.StampHeard -> handlers.stampHeard(effect.from, effect.stamp, clock.now())
                 is GossipEffect.ZoneHeard -> handlers.zoneHeard(effect.status, clock.now() - effect.age)
-                is GossipEffect.ColdHeard -> handlers.coldHeard(effect.incarnation)
+                is GossipEffect.ColdHeard -> handlers.coldHeard(effect.report)
             }
         }
         return answer
--- a/process/src/main/kotlin/redwingcross/process/gossip/NewsTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/NewsTable.kt
@@ -3,7 +3,7 @@
 import redwingcross.process.membership.log2
 import redwingcross.request.ProcessName
 import redwingcross.version.control.ConfirmationStamp
-import redwingcross.version.placement.BootId
+import redwingcross.version.routing.ColdReport
 import kotlin.time.Duration
 
 /** The gossip state during one step: what is adopted and what is asked for. */
@@ -42,12 +42,12 @@
         return true
     }
 
-    fun learnStamp(stamp: ConfirmationStamp, at: Duration) {
+    fun learnStamp(stamp: ConfirmationStamp, at: Duration, from: ProcessName = state.self) {
         val held = state.stamp
         val merged = held?.merge(stamp.heldAt(at)) ?: stamp.heldAt(at)
         if (merged == held) return
         state = state.copy(stamp = merged)
-        effects += GossipEffect.StampHeard(merged.at(now))
+        effects += GossipEffect.StampHeard(from, merged.at(now))
     }
 
     /** False if the content is needed and was not sent. */
@@ -75,24 +75,24 @@
         effects += GossipEffect.ZoneHeard(zone.statusAt(now), now - zone.bornAt)
     }
 
-    fun learnCold(incarnation: BootId, bornAt: Duration, isOwn: Boolean) {
-        val isKnown = incarnation in state.cold || now - bornAt >= settings.coldLifetime
+    fun learnCold(report: ColdReport, bornAt: Duration, isOwn: Boolean) {
+        val isKnown = report in state.cold || now - bornAt >= settings.coldLifetime
         if (isKnown || state.cold.size >= settings.maximumCold) return
-        state = state.copy(cold = state.cold + (incarnation to HeldCold(bornAt, 0)))
-        if (!isOwn) effects += GossipEffect.ColdHeard(incarnation)
+        state = state.copy(cold = state.cold + (report to HeldCold(bornAt, 0)))
+        if (!isOwn) effects += GossipEffect.ColdHeard(report)
     }
 
-    fun takeCold(members: Int): List<ColdReport> {
+    fun takeCold(members: Int): List<ColdNews> {
         val limit = settings.retransmitFactor * log2(members + 1)
         val taken =
             state.cold.entries
                 .filter { it.value.sends < limit }
                 .sortedBy { it.value.sends }
-                .map { ColdReport(it.key, now - it.value.bornAt) }
+                .map { ColdNews(it.key, now - it.value.bornAt) }
                 .fitting(settings.coldBytes, settings.sizes.cold)
-        val sent = taken.associate { report ->
-            val held = state.cold.getValue(report.incarnation)
-            report.incarnation to held.copy(sends = held.sends + 1)
+        val sent = taken.associate { news ->
+            val held = state.cold.getValue(news.report)
+            news.report to held.copy(sends = held.sends + 1)
         }
         if (sent.isNotEmpty()) state = state.copy(cold = state.cold + sent)
         return taken
--- a/process/src/main/kotlin/redwingcross/process/gossip/PeerAnswers.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/PeerAnswers.kt
@@ -27,7 +27,7 @@
         is PeerFrame.ControlRequest -> controlAnswer(frame)
         is PeerFrame.ControlAnswer -> {
             // An operator spreads an accepted change; the answer shows which versions are in force here.
-            readControl(frame)?.let { handlers.adoptControl(it) }
+            readControl(frame)?.let { handlers.adoptControl(frame.from, it, null) }
             controlAnswer(frame)
         }
         is PeerFrame.StateRequest -> PeerFrame.StateAnswer(self, frame.correlation, handlers.describeState())
--- a/process/src/main/kotlin/redwingcross/process/gossip/PeerView.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/PeerView.kt
@@ -30,6 +30,9 @@
     /** Whether more than half of the roster was proved to run within the last 5 s. */
     fun isMajorityReachable(now: Duration): Boolean = gossip.reachability.isMajorityReachable(self.name, now)
 
+    /** The latest time since which a majority of the roster was proved to run; null without such a proof. */
+    fun majorityProvedAt(now: Duration): Duration? = gossip.reachability.majorityProvedAt(self.name, now)
+
     /** Gateways of the roster that were proved to run within the last 5 s. */
     fun reachableGateways(now: Duration): Int = gossip.reachability.reachable(self.name, now)
 
--- a/process/src/main/kotlin/redwingcross/process/membership/Reachability.kt
+++ b/process/src/main/kotlin/redwingcross/process/membership/Reachability.kt
@@ -70,6 +70,15 @@
     /** Whether more than half of the roster is reachable; false for an empty roster. */
     fun isMajorityReachable(self: ProcessName, now: Duration): Boolean = reachable(self, now) * 2 > roster.gateways.size
 
+    /**
+     * The latest time since which more than half of the roster was proved to run, including [self] at [now]; null when
+     * there is no proof of a majority at all.
+     */
+    fun majorityProvedAt(self: ProcessName, now: Duration): Duration? = roster.gateways
+        .mapNotNull { name -> if (name == self) now else provedAt[name] }
+        .sortedDescending()
+        .getOrNull(roster.gateways.size / 2)
+
     private fun roundUp(age: Duration): Int =
         ((age.inWholeNanoseconds + AGE_UNIT.inWholeNanoseconds - 1) / AGE_UNIT.inWholeNanoseconds)
             .coerceIn(0, UNKNOWN_AGE.toLong())
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/node/PeerNode.kt
@@ -0,0 +1,62 @@
+package redwingcross.process.node
+
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import redwingcross.connection.peer.BuildFrame
+import redwingcross.connection.peer.PeerAnswer
+import redwingcross.connection.peer.PeerEndpoint
+import redwingcross.connection.peer.PeerFrame
+import redwingcross.connection.peer.PeerNetwork
+import redwingcross.process.gossip.MembershipTask
+import redwingcross.process.gossip.PeerAnswers
+import redwingcross.process.gossip.PeerHandlers
+import redwingcross.process.gossip.readControl
+import redwingcross.process.membership.ChoiceSeed
+import redwingcross.process.membership.Member
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ProcessName
+import redwingcross.version.bundle.Endpoint
+import redwingcross.version.control.ControlState
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+private val controlTimeout = 2.seconds
+
+/** The control state of a peer, asked for at [askedAt] on the process clock. */
+class PeerControl(val from: ProcessName, val state: ControlState, val askedAt: Duration)
+
+/** The peer side of one process: its sockets, its membership and its gossip. */
+class PeerNode(
+    private val self: Member,
+    seeds: List<Endpoint>,
+    handlers: PeerHandlers,
+    private val clock: MonotonicClock = MonotonicClock.system,
+) {
+    private val network = PeerNetwork(clock = clock)
+
+    /** The member table and the gossip of this process. */
+    val membership: MembershipTask =
+        MembershipTask(self, seeds, ChoiceSeed(Random.nextLong()), network::request, handlers, clock)
+
+    private val answers = PeerAnswers(self.name, membership, handlers, network::request, clock)
+
+    /** Runs until cancelled. Throws [kotlinx.io.IOException] when the listener's port can't be bound. */
+    suspend fun run(): Unit = coroutineScope {
+        launch { network.run() }
+        launch { membership.run() }
+        network.listen(PeerEndpoint(self.peer.value), answers::answer)
+    }
+
+    /** Asks the process at [endpoint] for its control state; null when it does not answer in time. */
+    suspend fun controlOf(endpoint: Endpoint): PeerControl? {
+        val askedAt = clock.now()
+        val answer = request(endpoint, controlTimeout) { PeerFrame.ControlRequest(self.name, it) }
+        val frame = (answer as? PeerAnswer.Answered)?.frame as? PeerFrame.ControlAnswer
+        return frame?.let { readControl(it) }?.let { PeerControl(frame.from, it, askedAt) }
+    }
+
+    /** Sends a frame to [endpoint] and waits for its answer. */
+    suspend fun request(endpoint: Endpoint, timeout: Duration, build: BuildFrame): PeerAnswer =
+        network.request(PeerEndpoint(endpoint.value), timeout, build)
+}
--- a/process/src/test/kotlin/redwingcross/process/gossip/MembershipTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/gossip/MembershipTaskTest.kt
@@ -95,8 +95,8 @@
                             listOf(controller.endpoint),
                             PeerHandlers(
                                 zoneHeard = { status, _ -> statuses.trySend(status) },
-                                stampHeard = { stamp, _ -> stamps.trySend(stamp) },
-                                adoptControl = { adopted.send(it) },
+                                stampHeard = { _, stamp, _ -> stamps.trySend(stamp) },
+                                adoptControl = { _, state, _ -> adopted.send(state) },
                                 abandonAttempt = { it == AttemptId("attempt-1") },
                             ),
                         )
