Run non-idempotent calls at most once for each key

Cause: a booking must not run twice although gateways die, pause and lose answers of the platform, and a refusal that says "not run" must be true.

Ruled out: taking a lost answer of the create for a refusal or for a success, because the write may take effect later; dating records by wall clocks for their removal after 24 h, because VM clocks differ, so the controllers add up measured time in the store instead; a lock around each attempt, because one task owns them all and its mailbox already orders an abandonment before or after the dispatch.

Change: the record, the read-back of a conditional write and the state machine of an attempt as pure decisions; NonIdempotentCalls runs them over the platform; LeftoverCleaner completes records when the platform is back; RecordRetention removes old ones within a write budget; writeReadingBack offers the read-back to other writers.

The pause between the check and the first byte can't be fenced by this code; the dispatch function repeats the check of freshness and deadline.

--- /dev/null
+++ b/connection/src/main/kotlin/redwingcross/connection/idempotency/NonIdempotentCalls.kt
@@ -0,0 +1,137 @@
+package redwingcross.connection.idempotency
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
+import redwingcross.connection.platform.PlatformStore
+import redwingcross.request.AttemptId
+import redwingcross.request.MonotonicClock
+import redwingcross.request.NotRunReason
+import redwingcross.request.Outcome
+import redwingcross.request.ProcessName
+import redwingcross.request.idempotency.BodyDigest
+import redwingcross.request.idempotency.CallEffect
+import redwingcross.request.idempotency.CallEvent
+import redwingcross.request.idempotency.CallFacts
+import redwingcross.request.idempotency.EarlierAttempts
+import redwingcross.request.idempotency.IdempotencyLimits
+import redwingcross.request.idempotency.NonIdempotentResult
+import redwingcross.request.idempotency.RecordName
+import redwingcross.request.service.ServiceAnswer
+import redwingcross.request.service.ServiceCall
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Asks a gateway to abandon an attempt. True only if that gateway answered that the attempt was never dispatched and
+ * never will be; false also if the gateway can't be reached.
+ */
+typealias AskAbandon = suspend (ProcessName, AttemptId) -> Boolean
+
+/** Sends the call of an attempt at once, after its own check of freshness and deadline, and only once. */
+typealias DispatchAttempt = suspend (AttemptId) -> Outcome<ServiceAnswer>
+
+/**
+ * Runs non-idempotent calls of one gateway at most once for each key. Its tasks live in [scope].
+ *
+ * [newAttempt] must never repeat an id, also not after a restart of the process under the same name [self].
+ */
+class NonIdempotentCalls(
+    private val scope: CoroutineScope,
+    platform: PlatformStore,
+    private val self: ProcessName,
+    private val newAttempt: () -> AttemptId,
+    private val askAbandon: AskAbandon,
+    private val clock: MonotonicClock = MonotonicClock.system,
+    private val limits: IdempotencyLimits = IdempotencyLimits(),
+    maxRunning: Int = 1_024,
+) {
+    private val log = KotlinLogging.logger {}
+    private val store = RecordStore(platform)
+    private val registry = AttemptRegistry(scope, clock, maxRunning)
+    private val cleaner = LeftoverCleaner(scope, store, clock)
+
+    /**
+     * Claims the key of [call], calls [dispatch] at most once, and records the outcome. The attempt goes on when the
+     * caller is cancelled, so that its outcome is recorded.
+     */
+    suspend fun run(call: ServiceCall, dispatch: DispatchAttempt): NonIdempotentResult {
+        val key = call.key
+            ?: return NonIdempotentResult.NotRun(NotRunReason.INVALID_REQUEST, EarlierAttempts.NONE)
+        val facts = CallFacts(newAttempt(), self, BodyDigest.of(call), call.deadline, limits)
+        if (!registry.register(facts)) {
+            return NonIdempotentResult.NotRun(NotRunReason.QUEUE_FULL, EarlierAttempts.UNKNOWN)
+        }
+        return scope.async { attempt(facts.attempt, RecordName.of(call.customer, key), dispatch) }.await()
+    }
+
+    /**
+     * For another gateway that found [attempt] in a record: true only if the attempt did not run and never will.
+     * The attempt is marked before this returns.
+     */
+    suspend fun abandon(attempt: AttemptId): Boolean = registry.abandon(attempt)
+
+    /** Returns when no attempt of this process is running; for a graceful shutdown. */
+    suspend fun awaitIdle() = registry.awaitIdle()
+
+    private suspend fun attempt(id: AttemptId, name: RecordName, dispatch: DispatchAttempt): NonIdempotentResult {
+        var event: CallEvent = CallEvent.Started
+        while (true) {
+            val effects = registry.step(id, event)
+            effects.filterIsInstance<CallEffect.LeaveBehind>().forEach { cleaner.add(name, it.leftover) }
+            when (val effect = effects.last()) {
+                is CallEffect.Finish -> return effect.result.also { logEnd(id, name, it) }
+                else -> event = carryOut(effect, id, name, dispatch)
+            }
+        }
+    }
+
+    private suspend fun carryOut(
+        effect: CallEffect,
+        id: AttemptId,
+        name: RecordName,
+        dispatch: DispatchAttempt,
+    ): CallEvent = when (effect) {
+        is CallEffect.Write -> store.write(name, effect.record, effect.expected)
+
+        CallEffect.Read -> store.read(name)
+
+        is CallEffect.Delete -> store.delete(name, effect.expected)
+
+        is CallEffect.Wait -> {
+            delay(effect.duration)
+            CallEvent.Woken
+        }
+
+        is CallEffect.AskAbandon -> CallEvent.AbandonAnswered(ask(effect))
+
+        CallEffect.Dispatch -> CallEvent.DispatchEnded(send(id, dispatch))
+
+        is CallEffect.AnswerAbandon, is CallEffect.LeaveBehind, is CallEffect.Finish ->
+            error("attempt $id: unexpected effect $effect")
+    }
+
+    private suspend fun ask(effect: CallEffect.AskAbandon): Boolean = if (effect.gateway == self) {
+        registry.abandon(effect.attempt)
+    } else {
+        withTimeoutOrNull(ABANDON_WAIT) { askAbandon(effect.gateway, effect.attempt) } ?: false
+    }
+
+    /** A dispatch that fails in an unexpected way may have sent the request. */
+    private suspend fun send(id: AttemptId, dispatch: DispatchAttempt): Outcome<ServiceAnswer> =
+        runCatching { dispatch(id) }.getOrElse { failure ->
+            currentCoroutineContext().ensureActive()
+            Outcome.Unknown("dispatch failed: ${failure.javaClass.simpleName} ${failure.message}")
+        }
+
+    private fun logEnd(id: AttemptId, name: RecordName, result: NonIdempotentResult) = log.info {
+        "event=non_idempotent_call_ended attempt=$id record=${name.value} result=${result.javaClass.simpleName}"
+    }
+
+    private companion object {
+        val ABANDON_WAIT = 2.seconds
+    }
+}
--- /dev/null
+++ b/connection/src/main/kotlin/redwingcross/connection/idempotency/RecordWire.kt
@@ -0,0 +1,56 @@
+package redwingcross.connection.idempotency
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import redwingcross.request.AttemptId
+import redwingcross.request.Checked
+import redwingcross.request.Finding
+import redwingcross.request.ProcessName
+import redwingcross.request.idempotency.BodyDigest
+import redwingcross.request.idempotency.IdempotencyRecord
+import redwingcross.request.idempotency.Nonce
+import redwingcross.request.idempotency.RecordState
+import redwingcross.request.idempotency.StoredAnswer
+import java.util.Base64
+
+/** JSON of a record in the platform. The body of an answer is Base64, a third larger than the body itself. */
+@Serializable
+private data class RecordWire(
+    val state: String,
+    val attempt: AttemptId,
+    val gateway: ProcessName,
+    val nonce: Nonce,
+    val digest: BodyDigest,
+    val answer: AnswerWire? = null,
+)
+
+@Serializable
+private data class AnswerWire(val status: Int, val contentType: String? = null, val body: String? = null)
+
+internal fun IdempotencyRecord.toJson(): JsonElement = Json.encodeToJsonElement(
+    RecordWire.serializer(),
+    RecordWire(
+        state.name.lowercase(),
+        attempt,
+        gateway,
+        nonce,
+        digest,
+        answer?.let { AnswerWire(it.status, it.contentType, it.body?.let(Base64.getEncoder()::encodeToString)) },
+    ),
+)
+
+/** Reads a record; a value written by something else is reported with its place. */
+internal fun decodeRecord(place: String, value: JsonElement): Checked<IdempotencyRecord> = try {
+    val wire = Json.decodeFromJsonElement(RecordWire.serializer(), value)
+    val state = RecordState.entries.single { it.name.lowercase() == wire.state }
+    val answer = wire.answer?.let { StoredAnswer(it.status, it.contentType, it.body?.let(Base64.getDecoder()::decode)) }
+    Checked.Valid(IdempotencyRecord(state, wire.attempt, wire.gateway, wire.nonce, wire.digest, answer))
+} catch (malformed: SerializationException) {
+    Checked.Invalid(listOf(Finding(place, malformed.message ?: "not a record")))
+} catch (malformed: IllegalArgumentException) {
+    Checked.Invalid(listOf(Finding(place, malformed.message ?: "not Base64")))
+} catch (malformed: NoSuchElementException) {
+    Checked.Invalid(listOf(Finding(place, malformed.message ?: "unknown state")))
+}
--- /dev/null
+++ b/request/src/main/kotlin/redwingcross/request/idempotency/CallDecision.kt
@@ -0,0 +1,226 @@
+package redwingcross.request.idempotency
+
+import redwingcross.request.NotRunReason
+import redwingcross.request.Outcome
+import redwingcross.request.Transition
+import redwingcross.request.service.ServiceAnswer
+import redwingcross.request.with
+import kotlin.time.Duration
+
+private typealias CallStep = Transition<NonIdempotentCall, CallEffect>
+
+/**
+ * The next step of an attempt. Each event but [CallEvent.AbandonRequested] answers the one call that the step before
+ * asked for; an event that the phase does not expect changes nothing.
+ */
+fun NonIdempotentCall.next(event: CallEvent, now: Duration): Transition<NonIdempotentCall, CallEffect> = when {
+    event == CallEvent.AbandonRequested -> abandon()
+
+    else -> when (phase) {
+        CallPhase.New -> start(now)
+        is CallPhase.Claiming -> claiming(phase, event, now)
+        is CallPhase.Inspecting -> inspecting(phase, event, now)
+        is CallPhase.AskingOwner -> askedOwner(phase, event, now)
+        is CallPhase.Dispatching -> dispatched(phase, event, now)
+        is CallPhase.Storing -> storing(phase, event, now)
+        is CallPhase.Removing -> removing(phase, event)
+        CallPhase.Abandoned -> finish(NonIdempotentResult.Superseded)
+        is CallPhase.Finished -> with()
+    }
+}
+
+/** The mark comes before the answer: once the answer says abandoned, no later event leads to a dispatch. */
+private fun NonIdempotentCall.abandon(): CallStep = when {
+    mayHaveRun -> with(CallEffect.AnswerAbandon(false))
+    phase is CallPhase.Finished || phase is CallPhase.Removing -> with(CallEffect.AnswerAbandon(true))
+    else -> copy(phase = CallPhase.Abandoned, mayHaveClaim = true).with(CallEffect.AnswerAbandon(true))
+}
+
+private fun NonIdempotentCall.start(now: Duration): CallStep =
+    copy(claimDeadline = minOf(now + limits.claimWait, facts.deadline)).claim(null, now)
+
+/** Writes the record of this attempt in place of the version [expected], or where there is none. */
+private fun NonIdempotentCall.claim(expected: RecordVersion?, now: Duration): CallStep {
+    if (now >= claimDeadline || writes >= limits.maxClaims) return refuse(now)
+    val numbered = copy(writes = writes + 1)
+    val write = ReadBack(numbered.nonce(), expected, claimDeadline)
+    return numbered.copy(phase = CallPhase.Claiming(write, now)).with(
+        CallEffect.Write(numbered.record(RecordState.STARTED), expected),
+    )
+}
+
+private fun NonIdempotentCall.claiming(claiming: CallPhase.Claiming, event: CallEvent, now: Duration): CallStep {
+    val step = claiming.write.next(event.toReadBack() ?: return with(), now)
+    val write = step.state
+    val called = copy(phase = CallPhase.Claiming(write, now))
+    return when (val effect = step.effects.single()) {
+        ReadBackEffect.Write -> called.with(CallEffect.Write(record(RecordState.STARTED), write.expected))
+
+        ReadBackEffect.Read -> called.with(CallEffect.Read)
+
+        is ReadBackEffect.Wait -> called.with(CallEffect.Wait(effect.duration))
+
+        is ReadBackEffect.Finish -> copy(mayHaveClaim = mayHaveClaim || write.mayHaveEffect).let {
+            when (val result = effect.result) {
+                is ReadBackResult.Confirmed -> it.dispatch(result.version, claiming.calledAt, now)
+                is ReadBackResult.Conflict -> it.inspect(0, now)
+                is ReadBackResult.NoEffect, is ReadBackResult.Unknown -> it.refuse(now)
+            }
+        }
+    }
+}
+
+/** The claim's age counts from the call that confirmed it, so that a pause before the answer was read counts too. */
+private fun NonIdempotentCall.dispatch(claimed: RecordVersion, confirmedAt: Duration, now: Duration): CallStep =
+    if (now < facts.deadline && now - confirmedAt <= limits.claimLifetime) {
+        copy(phase = CallPhase.Dispatching(claimed), mayHaveRun = true).with(CallEffect.Dispatch)
+    } else {
+        remove(claimed, NonIdempotentResult.NotRun(NotRunReason.DEADLINE_EXCEEDED, EarlierAttempts.NONE))
+    }
+
+private fun NonIdempotentCall.inspect(failures: Int, now: Duration): CallStep = if (now >= claimDeadline) {
+    refuse(now)
+} else {
+    copy(phase = CallPhase.Inspecting(failures, now)).with(CallEffect.Read)
+}
+
+private fun NonIdempotentCall.inspecting(phase: CallPhase.Inspecting, event: CallEvent, now: Duration): CallStep =
+    when (event) {
+        is CallEvent.Read -> inspected(event.found, phase, now)
+        is CallEvent.Unread -> retryInspection(phase, now)
+        CallEvent.Woken -> inspect(phase.failures, now)
+        else -> with()
+    }
+
+private fun NonIdempotentCall.retryInspection(phase: CallPhase.Inspecting, now: Duration): CallStep {
+    val wait = limits.claimWait / INSPECTION_RETRIES
+    return when {
+        now + wait >= claimDeadline -> refuse(now)
+        else -> copy(phase = phase.copy(failures = phase.failures + 1)).with(CallEffect.Wait(wait))
+    }
+}
+
+private fun NonIdempotentCall.inspected(found: StoredRecord?, phase: CallPhase.Inspecting, now: Duration): CallStep =
+    when {
+        found == null -> claim(null, now)
+
+        found.record.attempt == facts.attempt -> dispatch(found.version, phase.calledAt, now)
+
+        found.record.digest != facts.digest -> finish(NonIdempotentResult.KeyReused)
+
+        found.record.state == RecordState.COMPLETED -> finish(found.record.replay())
+
+        else -> copy(phase = CallPhase.AskingOwner(found)).with(
+            CallEffect.AskAbandon(found.record.gateway, found.record.attempt),
+        )
+    }
+
+private fun NonIdempotentCall.askedOwner(phase: CallPhase.AskingOwner, event: CallEvent, now: Duration): CallStep =
+    when (event) {
+        is CallEvent.AbandonAnswered ->
+            if (event.abandoned) {
+                claim(phase.found.version, now)
+            } else {
+                val owner = phase.found.record
+                val detail = "attempt ${owner.attempt} at ${owner.gateway} may have run"
+                finish(NonIdempotentResult.EarlierAttemptUnknown(detail))
+            }
+
+        else -> with()
+    }
+
+private fun NonIdempotentCall.dispatched(phase: CallPhase.Dispatching, event: CallEvent, now: Duration): CallStep =
+    when (val outcome = (event as? CallEvent.DispatchEnded)?.outcome) {
+        null -> with()
+
+        is Outcome.NotRun ->
+            copy(mayHaveRun = false)
+                .remove(phase.claimed, NonIdempotentResult.NotRun(outcome.reason, EarlierAttempts.NONE))
+
+        is Outcome.Unknown -> store(phase.claimed, NonIdempotentResult.OutcomeUnknown(outcome.detail), now) {
+            record(RecordState.UNKNOWN)
+        }
+
+        is Outcome.Completed -> store(phase.claimed, NonIdempotentResult.Answered(outcome.answer, false), now) {
+            record(RecordState.COMPLETED, outcome.answer.toStored(limits.maxStoredBody))
+        }
+    }
+
+private fun NonIdempotentCall.store(
+    claimed: RecordVersion,
+    result: NonIdempotentResult,
+    now: Duration,
+    outcome: NonIdempotentCall.() -> IdempotencyRecord,
+): CallStep {
+    val numbered = copy(writes = writes + 1)
+    val record = numbered.outcome()
+    val write = ReadBack(record.nonce, claimed, now + limits.storeWait)
+    return numbered.copy(phase = CallPhase.Storing(write, record, claimed, result)).with(
+        CallEffect.Write(record, claimed),
+    )
+}
+
+private fun NonIdempotentCall.storing(phase: CallPhase.Storing, event: CallEvent, now: Duration): CallStep {
+    val step = phase.write.next(event.toReadBack() ?: return with(), now)
+    val called = copy(phase = phase.copy(write = step.state))
+    return when (val effect = step.effects.single()) {
+        ReadBackEffect.Write -> called.with(CallEffect.Write(phase.record, phase.claimed))
+
+        ReadBackEffect.Read -> called.with(CallEffect.Read)
+
+        is ReadBackEffect.Wait -> called.with(CallEffect.Wait(effect.duration))
+
+        is ReadBackEffect.Finish -> when (effect.result) {
+            is ReadBackResult.Confirmed, is ReadBackResult.Conflict -> finish(phase.result)
+
+            // The result is known although the store is not: the caller gets it, and the record follows later.
+            is ReadBackResult.NoEffect, is ReadBackResult.Unknown ->
+                finish(phase.result, Leftover.Store(phase.record, phase.claimed))
+        }
+    }
+}
+
+private fun NonIdempotentCall.remove(claimed: RecordVersion, result: NonIdempotentResult): CallStep =
+    copy(phase = CallPhase.Removing(result)).with(CallEffect.Delete(claimed))
+
+private fun NonIdempotentCall.removing(phase: CallPhase.Removing, event: CallEvent): CallStep = when (event) {
+    is CallEvent.Written, CallEvent.Conflict -> finish(phase.result)
+    is CallEvent.NotSent, is CallEvent.Lost -> finish(phase.result, Leftover.Remove(facts.attempt))
+    else -> with()
+}
+
+/** Claiming failed: nothing was sent for this attempt, but what earlier attempts did is not known. */
+private fun NonIdempotentCall.refuse(now: Duration): CallStep {
+    val reason = if (now >= facts.deadline) NotRunReason.DEADLINE_EXCEEDED else NotRunReason.PLATFORM_UNAVAILABLE
+    return finish(NonIdempotentResult.NotRun(reason, EarlierAttempts.UNKNOWN))
+}
+
+private fun NonIdempotentCall.finish(
+    result: NonIdempotentResult,
+    leftover: Leftover? = Leftover.Remove(facts.attempt).takeIf { mayHaveClaim && !mayHaveRun },
+): CallStep = Transition(
+    copy(phase = CallPhase.Finished(result)),
+    listOfNotNull(leftover?.let { CallEffect.LeaveBehind(it) }, CallEffect.Finish(result)),
+)
+
+private fun CallEvent.toReadBack(): ReadBackEvent? = when (this) {
+    is CallEvent.Written -> ReadBackEvent.Written(version)
+    CallEvent.Conflict -> ReadBackEvent.Conflict
+    is CallEvent.NotSent -> ReadBackEvent.NotSent(detail)
+    is CallEvent.Lost -> ReadBackEvent.Lost(detail)
+    is CallEvent.Read -> ReadBackEvent.Read(found?.let { Found(it.version, it.record.nonce) })
+    is CallEvent.Unread -> ReadBackEvent.Unread(detail)
+    CallEvent.Woken -> ReadBackEvent.Woken
+    else -> null
+}
+
+private fun IdempotencyRecord.replay(): NonIdempotentResult {
+    val stored = answer ?: return NonIdempotentResult.EarlierAttemptUnknown("record of $attempt has no answer")
+    val body = stored.body ?: return NonIdempotentResult.CompletedWithoutBody(stored.status)
+    return NonIdempotentResult.Answered(
+        ServiceAnswer(stored.status, stored.contentType, body),
+        replayed = true,
+    )
+}
+
+private const val INSPECTION_RETRIES = 20
--- /dev/null
+++ b/request/src/test/kotlin/redwingcross/request/idempotency/SimulatedGateways.kt
@@ -0,0 +1,207 @@
+package redwingcross.request.idempotency
+
+import redwingcross.request.AttemptId
+import redwingcross.request.NotRunReason
+import redwingcross.request.Outcome
+import redwingcross.request.ProcessName
+import redwingcross.request.service.ServiceAnswer
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.test.fail
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.seconds
+
+/** What the back end does with a dispatch. */
+enum class DispatchFault { NONE, LOST_ANSWER, LOST_REQUEST, NOT_SENT, RUNS_LATER }
+
+/** One attempt in a gateway's memory: either an effect that is due, or an event that arrived and was not handled. */
+class SimulatedAttempt(val name: RecordName, val startedAfterCompletion: Boolean, var call: NonIdempotentCall) {
+    var effect: CallEffect? = null
+    var event: CallEvent? = CallEvent.Started
+    var calledAt: Duration = Duration.ZERO
+    var sawFault = false
+}
+
+class SimulatedGateway(val name: ProcessName) {
+    val attempts = linkedMapOf<AttemptId, SimulatedAttempt>()
+    val neverRan = mutableSetOf<AttemptId>()
+    val leftovers = mutableListOf<Pair<RecordName, Leftover>>()
+}
+
+/**
+ * Gateways, the store and the back end under virtual time. The oracle is the back end, which counts runs: at most one
+ * for each key until the records expire, and none for an attempt that was reported as not run.
+ */
+class SimulatedGateways(private val names: List<RecordName>) {
+    val store = SimulatedStore()
+    private val gateways = MutableList(3) { SimulatedGateway(ProcessName("gateway-$it")) }
+    private val runs = mutableMapOf<RecordName, MutableList<AttemptId>>()
+    private val everRan = mutableSetOf<AttemptId>()
+    private val reportedNotRun = mutableSetOf<AttemptId>()
+    private val runningLater = mutableListOf<Pair<RecordName, AttemptId>>()
+    private var now = Duration.ZERO
+    private var attempts = 0
+
+    fun start(pick: Int) {
+        val gateway = gateways[pick % gateways.size]
+        val name = names[pick / gateways.size % names.size]
+        val id = AttemptId("attempt-${attempts++}")
+        val facts = CallFacts(id, gateway.name, BodyDigest("digest"), now + DEADLINES[pick % DEADLINES.size].seconds)
+        val isCompleted = store[name]?.record?.state == RecordState.COMPLETED
+        gateway.attempts[id] = SimulatedAttempt(name, isCompleted, NonIdempotentCall(facts))
+    }
+
+    fun advanceTime(step: Duration) {
+        now += step
+    }
+
+    /** A replacement has the same name and none of the memory. */
+    fun kill(pick: Int) {
+        val index = pick % gateways.size
+        gateways[index] = SimulatedGateway(gateways[index].name)
+    }
+
+    /** A day passes: records are removed by age, and a key may be used again. */
+    fun expire() {
+        runLater()
+        now += 25.hours
+        store.expireAll()
+        runs.clear()
+    }
+
+    fun runLater() {
+        runningLater.forEach { (name, attempt) -> run(name, attempt) }
+        runningLater.clear()
+    }
+
+    /** Carries out the due effect or handles the arrived event of one attempt; false if there is no attempt. */
+    fun step(pick: Int, fault: Int): Boolean {
+        val all = gateways.flatMap { gateway -> gateway.attempts.values.map { gateway to it } }
+        if (all.isEmpty()) return false
+        val (gateway, attempt) = all[pick % all.size]
+        val effect = attempt.effect
+        if (effect == null) handle(gateway, attempt) else carryOut(attempt, effect, fault)
+        return true
+    }
+
+    fun clean(pick: Int, fault: StoreFault) {
+        val gateway = gateways[pick % gateways.size]
+        val (name, leftover) = gateway.leftovers.firstOrNull() ?: return
+        when (leftover) {
+            is Leftover.Store -> store.write(name, CallEffect.Write(leftover.record, leftover.expected), fault)
+
+            is Leftover.Remove -> (store.read(name, fault) as? CallEvent.Read)?.found
+                ?.takeIf { it.record.attempt == leftover.attempt && it.record.state == RecordState.STARTED }
+                ?.let { store.write(name, CallEffect.Delete(it.version), fault) }
+        }
+        if (fault == StoreFault.NONE && !store.isDown) gateway.leftovers.removeFirst()
+    }
+
+    /** Everything works again: each attempt must end, and the oracle must still hold. */
+    fun settle() {
+        store.isDown = false
+        var steps = 0
+        while (step(steps, 0)) if (steps++ > MAX_STEPS) fail("an attempt does not end")
+        store.applyAllDelayed()
+        runLater()
+        names.indices.forEach { start(it * gateways.size) }
+        while (step(0, 0)) if (steps++ > MAX_STEPS) fail("an attempt does not end")
+    }
+
+    /** Attempts that were reported as not run although the back end ran them. */
+    fun falseRefusals(): Set<AttemptId> = everRan intersect reportedNotRun
+
+    private fun handle(gateway: SimulatedGateway, attempt: SimulatedAttempt) {
+        val step = attempt.call.next(attempt.event ?: error("neither effect nor event"), now)
+        attempt.call = step.state
+        attempt.event = null
+        step.effects.filterIsInstance<CallEffect.LeaveBehind>().forEach {
+            gateway.leftovers +=
+                attempt.name to it.leftover
+        }
+        when (val effect = step.effects.last()) {
+            is CallEffect.Finish -> finish(gateway, attempt, effect.result)
+
+            else -> {
+                if (effect == CallEffect.Dispatch) checkFence(attempt)
+                if (effect == CallEffect.Dispatch) dispatch(attempt) else attempt.effect = effect
+                attempt.calledAt = now
+            }
+        }
+    }
+
+    private fun checkFence(attempt: SimulatedAttempt) {
+        assertTrue(now < attempt.call.facts.deadline, "dispatched after the deadline")
+        assertTrue(now - attempt.calledAt <= attempt.call.facts.limits.claimLifetime, "dispatched on an old claim")
+    }
+
+    /** The check and the dispatch are one step; the fault is drawn from the attempt's number. */
+    private fun dispatch(attempt: SimulatedAttempt) {
+        val id = attempt.call.facts.attempt
+        val fault = DispatchFault.entries[id.value.hashCode().mod(DISPATCH_FAULTS).coerceAtMost(4)]
+        if (fault == DispatchFault.NONE || fault == DispatchFault.LOST_ANSWER) run(attempt.name, id)
+        if (fault == DispatchFault.RUNS_LATER) runningLater += attempt.name to id
+        attempt.event = CallEvent.DispatchEnded(
+            when (fault) {
+                DispatchFault.NONE -> Outcome.Completed(answerOf(id))
+                DispatchFault.NOT_SENT -> Outcome.NotRun(NotRunReason.CONNECT_FAILED)
+                else -> Outcome.Unknown("no answer")
+            },
+        )
+    }
+
+    private fun run(name: RecordName, attempt: AttemptId) {
+        val all = runs.getOrPut(name) { mutableListOf() }.apply { add(attempt) }
+        everRan += attempt
+        assertEquals(1, all.size, "key ${name.value} ran more than once: $all")
+    }
+
+    private fun carryOut(attempt: SimulatedAttempt, effect: CallEffect, number: Int) {
+        val fault = StoreFault.entries.getOrElse(number) { StoreFault.NONE }
+        attempt.sawFault = attempt.sawFault || fault != StoreFault.NONE || store.isDown
+        attempt.effect = null
+        attempt.event = when (effect) {
+            is CallEffect.Write, is CallEffect.Delete -> store.write(attempt.name, effect, fault)
+            CallEffect.Read -> store.read(attempt.name, fault)
+            is CallEffect.Wait -> CallEvent.Woken.also { now += effect.duration }
+            is CallEffect.AskAbandon -> CallEvent.AbandonAnswered(ask(effect) && fault != StoreFault.LOST_ANSWER)
+            else -> error("unexpected effect $effect")
+        }
+    }
+
+    private fun ask(effect: CallEffect.AskAbandon): Boolean {
+        val gateway = gateways.single { it.name == effect.gateway }
+        val attempt = gateway.attempts[effect.attempt] ?: return effect.attempt in gateway.neverRan
+        val step = attempt.call.next(CallEvent.AbandonRequested, now)
+        attempt.call = step.state
+        return step.effects == listOf(CallEffect.AnswerAbandon(true))
+    }
+
+    private fun finish(gateway: SimulatedGateway, attempt: SimulatedAttempt, result: NonIdempotentResult) {
+        val id = attempt.call.facts.attempt
+        gateway.attempts.remove(id)
+        if (!attempt.call.mayHaveRun) gateway.neverRan += id
+        val isOwnRun = result is NonIdempotentResult.Answered && !result.replayed
+        if (!isOwnRun && result !is NonIdempotentResult.OutcomeUnknown) reportedNotRun += id
+        if (result is NonIdempotentResult.Answered) {
+            val ran = AttemptId(result.answer.body.decodeToString())
+            assertTrue(ran in everRan && result.replayed == (ran != id), "answer of another attempt")
+        }
+        if (attempt.startedAfterCompletion && !attempt.sawFault && result !is NonIdempotentResult.NotRun) {
+            val isReplayed = result is NonIdempotentResult.Answered && result.replayed
+            assertTrue(
+                isReplayed || now - attempt.call.claimDeadline > 1.hours,
+                "completed answer not replayed: $result",
+            )
+        }
+    }
+
+    private fun answerOf(attempt: AttemptId) = ServiceAnswer(200, "text/plain", attempt.value.encodeToByteArray())
+
+    private companion object {
+        val DEADLINES = listOf(3, 10, 60, 120)
+        const val DISPATCH_FAULTS = 7
+        const val MAX_STEPS = 20_000
+    }
+}
