Wire the gateway, the controller and the operator command into one path

Cause: the parts had no programs; no request went from end to end.

Ruled out: a second reader of the control state in the controller (it now follows the same task as the gateway); holding every engine back for 125 s after the first bundle ever, when no earlier roster can have requests in flight.

--- a/connection/src/main/kotlin/redwingcross/connection/caller/ByteBudget.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ByteBudget.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ReceiveChannel
+import java.util.concurrent.atomic.AtomicLong
 
 /**
  * Memory for output that callers have not taken yet, shared by all requests of the process. Blocks are messages in a
@@ -14,19 +15,35 @@
     private val shared = permits((totalBytes / BLOCK_BYTES).toInt() - maxMailboxes)
     private val own = permits(maxMailboxes)
 
+    private val heldBlocks = AtomicLong()
+
+    /** Bytes that open mailboxes and collected answers hold now, for metrics and the state dump. */
+    val heldBytes: Long get() = heldBlocks.get() * BLOCK_BYTES
+
     /** Blocks that any mailbox may take in addition to its own. */
     internal val blocks: ReceiveChannel<Unit> get() = shared
 
     /** Opens a mailbox of at most [limitBytes]; null if [maxMailboxes] are open. */
     internal fun openMailbox(limitBytes: Int = MAILBOX_BYTES): ByteMailbox? =
-        if (own.tryReceive().isSuccess) ByteMailbox(this, limitBytes) else null
+        if (own.tryReceive().isSuccess) ByteMailbox(this, limitBytes).also { blockTaken() } else null
 
     /** Takes one block if one is free. */
-    internal fun tryTakeBlock(): Boolean = shared.tryReceive().isSuccess
+    internal fun tryTakeBlock(): Boolean = shared.tryReceive().isSuccess.also { if (it) blockTaken() }
+
+    /** Counts a block that was received from [blocks]. */
+    internal fun blockTaken() {
+        heldBlocks.incrementAndGet()
+    }
 
-    internal fun giveBackBlocks(count: Int) = repeat(count) { check(shared.trySend(Unit).isSuccess) }
+    internal fun giveBackBlocks(count: Int) = repeat(count) {
+        heldBlocks.decrementAndGet()
+        check(shared.trySend(Unit).isSuccess)
+    }
 
-    internal fun giveBackMailbox() = check(own.trySend(Unit).isSuccess)
+    internal fun giveBackMailbox() {
+        heldBlocks.decrementAndGet()
+        check(own.trySend(Unit).isSuccess)
+    }
 
     companion object {
         internal const val BLOCK_BYTES = 4096
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ByteMailbox.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ByteMailbox.kt
@@ -50,6 +50,7 @@
     /** Waits for a block or for the consumer, who may make the block unnecessary; false if the consumer has gone. */
     private suspend fun takeBlock(): Boolean = select {
         budget.blocks.onReceive {
+            budget.blockTaken()
             blocks += 1
             true
         }
--- a/connection/src/main/kotlin/redwingcross/connection/caller/Problem.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/Problem.kt
@@ -5,7 +5,7 @@
 import org.http4k.core.Response
 import org.http4k.core.Status
 import redwingcross.request.NotRunReason
-import redwingcross.request.service.EarlierAttempts
+import redwingcross.request.idempotency.EarlierAttempts
 import kotlin.time.Duration
 
 /** Body of a refusal, as `application/problem+json`. */
@@ -18,8 +18,11 @@
     val place: String = "",
     /** True only if no byte of this attempt reached a back end. */
     val notRun: Boolean = true,
-    /** Whether earlier attempts with the same idempotency key may have run: `none` or `unknown`. */
-    val earlierAttempts: String = "none",
+    /**
+     * Whether earlier attempts with the same idempotency key may have run: `none` or `unknown`. It is `none` only if
+     * the key's record was read or the request has no key.
+     */
+    val earlierAttempts: String = "unknown",
     val requestId: String = "",
     val type: String = "about:blank",
     /** True if an earlier attempt completed, but its answer is not available any more. */
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ServiceExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ServiceExchange.kt
@@ -6,7 +6,8 @@
 import redwingcross.request.BackendServer
 import redwingcross.request.NotRunReason
 import redwingcross.request.Outcome
-import redwingcross.request.service.NonIdempotentResult
+import redwingcross.request.idempotency.EarlierAttempts
+import redwingcross.request.idempotency.NonIdempotentResult
 import redwingcross.request.service.ServiceAnswer
 import redwingcross.request.service.ServiceCall
 import redwingcross.request.slot.Slot
@@ -115,8 +116,17 @@
     }
 }
 
-private fun ServiceCall.refused(answer: SlotAnswer.Refused): Response =
-    notRun(answer.reason).copy(requestId = request.value).toResponse(answer.retryAfter)
+/** The record of the key was not read, so an earlier attempt with it may have run. */
+private fun ServiceCall.refused(answer: SlotAnswer.Refused): Response = notRun(
+    answer.reason,
+    if (key ==
+        null
+    ) {
+        EarlierAttempts.NONE
+    } else {
+        EarlierAttempts.UNKNOWN
+    },
+).copy(requestId = request.value).toResponse(answer.retryAfter)
 
 private fun ServiceCall.unanswered(detail: String): Response = Problem(
     title = "Outcome unknown",
@@ -137,14 +147,18 @@
     is NonIdempotentResult.NotRun ->
         notRun(reason, earlierAttempts).copy(requestId = call.request.value).toResponse(resolveRetryAfter)
     is NonIdempotentResult.OutcomeUnknown -> call.unanswered(detail)
-    is NonIdempotentResult.EarlierOutcomeUnknown -> call.conflict(
+    is NonIdempotentResult.EarlierAttemptUnknown -> call.conflict(
         "Outcome unknown",
         "an earlier attempt with this key was started and may have run: $detail",
     ).toResponse()
-    is NonIdempotentResult.AnswerNotKept -> call.conflict(
+    is NonIdempotentResult.CompletedWithoutBody -> call.conflict(
         "Already completed",
         "an earlier attempt with this key completed with status $status; its answer was too large to be kept",
     ).copy(completed = true).toResponse()
+    is NonIdempotentResult.Superseded -> call.conflict(
+        "Superseded",
+        "a later attempt with this key replaced this one, which was not run",
+    ).copy(notRun = true).toResponse()
     is NonIdempotentResult.KeyReused -> call.conflict(
         "Idempotency key reused",
         "the key was used before with another request; this request was not run",
--- a/connection/src/main/kotlin/redwingcross/connection/idempotency/NonIdempotentCalls.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/idempotency/NonIdempotentCalls.kt
@@ -21,6 +21,7 @@
 import redwingcross.request.idempotency.IdempotencyLimits
 import redwingcross.request.idempotency.NonIdempotentResult
 import redwingcross.request.idempotency.RecordName
+import redwingcross.request.service.DispatchAttempt
 import redwingcross.request.service.ServiceAnswer
 import redwingcross.request.service.ServiceCall
 import kotlin.time.Duration.Companion.seconds
@@ -31,9 +32,6 @@
  */
 typealias AskAbandon = suspend (ProcessName, AttemptId) -> Boolean
 
-/** Sends the call of an attempt at once, after its own check of freshness and deadline, and only once. */
-typealias DispatchAttempt = suspend (AttemptId) -> Outcome<ServiceAnswer>
-
 /**
  * Runs non-idempotent calls of one gateway at most once for each key. Its tasks live in [scope].
  *
--- a/connection/src/test/kotlin/redwingcross/connection/caller/CallerFixture.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/caller/CallerFixture.kt
@@ -10,10 +10,10 @@
 import redwingcross.request.MonotonicClock
 import redwingcross.request.Outcome
 import redwingcross.request.ServiceName
+import redwingcross.request.idempotency.EarlierAttempts
+import redwingcross.request.idempotency.NonIdempotentResult
 import redwingcross.request.model.RunModelAttempt
 import redwingcross.request.service.DispatchOnce
-import redwingcross.request.service.EarlierAttempts
-import redwingcross.request.service.NonIdempotentResult
 import redwingcross.request.service.RequestedCall
 import redwingcross.request.service.ResolveRequest
 import redwingcross.request.service.ResolvedCall
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/node/NodeCommand.kt
@@ -0,0 +1,71 @@
+package redwingcross.process.node
+
+import kotlinx.coroutines.CoroutineScope
+import redwingcross.connection.platform.PlatformClient
+import redwingcross.connection.platform.PlatformClientSettings
+import redwingcross.connection.platform.PlatformStore
+import redwingcross.process.membership.Member
+import redwingcross.process.membership.ProcessRole
+import redwingcross.process.membership.StartId
+import redwingcross.process.settings.ProgramCommand
+import redwingcross.process.settings.Setting
+import redwingcross.process.settings.SettingKind
+import redwingcross.request.AvailabilityZone
+import redwingcross.request.Checked
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ProcessName
+import redwingcross.version.bundle.Endpoint
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** A program of the system's nodes, with the settings that gateways and controllers share. */
+abstract class NodeCommand(name: String, summary: String, environment: (String) -> String?) :
+    ProgramCommand(name, summary, environment) {
+    /** Name of this process; a gateway's must be the one in the bundle. */
+    protected val processName: Setting<String> = setting("--name", "Name of this process.", SettingKind.text)
+
+    private val zone = setting("--zone", "Availability zone of this process.", SettingKind.text)
+    private val peer = setting("--peer", "Address and port for other processes of the system.", SettingKind.endpoint)
+    private val seeds = setting(
+        "--seeds",
+        "Peer addresses to join until the bundle is known.",
+        SettingKind.endpoints,
+        default = NO_SEED,
+    )
+
+    /** Where operators read health, metrics and state. */
+    protected val operator: Setting<String> =
+        setting("--operator", "Address and port for operators.", SettingKind.endpoint)
+
+    private val platform = setting("--platform", "Base URLs of the platform.", SettingKind.urls)
+
+    /** Peer addresses to join, without this process's own. */
+    protected val seedEndpoints: List<Endpoint>
+        get() = seeds.value.map(::Endpoint).filter { it.value != peer.value && it.value != NO_SEED }
+
+    /** This process as it describes itself to its peers. */
+    protected fun member(role: ProcessRole, caller: Endpoint?, clock: MonotonicClock): Member = Member(
+        name = ProcessName(processName.value),
+        role = role,
+        zone = AvailabilityZone(zone.value),
+        peer = Endpoint(peer.value),
+        caller = caller,
+        start = StartId(Random.nextLong()),
+        startedAt = clock.now(),
+    )
+
+    /** Opens the platform's store; its tasks end with [scope]. */
+    protected fun openPlatform(scope: CoroutineScope, clock: MonotonicClock, watchWait: () -> Duration): PlatformStore {
+        val client = PlatformClient.start(PlatformClientSettings(platform.value), scope, clock, watchWait)
+        return when (client) {
+            is Checked.Valid -> client.value.store
+            // The base URLs were checked with the other settings.
+            is Checked.Invalid -> error(client.findings.joinToString())
+        }
+    }
+
+    private companion object {
+        /** Stands for an empty list of seeds; nothing listens on port 1. */
+        const val NO_SEED = "127.0.0.1:1"
+    }
+}
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/node/NodeLinks.kt
@@ -0,0 +1,77 @@
+package redwingcross.process.node
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import redwingcross.connection.platform.PlatformStore
+import redwingcross.process.gossip.PeerHandlers
+import redwingcross.process.membership.Member
+import redwingcross.request.AttemptId
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ProcessName
+import redwingcross.version.bundle.Endpoint
+import redwingcross.version.control.ControlDecision
+import redwingcross.version.control.ControlTask
+import redwingcross.version.control.ViewSettings
+
+/** What every process of the system has: its control state, its peers, and the exchange between the two. */
+class NodeLinks(
+    member: Member,
+    private val seeds: List<Endpoint>,
+    store: PlatformStore,
+    viewSettings: ViewSettings,
+    clock: MonotonicClock,
+    private val scope: CoroutineScope,
+    describeState: () -> String,
+    abandonAttempt: suspend (AttemptId) -> Boolean = { false },
+) {
+    private val inbox = PeerInbox()
+
+    /** The task that owns the control state. */
+    val control: ControlTask = ControlTask(
+        decision = ControlDecision(viewSettings, seeds.size, startedAt = clock.now()),
+        settings = viewSettings,
+        clock = clock,
+        watch = store.watch,
+        askPeer = ::askPeer,
+        askSeedPeers = ::askSeedPeers,
+    )
+
+    /** The peer side of this process. */
+    val peers: PeerNode = PeerNode(
+        member,
+        seeds,
+        PeerHandlers(
+            controlState = { control.view.value.control },
+            adoptControl = { from, state, askedAt -> control.peerState(from, state, askedAt) },
+            describeState = { describeState() },
+            abandonAttempt = abandonAttempt,
+            stampHeard = { from, stamp, askedAt -> inbox.offer(PeerNews.Stamp(from, stamp, askedAt)) },
+            zoneHeard = { status, publishedAt -> inbox.offer(PeerNews.Zone(status, publishedAt)) },
+            coldHeard = { inbox.offer(PeerNews.Cold(it)) },
+        ),
+        clock,
+    )
+
+    private val bridge = ControlBridge(control, peers.membership, seeds, clock)
+
+    /** Starts the tasks; [use] takes the news of peers, one after the other. */
+    fun start(use: suspend (PeerNews) -> Unit) {
+        scope.launch { control.run() }
+        scope.launch { peers.run() }
+        scope.launch { bridge.run() }
+        scope.launch { inbox.run(use) }
+    }
+
+    private fun askPeer(name: ProcessName) {
+        val peer = peers.membership.view.value.present().find { it.name == name } ?: return
+        ask(peer.peer)
+    }
+
+    private fun askSeedPeers() = seeds.forEach(::ask)
+
+    private fun ask(endpoint: Endpoint) {
+        scope.launch {
+            peers.controlOf(endpoint)?.let { control.peerState(it.from, it.state, it.askedAt) }
+        }
+    }
+}
--- a/process/src/main/kotlin/redwingcross/process/settings/ProgramCommand.kt
+++ b/process/src/main/kotlin/redwingcross/process/settings/ProgramCommand.kt
@@ -1,6 +1,6 @@
 package redwingcross.process.settings
 
-import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.command.SuspendingCliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.arguments.argument
@@ -20,7 +20,7 @@
     name: String,
     private val summary: String,
     private val environment: (String) -> String? = System::getenv,
-) : CliktCommand(name) {
+) : SuspendingCliktCommand(name) {
     private val settings = mutableListOf<Setting<*>>()
     private val printSettings by option("--print-settings", help = "Print every setting with its source and exit.")
         .flag()
@@ -47,7 +47,7 @@
         settings += setting
     }
 
-    override fun run() {
+    override suspend fun run() {
         val findings = settings.flatMap { it.resolve(environment) } +
             unexpected.map { Finding(it.substringBefore('='), "is not a known flag") }
         if (findings.isNotEmpty()) {
@@ -58,5 +58,5 @@
     }
 
     /** Runs the program; every setting has its value. */
-    protected abstract fun start()
+    protected abstract suspend fun start()
 }
--- a/process/src/test/kotlin/redwingcross/process/settings/ProgramCommandTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/settings/ProgramCommandTest.kt
@@ -1,6 +1,7 @@
 package redwingcross.process.settings
 
-import com.github.ajalt.clikt.testing.test
+import com.github.ajalt.clikt.command.test
+import kotlinx.coroutines.test.runTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -17,13 +18,13 @@
         private val token = setting("--token", "Token.", SettingKind.text, default = "none", secret = true)
         var started = false
 
-        override fun start() {
+        override suspend fun start() {
             started = listOf(name, interval.value, listen.value, token.value).isNotEmpty()
         }
     }
 
     @Test
-    fun `all findings are printed with their place and nothing is started`() {
+    fun `all findings are printed with their place and nothing is started`() = runTest {
         val program = Program(mapOf("REDWINGCROSS_INTERVAL" to "soon"))
 
         val result = program.test("--listen localhost --unknown=1")
@@ -42,7 +43,7 @@
     }
 
     @Test
-    fun `a flag goes before its variable and secrets are not printed`() {
+    fun `a flag goes before its variable and secrets are not printed`() = runTest {
         val program = Program(mapOf("REDWINGCROSS_NAME" to "from-variable", "REDWINGCROSS_TOKEN" to "hidden"))
 
         val printed = program.test("--name from-flag --print-settings").stdout
--- /dev/null
+++ b/programs/cli/src/main/kotlin/redwingcross/cli/CliMain.kt
@@ -0,0 +1,42 @@
+package redwingcross.cli
+
+import com.github.ajalt.clikt.command.SuspendingCliktCommand
+import com.github.ajalt.clikt.command.main
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.context
+import com.github.ajalt.clikt.core.obj
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
+
+private class RedwingcrossCommand : SuspendingCliktCommand("redwingcross") {
+    private val platform by option("--platform", help = "HTTP base URLs of the platform, with commas between them.")
+        .default("http://127.0.0.1:7000")
+    private val operator by option("--operator", help = "Name under which changes are recorded.").default("operator")
+    private val output by option("--output", help = "Form of the report.").choice("text", "json").default("text")
+
+    init {
+        context { autoEnvvarPrefix = "REDWINGCROSS" }
+    }
+
+    override fun help(context: Context): String =
+        "Operate redwingcross. Exit codes: 0 done, 1 failed, 2 bad input, 3 conflict, 4 outcome unknown."
+
+    override suspend fun run() {
+        currentContext.obj = OperatorSession(operator, platform.split(',').map(String::trim), output == "json")
+    }
+}
+
+/** Runs the operator command. */
+suspend fun main(arguments: Array<String>): Unit = RedwingcrossCommand()
+    .subcommands(
+        bundleCommands(),
+        zoneCommands(),
+        vmCommands(),
+        serverCommands(),
+        GroupsCommand(),
+        CustomersCommand(),
+        StateCommand(),
+    )
+    .main(arguments)
--- /dev/null
+++ b/programs/cli/src/main/kotlin/redwingcross/cli/OperatorCommand.kt
@@ -0,0 +1,31 @@
+package redwingcross.cli
+
+import com.github.ajalt.clikt.command.SuspendingCliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.requireObject
+import kotlinx.serialization.json.Json
+
+/** A subcommand that ends with one report, printed as text or JSON, and with its exit code. */
+internal abstract class OperatorCommand(name: String, private val summary: String) : SuspendingCliktCommand(name) {
+    private val session by requireObject<OperatorSession>()
+
+    override fun help(context: Context): String = summary
+
+    override suspend fun run() {
+        val report = session.use { execute(it) }
+        if (session.printsJson) {
+            echo(prettyJson.encodeToString(report.toJson()))
+        } else {
+            report.lines.forEach { echo(it, err = report.exit != ExitCode.DONE) }
+        }
+        if (report.exit != ExitCode.DONE) throw ProgramResult(report.exit.code)
+    }
+
+    /** Carries out the command. */
+    protected abstract suspend fun execute(context: OperatorContext): CommandReport
+
+    private companion object {
+        val prettyJson = Json { prettyPrint = true }
+    }
+}
--- /dev/null
+++ b/programs/controller/src/main/kotlin/redwingcross/controller/Controller.kt
@@ -0,0 +1,111 @@
+package redwingcross.controller
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import redwingcross.connection.engine.EngineClient
+import redwingcross.connection.idempotency.RecordRetention
+import redwingcross.connection.platform.PlatformStore
+import redwingcross.process.lifecycle.ShutdownActions
+import redwingcross.process.lifecycle.ShutdownTask
+import redwingcross.process.lifecycle.installSignalHandlers
+import redwingcross.process.membership.Availability
+import redwingcross.process.membership.Member
+import redwingcross.process.membership.ProcessRole
+import redwingcross.process.node.NodeLinks
+import redwingcross.process.node.OperatorListener
+import redwingcross.process.node.PeerNews
+import redwingcross.request.AvailabilityZone
+import redwingcross.request.MonotonicClock
+import redwingcross.request.eventLine
+import redwingcross.version.bundle.Endpoint
+import redwingcross.version.control.ViewSettings
+import kotlin.time.Duration.Companion.minutes
+
+private val logger = KotlinLogging.logger {}
+
+/** Records of idempotency keys are swept at this interval, with at most [RETENTION_WRITES] writes each time. */
+private val retentionInterval = 1.minutes
+private const val RETENTION_WRITES = 200
+
+/** One controller process: its tasks, wired together. */
+internal class Controller(
+    private val member: Member,
+    seeds: List<Endpoint>,
+    private val store: PlatformStore,
+    private val operator: String,
+    private val scope: CoroutineScope,
+    private val clock: MonotonicClock,
+) {
+    private val links: NodeLinks =
+        NodeLinks(member, seeds, store, ViewSettings(), clock, scope, { state.dump.take().toString() })
+    private val engines = EngineClient()
+    private val runtime = ControllerRuntime(
+        name = member.name,
+        incarnation = member.start.value.toString(),
+        links = ControllerLinks(
+            store = store,
+            views = links.control.view,
+            readReport = engines.readReport,
+            sendOrder = engines.sendOrder,
+            rank = ::rankIn,
+            publishStatus = { status -> scope.launch { links.peers.membership.observed(status) } },
+        ),
+        clock = clock,
+    )
+    private val state = ControllerState(member.name, links, runtime, clock)
+
+    /** Runs until the process is asked to stop and its leases are released; returns the exit code. */
+    suspend fun run(): Int {
+        links.start { news ->
+            when (news) {
+                is PeerNews.Zone -> runtime.statusHeard(news.status)
+                is PeerNews.Stamp -> links.control.stampHeard(news.from, news.stamp, news.askedAt)
+                is PeerNews.Cold -> Unit
+            }
+        }
+        scope.launch { runtime.run() }
+        scope.launch { removeExpiredRecords() }
+        val operators = OperatorListener(operator, state.readiness, state.dump, state.metrics).start()
+        links.peers.membership.announce(Availability.READY)
+        logger.info { eventLine("controller_started", "name" to member.name, "zone" to member.zone) }
+        val exitCode = awaitStop()
+        operators.stop()
+        scope.coroutineContext.job.cancelAndJoin()
+        engines.close()
+        return exitCode
+    }
+
+    private suspend fun awaitStop(): Int {
+        val membership = links.peers.membership
+        val shutdown = ShutdownTask(
+            ProcessRole.CONTROLLER,
+            ShutdownActions(
+                announceLeaving = { membership.announce(Availability.LEAVING) },
+                releaseLeases = { runtime.stop() },
+                announceLeft = { membership.leave() },
+            ),
+            clock = clock,
+        )
+        shutdown.installSignalHandlers()
+        scope.launch { shutdown.run() }
+        return shutdown.finished.await()
+    }
+
+    /** Position among the live controllers of the zone; a process that is not in the order stands last. */
+    private fun rankIn(zone: AvailabilityZone): Int {
+        val order = links.peers.membership.view.value.observerOrder(zone)
+        return order.indexOf(member.name).takeIf { it >= 0 } ?: order.size
+    }
+
+    private suspend fun removeExpiredRecords() {
+        val retention = RecordRetention(store, clock)
+        while (true) {
+            delay(retentionInterval)
+            retention.removeExpired(RETENTION_WRITES)
+        }
+    }
+}
--- a/programs/controller/src/main/kotlin/redwingcross/controller/ControllerRuntime.kt
+++ b/programs/controller/src/main/kotlin/redwingcross/controller/ControllerRuntime.kt
@@ -3,6 +3,9 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.distinctUntilChanged
+import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import redwingcross.connection.engine.ReadReport
@@ -13,6 +16,7 @@
 import redwingcross.request.ProcessName
 import redwingcross.request.Vm
 import redwingcross.version.control.ControlState
+import redwingcross.version.control.ControlView
 import redwingcross.version.placement.LeaseEpoch
 import redwingcross.version.placement.PLACEMENT_KIND
 import redwingcross.version.placement.PublishHolder
@@ -30,6 +34,8 @@
 /** What a controller reaches outside its process. */
 class ControllerLinks(
     val store: PlatformStore,
+    /** The control state that this process has adopted. */
+    val views: Flow<ControlView>,
     val readReport: ReadReport,
     val sendOrder: SendOrder,
     val rank: ControllerRank,
@@ -64,11 +70,18 @@
 
     private val events = Channel<Event>(EVENT_MAILBOX)
     private val zones = LinkedHashMap<AvailabilityZone, ZoneTasks>()
+
+    /** Copy of [zones] for readers outside the task. */
+    @Volatile
+    private var published = emptyList<ZoneTasks>()
     private var leaving = emptySet<Vm>()
 
     // Placements that were seen before the bundle that names their zone.
     private val early = HashMap<AvailabilityZone, StoredPlacement>()
 
+    /** What this controller does for each zone at the moment. */
+    internal fun zones(): List<ZoneRoles> = published.map { it.roles() }
+
     /** Passes on a status that another observer published. */
     suspend fun statusHeard(status: ZoneStatus) = events.send(Event.Status(status))
 
@@ -84,8 +97,9 @@
 
     /** Runs until it is cancelled. */
     suspend fun run() = coroutineScope {
-        launch { controlChanges(links.store.watch).collect { events.send(Event.Control(it)) } }
-        launch { leavingVms(links.store.watch).collect { events.send(Event.Leaving(it)) } }
+        val states = links.views.map { it.control }.distinctUntilChanged()
+        launch { states.collect { events.send(Event.Control(it)) } }
+        launch { states.map { it.leaving.vms }.distinctUntilChanged().collect { events.send(Event.Leaving(it)) } }
         launch {
             links.store.watch(PLACEMENT_KIND).collect { event ->
                 event.objects().mapNotNull { it.toStoredPlacement() }.forEach { events.send(Event.Placed(it)) }
@@ -122,6 +136,7 @@
         control.bundle?.bundle?.zones.orEmpty().filter { it !in zones }.forEach { zone ->
             val tasks = ZoneTasks(zone, name, incarnation, links, clock, settings)
             zones[zone] = tasks
+            published = zones.values.toList()
             start(tasks)
             tasks.reconciler.leavingChanged(leaving)
             early.remove(zone)?.let { tasks.observer.placementSeen(it) }
--- a/programs/controller/src/main/kotlin/redwingcross/controller/ZoneTasks.kt
+++ b/programs/controller/src/main/kotlin/redwingcross/controller/ZoneTasks.kt
@@ -13,10 +13,10 @@
 
 /** The tasks of one zone in one controller. Observer and reconciler share the reports of one collector. */
 internal class ZoneTasks(
-    zone: AvailabilityZone,
+    private val zone: AvailabilityZone,
     name: ProcessName,
     incarnation: String,
-    links: ControllerLinks,
+    private val links: ControllerLinks,
     clock: MonotonicClock,
     settings: ReconcilerSettings,
 ) {
@@ -53,6 +53,9 @@
             offers = listOf(reconciler.offerReport, observer.offerReport),
         )
 
+    /** Readable from any thread. */
+    fun roles() = ZoneRoles(zone, reconciler.isHolder, links.rank(zone) == 0)
+
     suspend fun controlChanged(control: ControlState) {
         collector.controlChanged(control)
         observer.controlChanged(control)
--- a/programs/controller/src/test/kotlin/redwingcross/controller/ControllerRuntimeTest.kt
+++ b/programs/controller/src/test/kotlin/redwingcross/controller/ControllerRuntimeTest.kt
@@ -3,15 +3,14 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
-import kotlinx.serialization.json.Json
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import redwingcross.connection.engine.EngineClient
-import redwingcross.connection.platform.ObjectKey
 import redwingcross.request.AvailabilityZone
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
@@ -28,6 +27,8 @@
 import redwingcross.version.bundle.ModelEntry
 import redwingcross.version.bundle.VmEntry
 import redwingcross.version.control.AcceptedBundle
+import redwingcross.version.control.ControlState
+import redwingcross.version.control.ControlView
 import redwingcross.version.placement.Generation
 import redwingcross.version.placement.GroupReadiness
 import redwingcross.version.placement.GroupStatus
@@ -58,10 +59,8 @@
         customers = emptyList(),
     )
 
-    private fun accepted(host: EngineHost) = Json.encodeToJsonElement(
-        AcceptedBundle.serializer(),
-        AcceptedBundle(BundleVersion(1), bundle(host), "digest", "operator", "nonce"),
-    )
+    private fun view(host: EngineHost) =
+        ControlView(ControlState(AcceptedBundle(BundleVersion(1), bundle(host), "digest", "operator", "nonce")))
 
     private suspend fun Channel<ZoneStatus>.awaitReady(generation: Long): GroupStatus = withTimeout(30.seconds) {
         var found: GroupStatus? = null
@@ -95,11 +94,11 @@
             EngineHost(vms.map { EngineSpec(it, 0, engineSettings) }).use { host ->
                 EngineClient().use { engines ->
                     val memory = MemoryStore()
-                    memory.put(ObjectKey(CONTROL_KIND, "bundle"), accepted(host))
                     val statuses = Channel<ZoneStatus>(Channel.UNLIMITED)
                     val links =
                         ControllerLinks(
                             store = memory.store,
+                            views = flowOf(view(host)),
                             readReport = engines.readReport,
                             sendOrder = engines.sendOrder,
                             rank = { 0 },
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/redwingcross/gateway/GatewayCommand.kt
@@ -0,0 +1,75 @@
+package redwingcross.gateway
+
+import com.github.ajalt.clikt.core.ProgramResult
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import redwingcross.connection.caller.CallerServerSettings
+import redwingcross.process.membership.ProcessRole
+import redwingcross.process.node.NodeCommand
+import redwingcross.process.settings.SettingKind
+import redwingcross.request.MonotonicClock
+import redwingcross.version.bundle.Endpoint
+import redwingcross.version.control.ControlView
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Gateways that share one unit of watch calls: the fleet makes at most this many calls in [watchUnit]. */
+private const val GATEWAYS_PER_WATCH_UNIT = 64
+private val watchUnit = 2.seconds
+
+/** Command line of `redwingcross-gateway`. */
+internal class GatewayCommand(environment: (String) -> String? = System::getenv) :
+    NodeCommand("redwingcross-gateway", "Routes callers' requests to back ends.", environment) {
+    private val listen = setting("--listen", "Address and port for callers.", SettingKind.endpoint)
+    private val maxExchanges = setting(
+        "--max-exchanges",
+        "Callers' requests that run at the same time.",
+        SettingKind.int(1..MAXIMUM_EXCHANGES),
+        default = "1024",
+    )
+    private val maxBody = setting("--max-body", "Largest body of a request.", SettingKind.bytes, default = "1MiB")
+    private val relayBudget = setting(
+        "--relay-budget",
+        "Memory for output that callers have not taken yet.",
+        SettingKind.bytes,
+        default = "32MiB",
+    )
+
+    override suspend fun start() {
+        val clock = MonotonicClock.system
+        val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        var readView: () -> ControlView = { ControlView() }
+        val store = openPlatform(scope, clock) { watchWait(readView()) }
+        val gateway = Gateway(
+            member = member(ProcessRole.GATEWAY, Endpoint(listen.value), clock),
+            seeds = seedEndpoints,
+            store = store,
+            settings = GatewaySettings(callerSettings(), operator.value, relayBudget.value),
+            scope = scope,
+            clock = clock,
+        )
+        readView = { gateway.control.view.value }
+        val exitCode = gateway.run()
+        if (exitCode != 0) throw ProgramResult(exitCode)
+    }
+
+    private fun callerSettings() = CallerServerSettings(
+        host = listen.value.substringBeforeLast(':'),
+        port = listen.value.substringAfterLast(':').toInt(),
+        maxBodyBytes = maxBody.value,
+        maxExchanges = maxExchanges.value,
+        maxConnections = maxExchanges.value * 4,
+        maxConnectionsPerAddress = maxExchanges.value * 2,
+    )
+
+    private companion object {
+        const val MAXIMUM_EXCHANGES = 16_384
+    }
+}
+
+/** Waiting time of the watches of one gateway, so that the calls of the whole fleet stay bounded. */
+internal fun watchWait(view: ControlView): Duration {
+    val gateways = view.control.bundle?.bundle?.gateways.orEmpty().size
+    return watchUnit * maxOf(1, gateways / GATEWAYS_PER_WATCH_UNIT)
+}
--- a/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
@@ -12,6 +12,8 @@
     private val settings: ViewSettings,
     /** Number of peers that a node asks while its view is stale; a majority of them must answer at about one time. */
     private val seedPeers: Int,
+    /** Reading of the process clock when the process started. */
+    private val startedAt: Duration = Duration.ZERO,
 ) {
     /** One step; [now] is a reading of the process clock. */
     fun step(memory: ControlMemory, message: ControlMessage, now: Duration): Transition<ControlMemory, ControlEffect> {
@@ -122,7 +124,7 @@
     private fun extend(memory: ControlMemory, next: ControlState, now: Duration): RosterHistory {
         val body = next.bundle?.bundle ?: return RosterHistory()
         val previous = memory.control
-        val previousBody = previous.bundle?.bundle ?: return RosterHistory(listOf(eraOf(body, next.overrides)), now)
+        val previousBody = previous.bundle?.bundle ?: return firstHistory(body, next, now)
         val recent = memory.history.within(settings.shareTransition, now).map {
             it.copy(
                 replacedAt =
@@ -137,6 +139,17 @@
         return RosterHistory((recent + passed).distinct() + eraOf(body, next.overrides), completeSince)
     }
 
+    /**
+     * The history of a process that has just learned its first bundle. Other gateways may still use rosters that this
+     * process never saw, unless the bundle is the first one ever accepted: then only requests of this gateway's
+     * previous process can be in flight.
+     */
+    private fun firstHistory(body: Bundle, next: ControlState, now: Duration): RosterHistory {
+        val isFirstEver = next.bundleVersion().value == 1L && next.overrides.version.value == 0L
+        val completeSince = if (isFirstEver) startedAt - settings.viewLifetime else now
+        return RosterHistory(listOf(eraOf(body, next.overrides)), completeSince)
+    }
+
     /**
      * Rosters that may have been in force between two states. Bundle and overrides change independently, so either may
      * have come first. For overrides that were skipped, the roster with no zone taken out gives the smallest share.
