--- a/connection/src/main/kotlin/redwingcross/connection/idempotency/AttemptRegistry.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/idempotency/AttemptRegistry.kt
@@ -22,7 +22,7 @@
  * afterwards can still be taken over.
  */
 internal class AttemptRegistry(scope: CoroutineScope, private val clock: MonotonicClock, private val maxRunning: Int) {
-    private val mailbox = Channel<Message>(MAILBOX)
+    private val mailbox = Channel<Message>(MAILBOX) { it.cancel() }
     private val running = HashMap<AttemptId, NonIdempotentCall>()
     private val neverRan = LinkedHashSet<AttemptId>()
     private var idle = mutableListOf<CompletableDeferred<Unit>>()
@@ -76,12 +76,20 @@
     }
 
     private sealed interface Message {
-        class Register(val facts: CallFacts, val reply: CompletableDeferred<Boolean>) : Message
+        val reply: CompletableDeferred<*>
 
-        class Step(val attempt: AttemptId, val event: CallEvent, val reply: CompletableDeferred<List<CallEffect>>) :
-            Message
+        /** Releases the sender when the registry ends before it handled the message. */
+        fun cancel() = reply.cancel()
 
-        class AwaitIdle(val reply: CompletableDeferred<Unit>) : Message
+        class Register(val facts: CallFacts, override val reply: CompletableDeferred<Boolean>) : Message
+
+        class Step(
+            val attempt: AttemptId,
+            val event: CallEvent,
+            override val reply: CompletableDeferred<List<CallEffect>>,
+        ) : Message
+
+        class AwaitIdle(override val reply: CompletableDeferred<Unit>) : Message
     }
 
     private companion object {
--- a/connection/src/main/kotlin/redwingcross/connection/idempotency/NonIdempotentCalls.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/idempotency/NonIdempotentCalls.kt
@@ -1,6 +1,7 @@
 package redwingcross.connection.idempotency
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.currentCoroutineContext
@@ -62,17 +63,28 @@
         val key = call.key
             ?: return NonIdempotentResult.NotRun(NotRunReason.INVALID_REQUEST, EarlierAttempts.NONE)
         val facts = CallFacts(newAttempt(), self, BodyDigest.of(call), call.deadline, limits)
-        if (!registry.register(facts)) {
-            return NonIdempotentResult.NotRun(NotRunReason.QUEUE_FULL, EarlierAttempts.UNKNOWN)
+        return try {
+            if (registry.register(facts)) {
+                scope.async { attempt(facts.attempt, RecordName.of(call.customer, key), dispatch) }.await()
+            } else {
+                NonIdempotentResult.NotRun(NotRunReason.QUEUE_FULL, EarlierAttempts.UNKNOWN)
+            }
+        } catch (_: CancellationException) {
+            currentCoroutineContext().ensureActive()
+            NonIdempotentResult.OutcomeUnknown("the gateway stopped during attempt ${facts.attempt}")
         }
-        return scope.async { attempt(facts.attempt, RecordName.of(call.customer, key), dispatch) }.await()
     }
 
     /**
      * For another gateway that found [attempt] in a record: true only if the attempt did not run and never will.
-     * The attempt is marked before this returns.
+     * The attempt is marked before this returns. False as well if this gateway has stopped.
      */
-    suspend fun abandon(attempt: AttemptId): Boolean = registry.abandon(attempt)
+    suspend fun abandon(attempt: AttemptId): Boolean = try {
+        registry.abandon(attempt)
+    } catch (_: CancellationException) {
+        currentCoroutineContext().ensureActive()
+        false
+    }
 
     /** Returns when no attempt of this process is running; for a graceful shutdown. */
     suspend fun awaitIdle() = registry.awaitIdle()
--- a/connection/src/main/kotlin/redwingcross/connection/platform/PlatformClient.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/platform/PlatformClient.kt
@@ -76,7 +76,9 @@
 
     private suspend fun submit(name: String, isWrite: Boolean, request: (HttpUrl) -> Request): ExchangeResult {
         val call = PlatformCall(name, isWrite, clock.now(), request)
-        if (!mailbox.trySend(call).isSuccess) call.answerUnsent("$name: ${settings.waitingCallers} callers are waiting")
+        val accepted = mailbox.trySend(call)
+        if (accepted.isClosed) call.answerUnsent("$name: the client is closed")
+        if (accepted.isFailure) call.answerUnsent("$name: ${settings.waitingCallers} callers are waiting")
         try {
             return call.reply.await()
         } catch (cancelled: CancellationException) {
--- a/standins/src/main/kotlin/redwingcross/standins/service/ServiceMain.kt
+++ b/standins/src/main/kotlin/redwingcross/standins/service/ServiceMain.kt
@@ -1,6 +1,7 @@
 package redwingcross.standins.service
 
 import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
@@ -11,7 +12,10 @@
     private val port: Int by option(help = "port on the loopback interface; 0 takes a free one")
         .int().restrictTo(0..65_535).default(0)
 
-    override fun run() = echo("event=started standin=service port=${ServiceStandin(port).start().port}")
+    override fun run() = runCatching { ServiceStandin(port).start() }.fold(
+        onSuccess = { echo("event=started standin=service port=${it.port}") },
+        onFailure = { throw CliktError("port $port can't be used: ${it.message}", statusCode = 1) },
+    )
 }
 
 /** Runs the plain-service stand-in as its own process until it is stopped. */
--- a/standins/src/test/kotlin/redwingcross/standins/platform/PlatformClientTest.kt
+++ b/standins/src/test/kotlin/redwingcross/standins/platform/PlatformClientTest.kt
@@ -2,14 +2,20 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.future.await
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.plus
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.JsonPrimitive
+import org.http4k.core.Method
 import redwingcross.connection.platform.ConditionalWrite
 import redwingcross.connection.platform.ObjectKey
 import redwingcross.connection.platform.ObjectKind
@@ -22,10 +28,21 @@
 import redwingcross.connection.platform.WatchEvent
 import redwingcross.connection.platform.WriteAnswer
 import redwingcross.request.Checked
+import redwingcross.standins.fetch
+import redwingcross.standins.http.StandinReply
+import redwingcross.standins.http.StandinServer
+import redwingcross.standins.http.json
 import redwingcross.standins.orderFaults
+import java.net.ServerSocket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse.BodyHandlers
 import kotlin.test.Test
+import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -79,27 +96,30 @@
     }
 
     @Test
-    fun `a write whose answer is lost, late, cut, silent or crossed has an unknown outcome`() =
-        withPlatform { platform, store ->
-            val faults = listOf(
-                "loseAnswerNext" to 1,
-                "lateMillis" to 900,
-                "cutNext" to 1,
-                "silentNext" to 1,
-                "delayWriteNext" to 1,
-            )
-            for ((fault, value) in faults) {
-                orderFaults(platform.port, """{"$fault":$value}""")
-                assertIs<PlatformResult.OutcomeUnknown>(store.write(put(fault, null)), fault)
-                orderFaults(platform.port, "{}")
-            }
-            assertEquals(PlatformResult.Answered(stored("loseAnswerNext", 1)), store.read(key))
-
-            orderFaults(platform.port, """{"crossNext":1}""")
-            val first = launch { assertIs<PlatformResult.OutcomeUnknown>(store.write(put("crossed", 1))) }
-            assertIs<PlatformResult.Unavailable>(store.read(key))
-            first.join()
+    fun `a write whose answer is lost, late, cut or silent has an unknown outcome`() = withPlatform { platform, store ->
+        val faults = listOf(
+            "loseAnswerNext" to 1,
+            "lateMillis" to 900,
+            "cutNext" to 1,
+            "silentNext" to 1,
+            "delayWriteNext" to 1,
+        )
+        for ((fault, value) in faults) {
+            orderFaults(platform.port, """{"$fault":$value}""")
+            assertIs<PlatformResult.OutcomeUnknown>(store.write(put(fault, null)), fault)
+            orderFaults(platform.port, "{}")
         }
+        assertEquals(PlatformResult.Answered(stored("loseAnswerNext", 1)), store.read(key))
+    }
+
+    @Test
+    fun `an answer that belongs to another request is not taken for an answer`() = withPlatform { platform, store ->
+        orderFaults(platform.port, """{"crossNext":1}""")
+        val write = async { store.write(put("crossed", null)) }
+        assertIs<PlatformResult.Unavailable>(store.read(key))
+        assertIs<PlatformResult.OutcomeUnknown>(write.await())
+        assertEquals(PlatformResult.Answered(stored("crossed", 1)), store.read(key))
+    }
 
     @Test
     fun `a refused connection is reported as without effect`() = withPlatform { platform, store ->
@@ -134,4 +154,58 @@
             }
             watch.cancelAndJoin()
         }
+
+    @Test
+    fun `a malformed answer is reported with its place and never as a definite one`() = runBlocking {
+        val garbage = StandinServer(0) { request, _ ->
+            val list = json("""[{"name":"bundle"}]""").header("X-Kind-Version", "7")
+            StandinReply.Answer(if (request.method == Method.GET) list else json("{"))
+        }.start()
+        val clientScope = this + Job()
+        try {
+            val settings = PlatformClientSettings(listOf("http://127.0.0.1:${garbage.port}"))
+            val store = assertIs<Checked.Valid<PlatformClient>>(PlatformClient.start(settings, clientScope)).value.store
+
+            assertContains(assertIs<PlatformResult.Unavailable>(store.read(key)).detail, "X-Version")
+            assertContains(assertIs<PlatformResult.Unavailable>(store.list(kind)).detail, "control: body[0]")
+            assertContains(assertIs<PlatformResult.OutcomeUnknown>(store.write(put("one", null))).detail, "X-Version")
+            assertContains(assertIs<WatchEvent.Unavailable>(store.watch(kind).first()).detail, "control: body[0]")
+        } finally {
+            clientScope.cancel()
+            garbage.stop()
+        }
+    }
+
+    @Test
+    fun `callers beyond the waiting bound are refused without effect`() = withPlatform { platform, store ->
+        orderFaults(platform.port, """{"freezeMillis":200}""")
+        val results = (1..400).map { async { store.read(ObjectKey(kind, "$it")) } }.awaitAll()
+        val refused = results.filterIsInstance<PlatformResult.Unavailable>().filter { "are waiting" in it.detail }
+        assertContains(400 - 256 - 2 * PlatformClientSettings(emptyList()).concurrentCalls..400 - 256, refused.size)
+    }
+
+    @Test
+    fun `the next base URL is used when the first can't be reached`() = withPlatform { platform, _ ->
+        val closed = "http://127.0.0.1:${ServerSocket(0).use { it.localPort }}"
+        val clientScope = this + Job()
+        val settings = PlatformClientSettings(listOf(closed, "http://127.0.0.1:${platform.port}"))
+        val store = assertIs<Checked.Valid<PlatformClient>>(PlatformClient.start(settings, clientScope)).value.store
+
+        assertEquals(written(1), store.write(put("one", null)))
+        assertEquals(PlatformResult.Answered(stored("one", 1)), store.read(key))
+        clientScope.cancel()
+    }
+
+    @Test
+    fun `waiting watches hold no threads of the platform`() = withPlatform { platform, _ ->
+        val http = HttpClient.newHttpClient()
+        val poll = URI("http://127.0.0.1:${platform.port}/objects/control?since=0&waitSeconds=60")
+        val before = Thread.getAllStackTraces().size
+        val polls = (1..300).map { http.sendAsync(HttpRequest.newBuilder(poll).build(), BodyHandlers.discarding()) }
+        while ("\"watches\":300" !in fetch(platform.port, "/standin/calls")) delay(50.milliseconds)
+        val added = Thread.getAllStackTraces().size - before
+        assertTrue(added < 100, "$added threads were added")
+        orderFaults(platform.port, """{"down":true}""")
+        polls.forEach { assertTrue(it.handle { _, failure -> failure != null }.await()) }
+    }
 }
