Test the programs as processes and return slots after a short zone outage

After a zone was taken out for 10 s and returned, its gateway had no share for 125 s: it refused model requests and bookings while callers were still sent to it.

Ruled out: leaving the roster unchanged while a zone is out, which would strand the shares of its gateways; giving back the share at once after any outage, because the other gateways may have raised theirs.

Change: an interruption that was shorter than the transition does not bind, because nobody raised a share during it; a gateway that leaves the roster goes on with its old share for the 12 s in which callers may hold its address; a gateway is listed only while it can serve.

Conclusion: a zone that leaves and returns no longer stops its gateways.

--- a/programs/gateway/src/main/kotlin/redwingcross/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/redwingcross/gateway/Gateway.kt
@@ -89,8 +89,13 @@
         val operators = OperatorListener(settings.operator, state.readiness, state.dump, state.metrics).start()
         val callers = callerHandler(services()).asServer(CallerServer(settings.callers, clock)).start()
         logger.info { eventLine("gateway_started", "name" to member.name, "listen" to member.caller) }
-        links.peers.membership.announce(Availability.READY)
+        val listing = AddressListing(links.peers.membership, ::canServe)
+        val announcing = scope.launch { listing.run() }
         val shutdown = GatewayShutdown(
+            announceLeaving = {
+                announcing.cancelAndJoin()
+                links.peers.membership.announce(Availability.LEAVING)
+            },
             membership = links.peers.membership,
             callers = callers,
             awaitCalls = calls::awaitIdle,
@@ -120,6 +125,8 @@
         )
     }
 
+    private fun canServe(): Boolean = isListable(control.view.value, router.dump(), member.name, clock.now())
+
     private fun describe(): String = state.dump.take().toString()
 
     private suspend fun abandon(attempt: AttemptId): Boolean = calls.abandon(attempt)
--- a/programs/gateway/src/main/kotlin/redwingcross/gateway/GatewayShutdown.kt
+++ b/programs/gateway/src/main/kotlin/redwingcross/gateway/GatewayShutdown.kt
@@ -9,12 +9,12 @@
 import redwingcross.process.lifecycle.ShutdownActions
 import redwingcross.process.lifecycle.ShutdownTask
 import redwingcross.process.lifecycle.installSignalHandlers
-import redwingcross.process.membership.Availability
 import redwingcross.process.membership.ProcessRole
 import redwingcross.request.MonotonicClock
 
 /** The planned stop of a gateway: leaves the list of addresses, goes on serving, then drains. */
 internal class GatewayShutdown(
+    private val announceLeaving: suspend () -> Unit,
     private val membership: MembershipTask,
     private val callers: Http4kServer,
     private val awaitCalls: suspend () -> Unit,
@@ -28,7 +28,7 @@
     private val task = ShutdownTask(
         ProcessRole.GATEWAY,
         ShutdownActions(
-            announceLeaving = { membership.announce(Availability.LEAVING) },
+            announceLeaving = announceLeaving,
             stopAccepting = ::drain,
             announceLeft = { membership.leave() },
             inFlight = { if (isDrained) 0 else maxOf(1, runningRequests()) },
--- /dev/null
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/ProgramProcess.kt
@@ -0,0 +1,50 @@
+package redwingcross.systemtests
+
+import java.io.File
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+
+/** One of the system's programs as a process of its own, started on the class path of the tests. */
+internal class ProgramProcess(mainClass: String, name: String, logs: Path, arguments: List<String>) : AutoCloseable {
+    /** Everything that the program printed. */
+    val log: File = logs.resolve("$name.log").toFile()
+
+    private val process: Process = ProcessBuilder(
+        listOf(
+            java,
+            "-Xmx192m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            classPath,
+            mainClass,
+        ) + arguments,
+    ).redirectErrorStream(true).redirectOutput(log).start()
+
+    val isAlive: Boolean get() = process.isAlive
+
+    /** Waits for the end of the program and returns its exit code, or null when it still runs after the time. */
+    fun awaitExit(seconds: Long): Int? = if (process.waitFor(seconds, TimeUnit.SECONDS)) process.exitValue() else null
+
+    fun terminate() = signal("TERM")
+
+    fun pause() = signal("STOP")
+
+    fun resume() = signal("CONT")
+
+    fun kill() {
+        process.destroyForcibly().waitFor()
+    }
+
+    override fun close() = kill()
+
+    private fun signal(name: String) {
+        val sent = ProcessBuilder("kill", "-$name", process.pid().toString()).start().waitFor()
+        check(sent == 0) { "signal $name could not be sent to process ${process.pid()}" }
+    }
+
+    companion object {
+        private val java = ProcessHandle.current().info().command().orElse("java")
+        private val classPath = System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
+    }
+}
--- a/version/src/main/kotlin/redwingcross/version/control/ViewSettings.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ViewSettings.kt
@@ -9,10 +9,16 @@
     val viewLifetime: Duration = 5.seconds,
     /** Longest time that one attempt runs at a back end. */
     val maxRequestDuration: Duration = 120.seconds,
+    /**
+     * Time for which a gateway that left the roster goes on with its old share. Callers keep the list of addresses for
+     * 10 s, and those that still connect must not be refused because of a planned change.
+     */
+    val departureGrace: Duration = 12.seconds,
 ) {
     /**
      * Time after which no request runs any more that was admitted under a replaced roster: a gateway may admit under
-     * it until its view expires, and the request then runs for at most [maxRequestDuration].
+     * it until its view expires, and for [departureGrace] more when it left the roster; the request then runs for at
+     * most [maxRequestDuration].
      */
-    val shareTransition: Duration get() = maxRequestDuration + viewLifetime
+    val shareTransition: Duration get() = maxRequestDuration + viewLifetime + departureGrace
 }
--- a/version/src/main/kotlin/redwingcross/version/routing/CapacityShare.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/CapacityShare.kt
@@ -37,7 +37,15 @@
  * Place and limits of a gateway for one server while one roster was in force. Without [limits] the service was not part
  * of the bundle then, so no gateway admitted anything to it.
  */
-data class EraShare(val place: RosterPlace?, val limits: CapacityLimits?, val replacedAt: Duration?) {
+data class EraShare(
+    val place: RosterPlace?,
+    val limits: CapacityLimits?,
+    val replacedAt: Duration?,
+    val roster: Set<ProcessName> = emptySet(),
+) {
+    /** Whether every gateway has the same part of the same limits as in [other]. */
+    internal fun isSameAs(other: EraShare): Boolean = roster == other.roster && limits == other.limits
+
     internal fun slots(servingFor: Duration): Int =
         if (place == null || limits == null) 0 else place.shareOf(limits.at(servingFor))
 
@@ -70,13 +78,41 @@
     val position: Int get() = eras.lastOrNull()?.place?.position ?: Int.MAX_VALUE
 
     private fun binding(serving: ServingTime, settings: ViewSettings, now: Duration): List<EraShare> =
-        eras.filter { it.limits != null && (it.replacedAt == null || serving.isBoundBy(it.replacedAt, settings, now)) }
+        effective(settings, now).filter {
+            it.limits != null && (it.replacedAt == null || serving.isBoundBy(it.replacedAt, settings, now))
+        }
+
+    private fun effective(settings: ViewSettings, now: Duration): List<EraShare> {
+        val current = eras.lastOrNull() ?: return emptyList()
+        val former = eras.getOrNull(eras.lastIndex - 1)
+        val isDeparting = current.place == null &&
+            former?.place != null &&
+            former.replacedAt?.let { now < it + settings.departureGrace } == true
+        val counted = if (isDeparting) eras.dropLast(1) else eras
+        return counted.filterIndexed { index, _ -> !wasTooShort(counted, index, settings) }
+    }
+
+    /**
+     * Whether the era at [index] was a short interruption. No gateway raises its share before the era before it has
+     * ended for [ViewSettings.shareTransition], so nobody ever used the larger shares of the interruption.
+     */
+    private fun wasTooShort(counted: List<EraShare>, index: Int, settings: ViewSettings): Boolean {
+        val before = counted.getOrNull(index - 1) ?: return false
+        val after = counted.getOrNull(index + 1) ?: return false
+        val startedAt = before.replacedAt ?: return false
+        val endedAt = counted[index].replacedAt ?: return false
+        // Each gateway adopts both changes at times that differ by up to the lifetime of a view.
+        val certainlyShort = endedAt - startedAt < settings.shareTransition - settings.viewLifetime * 2
+        return certainlyShort && before.isSameAs(after)
+    }
 
     companion object {
         /** [key] names the server's incarnation. */
         fun of(key: String, gateway: ProcessName, history: RosterHistory, limits: (RosterEra) -> CapacityLimits?) =
             ServerShare(
-                history.eras.map { EraShare(RosterPlace.of(key, gateway, it.gateways), limits(it), it.replacedAt) },
+                history.eras.map {
+                    EraShare(RosterPlace.of(key, gateway, it.gateways), limits(it), it.replacedAt, it.gateways)
+                },
             )
     }
 }
