--- a/process/src/main/kotlin/redwingcross/process/gossip/Gossip.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/Gossip.kt
@@ -14,7 +14,8 @@
  */
 class Gossip(private val settings: GossipSettings) {
     /** The state of a process that has heard nothing. */
-    fun start(self: ProcessName, now: Duration): GossipState = GossipState(self = self, nextRound = now)
+    fun start(self: ProcessName, now: Duration): GossipState =
+        GossipState(self = self, startedAt = now, nextRound = now)
 
     /** One step; ticks are expected about every 100 ms. */
     fun step(state: GossipState, message: GossipMessage, now: Duration): Transition<GossipState, GossipEffect> {
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipSettings.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipSettings.kt
@@ -19,10 +19,18 @@
     val changeBytes: Int = 400,
     /** Encoded bytes of cold reports in one message. */
     val coldBytes: Int = 200,
-    /** Statuses without news for this long are dropped; gateways stop using them after 8 s. */
+    /**
+     * Statuses older than this are not adopted or passed on; gateways stop using them after 8 s. They are remembered
+     * for twice this time, because another process may hold the same status with a smaller age.
+     */
     val zoneLifetime: Duration = 30.seconds,
     /** Cold reports are passed on and remembered for this long. */
     val coldLifetime: Duration = 1.minutes,
+    /**
+     * A new process publishes no status until a peer has answered or this time has passed. Before, it doesn't know up
+     * to which sequence a process before it under its name has published.
+     */
+    val silentStart: Duration = 3.seconds,
     val maximumZones: Int = 64,
     val maximumCold: Int = 512,
     /** A request for content that was not answered in this time may be made again. */
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipState.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipState.kt
@@ -48,6 +48,9 @@
 internal fun GroupStatus.readyAfter(elapsed: Duration): GroupStatus =
     if (readiness == GroupReadiness.READY) copy(readyFor = readyFor + elapsed) else this
 
+/** A status of this process that was not published yet. */
+internal data class Withheld(val status: ZoneStatus, val observedAt: Duration)
+
 internal data class HeldCold(val bornAt: Duration, val sends: Int)
 
 /** Everything that gossip remembers. */
@@ -60,9 +63,13 @@
     internal val zones: Map<ZoneKey, HeldZone> = emptyMap(),
     /** Highest sequences heard for zones that this process observes, from a process before it under its name. */
     internal val floors: Map<ZoneKey, Long> = emptyMap(),
+    internal val withheld: Map<ZoneKey, Withheld> = emptyMap(),
     internal val cold: Map<BootId, HeldCold> = emptyMap(),
     /** Requests under way, with the time after which they may be repeated. */
     internal val fetching: Map<Fetch, Duration> = emptyMap(),
+    /** Whether any peer has answered, so that [floors] can be known. */
+    internal val hasHeard: Boolean = false,
+    internal val startedAt: Duration,
     internal val nextRound: Duration,
 ) {
     /** The newest confirmation stamp with its age at [now]. */
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipStep.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipStep.kt
@@ -36,12 +36,13 @@
     }
 
     private fun tick() {
+        publishWithheld()
         if (now < state.nextRound) return
         val isScarce = isStampScarce()
         state =
             state.copy(
                 nextRound = now + if (isScarce) settings.fastRound else settings.round,
-                zones = state.zones.filterValues { now - it.bornAt < settings.zoneLifetime },
+                zones = state.zones.filterValues { now - it.bornAt < settings.zoneLifetime * 2 },
                 cold = state.cold.filterValues { now - it.bornAt < settings.coldLifetime },
                 fetching = state.fetching.filterValues { it > now },
             )
@@ -53,6 +54,19 @@
     private fun confirmed(stamp: ConfirmationStamp) = table.learnStamp(stamp, now)
 
     private fun observed(status: ZoneStatus) {
+        val key = ZoneKey(status.zone, status.observer)
+        state = state.copy(withheld = state.withheld + (key to Withheld(status, now)))
+        publishWithheld()
+    }
+
+    private fun publishWithheld() {
+        if (!state.hasHeard && now - state.startedAt < settings.silentStart) return
+        val withheld = state.withheld.values
+        state = state.copy(withheld = emptyMap())
+        withheld.forEach { publish(it.status, it.observedAt) }
+    }
+
+    private fun publish(status: ZoneStatus, at: Duration) {
         val key = ZoneKey(status.zone, status.observer)
         val held = state.zones[key]
         val last = held?.heartbeat?.sequence ?: 0
@@ -62,9 +76,7 @@
         val contentSequence = if (isSame) held.heartbeat.contentSequence else sequence
         val groups = status.groups.map { it.copy(readyFor = (it.readyFor - READY_SLACK).coerceAtLeast(Duration.ZERO)) }
         val heartbeat = ZoneHeartbeat(key, sequence, contentSequence)
-        val zone =
-            if (isSame) held.copy(heartbeat = heartbeat, bornAt = now) else HeldZone(heartbeat, now, groups, now)
-        table.hold(zone)
+        table.hold(if (isSame) held.copy(heartbeat = heartbeat, bornAt = at) else HeldZone(heartbeat, at, groups, at))
     }
 
     /** A ready time that falls behind the one published would make the published one an overstatement. */
@@ -84,7 +96,7 @@
         val cold = table.takeCold(members)
         val budget = settings.messageBytes - settings.changeBytes - settings.coldBytes
         // A different order in each round lets every zone have its turn if not all of them fit.
-        val heartbeats = choice.shuffle(state.zones.values).map { it.heartbeat }
+        val heartbeats = choice.shuffle(recentZones()).map { it.heartbeat }
         return GossipDigest(
             versions = state.versions,
             stamp = state.stampAt(now),
@@ -95,6 +107,8 @@
         )
     }
 
+    private fun recentZones() = state.zones.values.filter { now - it.bornAt < settings.zoneLifetime }
+
     private fun digestReceived(message: GossipMessage.DigestReceived) {
         val digest = message.digest
         digest.cold.forEach { table.learnCold(it.incarnation, now - it.age, isOwn = false) }
@@ -121,7 +135,7 @@
     /** Newer heartbeats first without, then with content, as far as they fit; the peer fetches the rest. */
     private fun zonesFor(digest: GossipDigest, budget: Int): List<ZoneNews> {
         val theirs = digest.zones.associateBy { it.key }
-        val newer = state.zones.values.filter { it.heartbeat.sequence > (theirs[it.heartbeat.key]?.sequence ?: 0) }
+        val newer = recentZones().filter { it.heartbeat.sequence > (theirs[it.heartbeat.key]?.sequence ?: 0) }
         val bare = newer.map { it.newsAt(now, withGroups = false) }.fitting(budget, settings.sizes.zone)
         var left = budget - bare.sumOf(settings.sizes.zone)
         return bare.map { news ->
@@ -137,6 +151,7 @@
 
     private fun answerReceived(message: GossipMessage.AnswerReceived) {
         val answer = message.answer
+        state = state.copy(hasHeard = true)
         contacted(message.from, message.sentAt)
         answer.reachability?.let {
             state = state.copy(reachability = state.reachability.merge(it, message.sentAt))
--- a/process/src/main/kotlin/redwingcross/process/membership/MemberTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/membership/MemberTable.kt
@@ -16,13 +16,15 @@
         val taken = mutableListOf<MemberChange>()
         var left = bytes
         // A member hears first what this process believes about it, so that it can refute at once.
-        val first = state.entries[recipient]?.takeIf { it.condition != MemberCondition.ALIVE && it.shared }
-        val queued = state.unsent.entries.sortedBy { it.value }.mapNotNull { state.changeOf(it.key) }
-        for (change in listOfNotNull(first?.toChange()) + queued.filter { it.member.name != recipient }) {
+        val first = state.entries[recipient]?.takeIf { it.condition != MemberCondition.ALIVE }
+        val queued = state.unsent.entries.sortedBy { it.value }.asSequence().mapNotNull { state.changeOf(it.key) }
+        val candidates = sequenceOf(first?.toChange()).filterNotNull() + queued.filter { it.member.name != recipient }
+        for (change in candidates.takeWhile { left >= SMALLEST_CHANGE }) {
             val size = settings.sizeOf(change)
-            if (size > left) continue
-            taken += change
-            left -= size
+            if (size <= left) {
+                taken += change
+                left -= size
+            }
         }
         val sent = taken.map { it.member.name }.filter { it in state.unsent }
         val counts = state.unsent + sent.map { it to state.unsent.getValue(it) + 1 }
@@ -80,6 +82,11 @@
         state = state.copy(self = state.self.copy(incarnation = above.next()))
         queue(state.self.name)
     }
+
+    private companion object {
+        /** Encoded bytes that every change needs; the queue isn't searched further when fewer are left. */
+        const val SMALLEST_CHANGE = 40
+    }
 }
 
 /** The smallest number of doublings that reaches [count]. */
