--- /dev/null
+++ b/request/src/test/kotlin/redwingcross/request/admission/FairQueueProperties.kt
@@ -0,0 +1,84 @@
+package redwingcross.request.admission
+
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import redwingcross.request.Customer
+import redwingcross.request.RequestId
+import redwingcross.request.ServiceName
+import redwingcross.request.slot.SlotRequest
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+
+/** Guards against customers that wait for ever behind a larger one, and against queues without a bound. */
+class FairQueueProperties {
+    /** Each number of [actions] adds a request of a customer or serves one; services are free by turns. */
+    @Property(seed = "20261204", tries = 500)
+    fun `a waiting customer is passed over at most by the weights of the others`(
+        @ForAll("weights") weights: List<Int>,
+        @ForAll("actions") actions: List<Int>,
+    ) {
+        var queue = FairQueue<Int>(TOTAL_LIMIT)
+        val waiting = mutableListOf<Waiting<Int>>()
+        val passedBy = mutableMapOf<Pair<Customer, Customer>, Int>()
+        actions.forEachIndexed { ticket, action ->
+            val customers = weights.indices.map { Customer("customer-$it") }
+            if (action < 36) {
+                val customer = customers[action % customers.size]
+                val next = Waiting(ticket, requestOf(customer, action), Duration.ZERO)
+                when (val offered = queue.offer(next, CustomerTerms(weights[action % customers.size], QUEUE_LIMIT))) {
+                    is Offered.Queued -> {
+                        queue = offered.queue
+                        waiting += next
+                        offered.shed?.let { waiting -= it }
+                    }
+                    is Offered.Full -> assertTrue(
+                        queue.size == TOTAL_LIMIT || queue.waitingOf(customer).size == QUEUE_LIMIT,
+                    )
+                }
+            } else {
+                val isFree = { service: ServiceName -> action % 3 == 0 || service.value == "service-${action % 2}" }
+                val eligible = waiting.filter { isFree(it.request.service) }
+                val taken = queue.next { isFree(it.request.service) }
+                assertEquals(eligible.isEmpty(), taken == null)
+                if (taken == null) return@forEachIndexed
+                val served = taken.taken
+                queue = taken.queue
+                waiting -= served
+                val own = eligible.filter { it.request.customer == served.request.customer }
+                assertEquals(own.maxWith(compareBy({ it.request.priority }, { -it.ticket })), served)
+                passedBy.keys.removeAll { it.first == served.request.customer }
+                eligible.map { it.request.customer }.toSet().minus(served.request.customer).forEach { other ->
+                    val count = passedBy.merge(other to served.request.customer, 1, Int::plus)!!
+                    val weight = weights[customers.indexOf(served.request.customer)]
+                    assertTrue(count <= weight, "$other waited while ${served.request.customer} got $count of $weight")
+                }
+            }
+            assertEquals(waiting.toSet(), queue.all().toSet())
+            assertTrue(queue.size <= TOTAL_LIMIT && customers.all { queue.waitingOf(it).size <= QUEUE_LIMIT })
+        }
+    }
+
+    @Provide
+    fun weights(): Arbitrary<List<Int>> = Arbitraries.integers().between(1, 4).list().ofMinSize(2).ofMaxSize(5)
+
+    @Provide
+    fun actions(): Arbitrary<List<Int>> = Arbitraries.integers().between(0, 59).list().ofMaxSize(400)
+
+    private fun requestOf(customer: Customer, action: Int) = SlotRequest(
+        RequestId("request"),
+        customer,
+        ServiceName("service-${action / 6 % 2}"),
+        priority = action / 12,
+        heldBytes = 0,
+        deadline = Duration.INFINITE,
+    )
+
+    private companion object {
+        const val TOTAL_LIMIT = 20
+        const val QUEUE_LIMIT = 8
+    }
+}
--- a/version/src/main/kotlin/redwingcross/version/routing/ServerFeedback.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/ServerFeedback.kt
@@ -82,14 +82,14 @@
     incarnation: BootId,
     now: Duration,
 ): Transition<RoutingTable, ColdReport> {
-    val known = health.coldSince[incarnation]
     val step = statuses.groups.values.find { it.status.incarnation == incarnation }
         ?.let { control.history.eras.lastOrNull()?.limits?.get(it.status.model)?.rampStep }
         ?: Duration.ZERO
-    if (known != null && now < known + step) return Transition(this)
-    val next = health.markCold(incarnation, now)
-    val forgotten = next.copy(firstBytes = next.firstBytes - slot.server)
-    return Transition(copy(health = forgotten), listOf(report(slot, incarnation, now)))
+    val isKnown = health.coldSince[incarnation]?.let { now < it + step } ?: false
+    val marked = health.markCold(incarnation, now)
+    // The usual time to first token is learned anew, so that the next slow answer is not taken for another cold turn.
+    val next = copy(health = marked.copy(firstBytes = marked.firstBytes - slot.server))
+    return Transition(next, if (isKnown) emptyList() else listOf(report(slot, incarnation, now)))
 }
 
 private fun RoutingTable.report(slot: Slot, incarnation: BootId, now: Duration): ColdReport =
--- /dev/null
+++ b/version/src/test/kotlin/redwingcross/version/routing/CapacityShareProperties.kt
@@ -0,0 +1,26 @@
+package redwingcross.version.routing
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import net.jqwik.api.constraints.StringLength
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Guards against shares whose sum differs from the limit, and against shares that shrink when a gateway leaves. */
+class CapacityShareProperties {
+    @Property(seed = "20261204", tries = 100)
+    fun `the shares of all gateways sum to the limit and grow when another gateway leaves`(
+        @ForAll @IntRange(min = 1, max = 350) gateways: Int,
+        @ForAll @IntRange(min = 0, max = 1000) limit: Int,
+        @ForAll @StringLength(max = 20) server: String,
+    ) {
+        val roster = (0 until gateways).map(::gatewayName).toSet()
+        val shares = roster.associateWith { RosterPlace.of(server, it, roster)!!.shareOf(limit) }
+        assertEquals(limit, shares.values.sum())
+        assertTrue(shares.values.max() - shares.values.min() <= 1)
+
+        val smaller = roster - gatewayName(gateways - 1)
+        assertTrue(smaller.all { RosterPlace.of(server, it, smaller)!!.shareOf(limit) >= shares.getValue(it) })
+    }
+}
