Check the share transition by examples

Cause: the fault runs did not notice when four guards of the share transition were removed. Change: ShareTransitionTest states each rule by an example. With the guard removed it fails: rosters passed between two adopted versions, versions skipped while the view was stale, the slack of one view lifetime for new incarnations, and the share check at confirmation. Not caught with the guard removed: counting the age of the control answer alone from its arrival, and the majority rule although a higher version is known. Not run: the majority rule after a lapse, stamps of higher versions, older generations, retired incarnations, outdated zone statuses.

--- /dev/null
+++ b/version/src/test/kotlin/redwingcross/version/routing/ShareTransitionTest.kt
@@ -0,0 +1,95 @@
+package redwingcross.version.routing
+
+import redwingcross.request.slot.SlotId
+import redwingcross.version.bundle.Bundle
+import redwingcross.version.control.ControlDecision
+import redwingcross.version.control.ControlMemory
+import redwingcross.version.control.ControlMessage
+import redwingcross.version.control.ControlState
+import redwingcross.version.control.ControlView
+import redwingcross.version.control.Overrides
+import redwingcross.version.control.OverridesVersion
+import redwingcross.version.control.RosterHistory
+import redwingcross.version.control.ViewSettings
+import redwingcross.version.control.eraOf
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against shares that grow while requests admitted under an older or unseen roster may still run. */
+class ShareTransitionTest {
+    private val settings = ViewSettings()
+    private val decision = ControlDecision(settings, seedPeers = 3)
+    private val start = 1.hours
+    private val wide = bundleOf(0..5)
+    private val narrow = bundleOf(0..2)
+
+    @Test
+    fun `a bundle and overrides adopted together leave both orders in the history`() {
+        val out = Overrides(OverridesVersion(1), zonesOut = setOf(ZONES[1]))
+        val memory = adopt(adopt(ControlMemory(), 1, wide, start), 2, narrow, start + 1.seconds, out)
+
+        val expected =
+            listOf(eraOf(wide, Overrides()), eraOf(wide, out), eraOf(narrow, Overrides()), eraOf(narrow, out))
+        assertEquals(expected.map { it.gateways }.toSet(), memory.history.eras.map { it.gateways }.toSet())
+    }
+
+    @Test
+    fun `versions skipped while the view was stale make the history incomplete`() {
+        val memory = adopt(ControlMemory(), 1, wide, start)
+
+        assertEquals(start, adopt(memory, 3, narrow, start + 4.seconds).history.completeSince)
+        assertEquals(start, adopt(memory, 2, narrow, start + 60.seconds).history.completeSince)
+        assertEquals(start + 60.seconds, adopt(memory, 3, narrow, start + 60.seconds).history.completeSince)
+    }
+
+    @Test
+    fun `an incarnation is bound by a roster that others may have used after it became ready`() {
+        val now = start + 60.seconds
+        assertTrue(ServingTime(1.seconds, start + 4.seconds).isBoundBy(start, settings, now))
+        assertFalse(ServingTime(1.seconds, start + 5.seconds).isBoundBy(start, settings, now))
+        assertFalse(ServingTime(1.seconds, null).isBoundBy(start, settings, start + settings.shareTransition))
+    }
+
+    @Test
+    fun `a granted slot is not confirmed after the share fell below the slots held`() {
+        val router = Router(gatewayName(0), RouterSettings())
+        val alone = bundleOf(listOf(0), groups = 1, coldLimit = 2, warmLimit = 2)
+        val shared = bundleOf(0..1, groups = 1, coldLimit = 2, warmLimit = 2)
+        val messages = listOf(
+            RouterMessage.ControlChanged(viewOf(alone)),
+            RouterMessage.StatusReceived(zoneStatus(0, 1, statusOf(0)), start),
+            RouterMessage.Acquire(Ticket(1), slotRequest(1)),
+            RouterMessage.Acquire(Ticket(2), slotRequest(2)),
+        )
+        val state = messages.fold(router.initial()) { state, message -> router.step(state, message, start).state }
+        assertTrue(state.mayDispatch(SlotId(2), start))
+
+        val changed = router.step(state, RouterMessage.ControlChanged(viewOf(shared)), start).state
+        assertFalse(changed.mayDispatch(SlotId(2), start))
+    }
+
+    private fun viewOf(bundle: Bundle) = ControlView(
+        ControlState(accepted(1, bundle)),
+        RosterHistory(listOf(eraOf(bundle, Overrides())), completeSince = Duration.ZERO),
+        freshUntil = Duration.INFINITE,
+    )
+
+    private fun adopt(
+        memory: ControlMemory,
+        version: Long,
+        bundle: Bundle,
+        at: Duration,
+        overrides: Overrides? = null,
+    ): ControlMemory {
+        val messages = listOf(
+            ControlMessage.ControlHeard(accepted(version, bundle), overrides, at),
+            ControlMessage.VmsHeard(emptyList(), complete = true, at),
+        )
+        return messages.fold(memory) { next, message -> decision.step(next, message, at).state }
+    }
+}
