--- a/bench/src/main/kotlin/redwingcross/bench/placement/PlacementBench.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/placement/PlacementBench.kt
@@ -15,6 +15,8 @@
     private val hours by option(help = "Length of a run in virtual hours").int().default(3)
     private val seeds by option(help = "Seeds of the fault scripts").long().split(",").default(listOf(1, 2))
 
+    private val only by option(help = "Runs the scenarios whose name contains this text").default("")
+
     override fun help(context: Context): String =
         "Compares the placement decision with greedy forming and whole rebuilds, under virtual time."
 
@@ -22,7 +24,7 @@
         echo(
             "scenario;seed;strategy;group downtime (group-seconds);stranded (accelerator-seconds);most loads in a zone",
         )
-        layouts().forEach { layout -> seeds.forEach { run(layout, it) } }
+        layouts().filter { only in it.name }.forEach { layout -> seeds.forEach { run(layout, it) } }
     }
 
     private fun run(layout: Layout, seed: Long) {
@@ -42,6 +44,7 @@
     private fun layouts() = listOf(
         Layout("60 engines, 3 zones, 4 spares a zone", 3, listOf(12, 8), 2, FaultCounts(3, 22, 20, 1)),
         Layout("600 engines, 5 zones, 8 spares in one domain", 5, List(5) { 24 }, 14, FaultCounts(8, 220, 60, 1)),
+        Layout("600 engines, 5 zones, 4 spares in each domain", 5, List(6) { 20 }, 12, FaultCounts(8, 220, 60, 1)),
         Layout("600 engines, 5 zones, no spares", 5, List(5) { 24 }, 15, FaultCounts(8, 220, 60, 1)),
     )
 }
--- a/version/src/test/kotlin/redwingcross/version/placement/PlacementProperties.kt
+++ b/version/src/test/kotlin/redwingcross/version/placement/PlacementProperties.kt
@@ -11,6 +11,7 @@
 import redwingcross.version.simulation.LostWrite
 import redwingcross.version.simulation.SimulatedZone
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -155,6 +156,24 @@
         assertEquals(3, zone.readyGroups.size)
     }
 
+    @Provide
+    fun crashes(): Arbitrary<List<Int>> = Arbitraries.integers().between(0, 9).list().ofMaxSize(8)
+
+    @Property(seed = "5405", tries = 60)
+    fun `no more VMs load at once than the weight store bears`(@ForAll("crashes") crashes: List<Int>) {
+        val zone = SimulatedZone(controllers = 1, PlacementSettings(maxConcurrentLoads = 3))
+        val check = {
+            zone.check()
+            assertTrue(zone.engines.values.count { it.isLoading } <= 3, zone.log.joinToString("\n"))
+        }
+        crashes.forEach {
+            zone.time.advance(3.seconds, check)
+            zone.engines.values.toList()[it].crash()
+        }
+        zone.time.advance(1.minutes, check)
+        assertEquals(3, zone.readyGroups.size)
+    }
+
     private fun take(step: Step, zone: SimulatedZone) {
         step.kind.apply(Scene(zone, step))
         zone.time.advance(100.milliseconds, zone::check)
