--- a/connection/src/main/kotlin/redwingcross/connection/backend/ServiceClient.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/backend/ServiceClient.kt
@@ -14,6 +14,7 @@
 import redwingcross.request.service.ServiceCall
 import redwingcross.request.slot.ConfirmDispatch
 import redwingcross.request.slot.Slot
+import kotlin.time.Duration.Companion.milliseconds
 
 private val methodsWithoutBody = setOf("GET", "HEAD")
 private val statusesWithoutBody = setOf(204, 304)
@@ -28,7 +29,8 @@
     val remaining = call.deadline - clock.now()
     when {
         url == null -> Outcome.NotRun(NotRunReason.INVALID_REQUEST)
-        !remaining.isPositive() -> Outcome.NotRun(NotRunReason.DEADLINE_EXCEEDED)
+        // OkHttp's timers have a resolution of 1 ms.
+        remaining < 1.milliseconds -> Outcome.NotRun(NotRunReason.DEADLINE_EXCEEDED)
         else -> {
             val permission = SendPermission {
                 when {
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ByteMailbox.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ByteMailbox.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.selects.select
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
@@ -15,6 +16,7 @@
     private val taken = Channel<Unit>(Channel.CONFLATED)
     private val queued = AtomicLong()
     private val openSides = AtomicInteger(2)
+    private val isProducerOpen = AtomicBoolean(true)
 
     /** Shared blocks held; owned by the producer until both sides are closed. */
     private var blocks = 0
@@ -66,7 +68,8 @@
 
     /** Ends the output; with a [failure] the consumer gets it after the pieces that wait. */
     fun closeProducer(failure: Throwable? = null) {
-        if (pieces.close(failure)) closeSide()
+        pieces.close(failure)
+        if (isProducerOpen.compareAndSet(true, false)) closeSide()
     }
 
     /** The next piece; null at the end. */
@@ -81,7 +84,10 @@
 
     /** Drops what waits and makes [put] return false. */
     fun closeConsumer() {
-        if (taken.close()) closeSide()
+        if (taken.close()) {
+            pieces.cancel()
+            closeSide()
+        }
     }
 
     private fun closeSide() {
--- a/connection/src/main/kotlin/redwingcross/connection/caller/CallerServer.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/CallerServer.kt
@@ -79,10 +79,13 @@
     }
 }
 
+private const val CUT_OFF_FACTOR = 4
+
 private fun undertowOptions(settings: CallerServerSettings): OptionMap = OptionMap.builder()
     .set(UndertowOptions.MAX_HEADER_SIZE, settings.maxHeaderBytes)
     .set(UndertowOptions.MAX_HEADERS, settings.maxHeaders)
-    .set(UndertowOptions.MAX_ENTITY_SIZE, settings.maxBodyBytes)
+    // The body limit itself is checked while receiving, with an answer. A caller that goes on sending is cut off here.
+    .set(UndertowOptions.MAX_ENTITY_SIZE, settings.maxBodyBytes * CUT_OFF_FACTOR)
     .set(UndertowOptions.NO_REQUEST_TIMEOUT, settings.idleTimeout.inWholeMilliseconds.toInt())
     .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.receiveTimeout.inWholeMilliseconds.toInt())
     .set(UndertowOptions.DECODE_URL, false)
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ChatCompletion.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ChatCompletion.kt
@@ -29,10 +29,13 @@
         /** Reads a request body; every fault is reported with its path. */
         fun parse(body: String): Checked<ChatCompletion> {
             val fields = try {
-                Json.parseToJsonElement(body) as? JsonObject
+                if (isTooDeep(body)) null else Json.parseToJsonElement(body) as? JsonObject
             } catch (_: SerializationException) {
                 null
-            } ?: return Checked.Invalid(listOf(Finding("body", "must be a JSON object")))
+            }
+                ?: return Checked.Invalid(
+                    listOf(Finding("body", "must be a JSON object, nested at most $MAX_DEPTH levels deep")),
+                )
             val findings = mutableListOf<Finding>()
             val model = (fields["model"] as? JsonPrimitive)?.takeIf { it.isString }?.content.orEmpty()
             if (model.isEmpty()) findings += Finding("body.model", "must be a string that names a model")
@@ -51,6 +54,25 @@
             }
         }
 
+        /** Writing a document to text is recursive, so deep nesting would exhaust the stack. */
+        private fun isTooDeep(body: String): Boolean {
+            var depth = 0
+            var isInString = false
+            var isEscaped = false
+            for (character in body) {
+                when {
+                    isEscaped -> isEscaped = false
+                    isInString && character == '\\' -> isEscaped = true
+                    character == '"' -> isInString = !isInString
+                    !isInString && (character == '{' || character == '[') -> if (++depth > MAX_DEPTH) return true
+                    !isInString && (character == '}' || character == ']') -> depth -= 1
+                }
+            }
+            return false
+        }
+
+        private const val MAX_DEPTH = 64
+
         private fun JsonElement.asBoolean(): Boolean? = (this as? JsonPrimitive)?.takeUnless {
             it.isString
         }?.booleanOrNull
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ExchangeDispatcher.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ExchangeDispatcher.kt
@@ -1,7 +1,9 @@
 package redwingcross.connection.caller
 
+import io.undertow.io.Receiver
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.RequestTooBigException
+import io.undertow.util.HttpString
 import org.http4k.core.HttpHandler
 import org.http4k.core.Response
 import org.xnio.IoUtils
@@ -52,7 +54,9 @@
             settings.receiveTimeout.inWholeMilliseconds,
             TimeUnit.MILLISECONDS,
         )
-        exchange.requestReceiver.receiveFullBytes(
+        val receiver = exchange.requestReceiver
+        receiver.setMaxBufferSize(settings.maxBodyBytes.toInt())
+        receiver.receiveFullBytes(
             { received, body ->
                 timer.remove()
                 received.dispatch(workers, Runnable { run(received, body) })
@@ -60,7 +64,7 @@
             { failed, failure ->
                 timer.remove()
                 permits.release()
-                val isTooLarge = failure is RequestTooBigException
+                val isTooLarge = failure is Receiver.RequestToLargeException || failure is RequestTooBigException
                 refuse(failed, if (isTooLarge) ServerRefusal.BODY_TOO_LARGE else ServerRefusal.BODY_BROKEN)
             },
         )
@@ -87,7 +91,7 @@
         exchange.isPersistent = false
         exchange.statusCode = response.status.code
         response.headers.forEach { (name, value) ->
-            exchange.responseHeaders.put(io.undertow.util.HttpString(name), value.orEmpty())
+            exchange.responseHeaders.put(HttpString(name), value.orEmpty())
         }
         exchange.responseSender.send(response.body.payload)
     }
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ModelExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ModelExchange.kt
@@ -20,6 +20,7 @@
 import redwingcross.request.model.ModelAttempt
 import redwingcross.request.model.ModelRequestEffect
 import redwingcross.request.model.ModelRequestEvent
+import redwingcross.request.model.ModelRequestResult
 import redwingcross.request.model.ModelRequestState
 import redwingcross.request.model.next
 import redwingcross.request.model.startModelRequest
@@ -80,12 +81,19 @@
                 is ModelRequestEffect.KeepCallerAlive -> followUp = outputEvent { output.keepAlive() }
                 is ModelRequestEffect.Release -> services.slots.release(effect.slot.id, effect.result)
                 is ModelRequestEffect.Abandon -> abandon(effect)
-                is ModelRequestEffect.Finish -> output.finish(effect.result)
+                is ModelRequestEffect.Finish -> finish(effect.result)
             }
         }
         return followUp
     }
 
+    private suspend fun finish(result: ModelRequestResult) {
+        if (result !is ModelRequestResult.Complete) {
+            callerLog.info { "event=model-request-failed request=${request.request} result=\"$result\"" }
+        }
+        output.finish(result)
+    }
+
     private fun CoroutineScope.acquire(wanted: SlotRequest) {
         waitingForSlot = true
         // Never cancelled, because a slot that is granted at the same moment would be lost.
