Keep the listener's refusals internal

The enum of refusals was public although only the adapter uses it. It now stands beside its problem documents in a file of its own; behaviour is unchanged.

--- a/connection/src/main/kotlin/redwingcross/connection/caller/CallerServerSettings.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/CallerServerSettings.kt
@@ -27,6 +27,3 @@
     /** Time that a stop waits for running exchanges; the longest request takes 120 s. */
     val drainTimeout: Duration = 150.seconds,
 )
-
-/** Why the listener itself refuses a request. */
-enum class ServerRefusal { BODY_TOO_LARGE, BODY_BROKEN, TOO_MANY_EXCHANGES, SHUTTING_DOWN, HANDLER_FAILED }
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ServerRefusalResponse.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ServerRefusal.kt
@@ -4,6 +4,9 @@
 import redwingcross.request.NotRunReason
 import kotlin.time.Duration.Companion.seconds
 
+/** Why the listener itself refuses a request. */
+internal enum class ServerRefusal { BODY_TOO_LARGE, BODY_BROKEN, TOO_MANY_EXCHANGES, SHUTTING_DOWN, HANDLER_FAILED }
+
 /** The problem document with which the listener refuses a request. */
 internal fun ServerRefusal.toResponse(): Response = when (this) {
     ServerRefusal.BODY_TOO_LARGE ->
