Replace a VM before it stops and let standbys hear of the lease holder

Cause: a drained VM gets no new work within seconds, so its group was down until a spare had loaded; standbys read the lease every second because nothing told them that it is held.

Ruled out: letting a drained VM serve on until the switch, which breaks the rule that a leaving server gets no new work after a few seconds.

Change: 'vm retire' prepares a spare while the VM serves on; the zone status carries the epoch of the holder; a VM can't change its zone in one roll-out, because two zones would place it.

Conclusion: a planned stop of a VM needs no downtime where a spare exists.

--- a/connection/src/test/kotlin/redwingcross/connection/caller/CallerHandlerTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/caller/CallerHandlerTest.kt
@@ -11,13 +11,13 @@
 import org.http4k.core.Uri
 import redwingcross.request.NotRunReason
 import redwingcross.request.Outcome
+import redwingcross.request.idempotency.EarlierAttempts
+import redwingcross.request.idempotency.NonIdempotentResult
 import redwingcross.request.model.AnswerToken
 import redwingcross.request.model.AttemptFault
 import redwingcross.request.model.ModelRequestEvent
 import redwingcross.request.model.RunModelAttempt
 import redwingcross.request.model.TokenOffset
-import redwingcross.request.service.EarlierAttempts
-import redwingcross.request.service.NonIdempotentResult
 import redwingcross.request.service.ServiceAnswer
 import redwingcross.request.slot.SlotAnswer
 import redwingcross.request.slot.SlotResult
@@ -126,15 +126,15 @@
                 NotRunReason.PLATFORM_UNAVAILABLE,
                 EarlierAttempts.UNKNOWN,
             ) to "503 true unknown",
-            NonIdempotentResult.EarlierOutcomeUnknown("started") to "409 false unknown",
-            NonIdempotentResult.AnswerNotKept(200) to "409 false unknown",
+            NonIdempotentResult.EarlierAttemptUnknown("started") to "409 false unknown",
+            NonIdempotentResult.CompletedWithoutBody(200) to "409 false unknown",
             NonIdempotentResult.KeyReused to "422 true unknown",
             NonIdempotentResult.OutcomeUnknown("late") to "504 false none",
         )
         cases.forEach { (result, expected) ->
             val problem = problem(handler(result)(keyed("/services/s/bookings")))
             assertEquals(expected, "${problem.status} ${problem.notRun} ${problem.earlierAttempts}")
-            assertEquals(result is NonIdempotentResult.AnswerNotKept, problem.completed)
+            assertEquals(result is NonIdempotentResult.CompletedWithoutBody, problem.completed)
             assertEquals(SlotResult.Unused, slots.released.last().second)
         }
         val replayed = NonIdempotentResult.Answered(ServiceAnswer(201, null, ByteArray(0)), replayed = true)
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipNews.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipNews.kt
@@ -9,6 +9,7 @@
 import redwingcross.version.control.OverridesVersion
 import redwingcross.version.control.VmListVersion
 import redwingcross.version.placement.GroupStatus
+import redwingcross.version.placement.LeaseEpoch
 import redwingcross.version.routing.ColdReport
 import kotlin.time.Duration
 
@@ -33,7 +34,13 @@
 data class ZoneKey(val zone: AvailabilityZone, val observer: ProcessName)
 
 /** The newest status that a process holds: its sequence and the sequence at which the content last changed. */
-data class ZoneHeartbeat(val key: ZoneKey, val sequence: Long, val contentSequence: Long)
+data class ZoneHeartbeat(
+    val key: ZoneKey,
+    val sequence: Long,
+    val contentSequence: Long,
+    /** Epoch of the zone's lease while the observer holds it. */
+    val holder: LeaseEpoch? = null,
+)
 
 /** A heartbeat with its [age] when the message was made. [groups] is null when the receiver holds the content. */
 data class ZoneNews(val heartbeat: ZoneHeartbeat, val age: Duration, val groups: List<GroupStatus>?)
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipState.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipState.kt
@@ -39,7 +39,7 @@
     fun groupsAt(now: Duration): List<GroupStatus> = groups.map { it.readyAfter(now - heldSince) }
 
     fun statusAt(now: Duration) =
-        ZoneStatus(heartbeat.key.zone, heartbeat.key.observer, heartbeat.sequence, groupsAt(now))
+        ZoneStatus(heartbeat.key.zone, heartbeat.key.observer, heartbeat.sequence, groupsAt(now), heartbeat.holder)
 
     fun newsAt(now: Duration, withGroups: Boolean) =
         ZoneNews(heartbeat, now - bornAt, if (withGroups) groupsAt(now) else null)
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipStep.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipStep.kt
@@ -75,7 +75,7 @@
         val isSame = held != null && floor <= last && isSameContent(held, status)
         val contentSequence = if (isSame) held.heartbeat.contentSequence else sequence
         val groups = status.groups.map { it.copy(readyFor = (it.readyFor - READY_SLACK).coerceAtLeast(Duration.ZERO)) }
-        val heartbeat = ZoneHeartbeat(key, sequence, contentSequence)
+        val heartbeat = ZoneHeartbeat(key, sequence, contentSequence, status.holder)
         table.hold(if (isSame) held.copy(heartbeat = heartbeat, bornAt = at) else HeldZone(heartbeat, at, groups, at))
     }
 
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipWire.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipWire.kt
@@ -33,7 +33,13 @@
 
 @Serializable
 @CborArray
-internal class WireHeartbeat(val zone: String, val observer: String, val sequence: Long, val contentSequence: Long)
+internal class WireHeartbeat(
+    val zone: String,
+    val observer: String,
+    val sequence: Long,
+    val contentSequence: Long,
+    val holder: Long?,
+)
 
 @Serializable
 @CborArray
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipWireConversion.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipWireConversion.kt
@@ -16,6 +16,7 @@
 import redwingcross.version.placement.Generation
 import redwingcross.version.placement.GroupReadiness
 import redwingcross.version.placement.GroupStatus
+import redwingcross.version.placement.LeaseEpoch
 import redwingcross.version.routing.ColdReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -33,10 +34,15 @@
     VmListVersion(leaving),
 )
 
-internal fun ZoneHeartbeat.toWire() = WireHeartbeat(key.zone.value, key.observer.value, sequence, contentSequence)
+internal fun ZoneHeartbeat.toWire() =
+    WireHeartbeat(key.zone.value, key.observer.value, sequence, contentSequence, holder?.value)
 
-private fun WireHeartbeat.toHeartbeat() =
-    ZoneHeartbeat(ZoneKey(AvailabilityZone(zone), ProcessName(observer)), sequence, contentSequence)
+private fun WireHeartbeat.toHeartbeat() = ZoneHeartbeat(
+    ZoneKey(AvailabilityZone(zone), ProcessName(observer)),
+    sequence,
+    contentSequence,
+    holder?.let(::LeaseEpoch),
+)
 
 internal fun ZoneNews.toWire() = WireZone(heartbeat.toWire(), age.age(), groups?.map { it.toWire() })
 
--- a/programs/cli/src/main/kotlin/redwingcross/cli/OverridesCommands.kt
+++ b/programs/cli/src/main/kotlin/redwingcross/cli/OverridesCommands.kt
@@ -30,7 +30,14 @@
 )
 
 internal fun vmCommands() = group("vm", "Drain VMs of model engines and return them.").subcommands(
-    ChangeOverrides("drain", "Replace a VM in its group, then empty it.", vmChange { OverridesChange.DrainVm(it) }),
+    ChangeOverrides(
+        "retire",
+        "Replace a VM in its group while it serves on.",
+        vmChange {
+            OverridesChange.RetireVm(it)
+        },
+    ),
+    ChangeOverrides("drain", "Give a VM and its group no new work.", vmChange { OverridesChange.DrainVm(it) }),
     ChangeOverrides("return", "Let groups use a VM again.", vmChange { OverridesChange.ReturnVm(it) }),
 )
 
--- a/programs/controller/src/main/kotlin/redwingcross/controller/ControllerRuntime.kt
+++ b/programs/controller/src/main/kotlin/redwingcross/controller/ControllerRuntime.kt
@@ -17,9 +17,7 @@
 import redwingcross.request.Vm
 import redwingcross.version.control.ControlState
 import redwingcross.version.control.ControlView
-import redwingcross.version.placement.LeaseEpoch
 import redwingcross.version.placement.PLACEMENT_KIND
-import redwingcross.version.placement.PublishHolder
 import redwingcross.version.placement.PublishZoneStatus
 import redwingcross.version.placement.ReconcilerSettings
 import redwingcross.version.placement.StoredPlacement
@@ -40,7 +38,6 @@
     val sendOrder: SendOrder,
     val rank: ControllerRank,
     val publishStatus: PublishZoneStatus,
-    val publishHolder: PublishHolder = { _, _ -> },
 )
 
 private const val EVENT_MAILBOX = 64
@@ -63,8 +60,6 @@
 
         class Status(val status: ZoneStatus) : Event
 
-        class Holder(val zone: AvailabilityZone, val epoch: LeaseEpoch) : Event
-
         class Stop(val limit: Duration, val stopped: Channel<Unit>) : Event
     }
 
@@ -85,9 +80,6 @@
     /** Passes on a status that another observer published. */
     suspend fun statusHeard(status: ZoneStatus) = events.send(Event.Status(status))
 
-    /** Passes on that the lease of a zone is held. */
-    suspend fun holderHeard(zone: AvailabilityZone, epoch: LeaseEpoch) = events.send(Event.Holder(zone, epoch))
-
     /** Gives up all leases, but waits no longer than [limit]. The caller then cancels [run]. */
     suspend fun stop(limit: Duration = 3.seconds) {
         val stopped = Channel<Unit>(1)
@@ -118,8 +110,7 @@
                 zones.values.forEach { it.reconciler.leavingChanged(leaving) }
             }
             is Event.Placed -> placed(event.stored)
-            is Event.Status -> zones[event.status.zone]?.observer?.statusHeard(event.status)
-            is Event.Holder -> zones[event.zone]?.reconciler?.holderHeard(event.epoch)
+            is Event.Status -> statusSeen(event.status)
             is Event.Stop -> {
                 withTimeoutOrNull(event.limit) { zones.values.forEach { it.reconciler.release() } }
                 event.stopped.send(Unit)
@@ -127,6 +118,12 @@
         }
     }
 
+    private suspend fun statusSeen(status: ZoneStatus) {
+        val tasks = zones[status.zone] ?: return
+        tasks.observer.statusHeard(status)
+        if (status.observer != name) status.holder?.let { tasks.reconciler.holderHeard(it) }
+    }
+
     private suspend fun placed(stored: StoredPlacement) {
         val tasks = zones[stored.placement.zone]
         if (tasks == null) early[stored.placement.zone] = stored else tasks.observer.placementSeen(stored)
--- a/programs/controller/src/main/kotlin/redwingcross/controller/ZoneTasks.kt
+++ b/programs/controller/src/main/kotlin/redwingcross/controller/ZoneTasks.kt
@@ -30,7 +30,6 @@
             clock = clock,
             settings = settings,
             rank = { links.rank(zone) },
-            publishHolder = links.publishHolder,
         )
 
     val observer =
@@ -38,8 +37,9 @@
             zone = zone,
             self = name,
             clock = clock,
-            isLive = { links.rank(it) == 0 },
-            publish = links.publishStatus,
+            // The holder publishes as well, so that its lease is heard of when another controller is the first.
+            isLive = { links.rank(it) == 0 || reconciler.isHolder },
+            publish = { status -> links.publishStatus(status.copy(holder = reconciler.heldEpoch)) },
             times = settings.placement.members,
         )
 
--- a/version/src/main/kotlin/redwingcross/version/control/ControlState.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlState.kt
@@ -33,11 +33,17 @@
 data class Overrides(
     val version: OverridesVersion = OverridesVersion(0),
     val zonesOut: Set<AvailabilityZone> = emptySet(),
+    /** VMs that get no new work. */
     val drainedVms: Set<Vm> = emptySet(),
+    /** VMs that serve on until another VM has replaced them in their group. */
+    val retiringVms: Set<Vm> = emptySet(),
     val drainedServers: Set<BackendServer> = emptySet(),
     /** Identifies the write, so that its writer recognises it after a lost answer. */
     val nonce: String = "",
-)
+) {
+    /** VMs that no group may take as a new member. */
+    val unusableVms: Set<Vm> get() = drainedVms + retiringVms
+}
 
 /** Highest object version that a node has seen in the platform's list of VMs. */
 @Serializable
--- a/version/src/main/kotlin/redwingcross/version/operation/OverridesChange.kt
+++ b/version/src/main/kotlin/redwingcross/version/operation/OverridesChange.kt
@@ -14,6 +14,9 @@
 
     data class DrainVm(val vm: Vm) : OverridesChange
 
+    /** Replaces the VM in its group by a spare before it stops serving. */
+    data class RetireVm(val vm: Vm) : OverridesChange
+
     data class ReturnVm(val vm: Vm) : OverridesChange
 
     data class DrainServer(val server: BackendServer) : OverridesChange
@@ -27,7 +30,11 @@
         is OverridesChange.TakeZoneOut -> current.copy(zonesOut = current.zonesOut + change.zone)
         is OverridesChange.ReturnZone -> current.copy(zonesOut = current.zonesOut - change.zone)
         is OverridesChange.DrainVm -> current.copy(drainedVms = current.drainedVms + change.vm)
-        is OverridesChange.ReturnVm -> current.copy(drainedVms = current.drainedVms - change.vm)
+        is OverridesChange.RetireVm -> current.copy(retiringVms = current.retiringVms + change.vm)
+        is OverridesChange.ReturnVm -> current.copy(
+            drainedVms = current.drainedVms - change.vm,
+            retiringVms = current.retiringVms - change.vm,
+        )
         is OverridesChange.DrainServer -> current.copy(drainedServers = current.drainedServers + change.server)
         is OverridesChange.ReturnServer -> current.copy(drainedServers = current.drainedServers - change.server)
     }
--- a/version/src/main/kotlin/redwingcross/version/operation/Proposal.kt
+++ b/version/src/main/kotlin/redwingcross/version/operation/Proposal.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import redwingcross.request.Vm
 import redwingcross.version.bundle.Bundle
 import redwingcross.version.bundle.BundleVersion
 import redwingcross.version.control.AcceptedBundle
@@ -74,6 +75,11 @@
         current != null && current.digest == proposal.digest && current.version != proposal.base ->
             OperationResult.AlreadyDone
         current?.version != proposal.base -> OperationResult.Conflict(staleBase(current, proposal))
+        current != null && movedVms(current, proposal).isNotEmpty() ->
+            OperationResult.Conflict(
+                "VMs can't change their availability zone in one step, because two zones would place them: " +
+                    "${movedVms(current, proposal).joinToString()}; remove them first",
+            )
         else -> OperationResult.Write(
             AcceptedBundle(
                 version = BundleVersion((current?.version?.value ?: 0) + 1),
@@ -86,6 +92,11 @@
     }
 }
 
+private fun movedVms(current: AcceptedBundle, proposal: Proposal): List<Vm> {
+    val zones = current.bundle.vms.associate { it.vm to it.zone }
+    return proposal.bundle.vms.filter { entry -> zones[entry.vm]?.let { it != entry.zone } ?: false }.map { it.vm }
+}
+
 private fun staleBase(current: AcceptedBundle?, proposal: Proposal): String {
     val inForce = current?.let { "version ${it.version}, signed off by ${it.signedOffBy}," } ?: "no version"
     val base = proposal.base?.let { "version $it" } ?: "no version"
--- a/version/src/main/kotlin/redwingcross/version/placement/GroupStatus.kt
+++ b/version/src/main/kotlin/redwingcross/version/placement/GroupStatus.kt
@@ -45,4 +45,6 @@
     val observer: ProcessName,
     val sequence: Long,
     val groups: List<GroupStatus>,
+    /** Set while the observer also holds the zone's lease, so that standbys need not read the lease. */
+    val holder: LeaseEpoch? = null,
 )
--- a/version/src/main/kotlin/redwingcross/version/placement/MemberHealth.kt
+++ b/version/src/main/kotlin/redwingcross/version/placement/MemberHealth.kt
@@ -14,7 +14,7 @@
 
     /** Whether a VM may be a member of a group in [domain]. */
     fun isUsable(vm: Vm, domain: FabricDomain): Boolean =
-        entries[vm]?.fabricDomain == domain && vm !in state.control.overrides.drainedVms && vm !in state.leaving
+        entries[vm]?.fabricDomain == domain && vm !in state.control.overrides.unusableVms && vm !in state.leaving
 
     fun isLost(vm: Vm): Boolean = isMissingFor(vm, times.lostAfter)
 
--- a/version/src/main/kotlin/redwingcross/version/placement/ZoneReconciler.kt
+++ b/version/src/main/kotlin/redwingcross/version/placement/ZoneReconciler.kt
@@ -25,9 +25,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Tells standbys by gossip that the zone's lease is held under an epoch. */
-typealias PublishHolder = (AvailabilityZone, LeaseEpoch) -> Unit
-
 /** Position of this process among the live controllers in the rendezvous order of the zone; 0 is the first. */
 typealias StandbyRank = () -> Int
 
@@ -54,7 +51,6 @@
     private val clock: MonotonicClock,
     private val settings: ReconcilerSettings = ReconcilerSettings(),
     private val rank: StandbyRank = { 0 },
-    private val publishHolder: PublishHolder = { _, _ -> },
 ) {
     private val log = KotlinLogging.logger {}
     private val calls = ZoneStore(store, zone)
@@ -74,6 +70,11 @@
     var isHolder: Boolean = false
         private set
 
+    /** Epoch of the lease while this process may act on it; brought up to date with every tick. */
+    @Volatile
+    var heldEpoch: LeaseEpoch? = null
+        private set
+
     /** Takes a report; the oldest one is dropped when the mailbox is full. */
     val offerReport: OfferReport = { reports.trySend(it) }
 
@@ -97,7 +98,7 @@
             if (clock.now() >= tickAt) {
                 tickAt = clock.now() + settings.tick
                 step(HolderMessage.Tick(rank()))
-                state.lease.actingEpoch(clock.now())?.let { publishHolder(zone, it) }
+                heldEpoch = state.lease.actingEpoch(clock.now())
             }
             select<Unit> {
                 events.onReceive { step(it) }
