--- a/bench/src/main/kotlin/redwingcross/bench/control/MeasuredProcess.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/control/MeasuredProcess.kt
@@ -22,6 +22,7 @@
 import redwingcross.process.membership.MembershipMessage
 import redwingcross.process.membership.MembershipSettings
 import redwingcross.process.membership.Roster
+import redwingcross.process.membership.TableDigest
 import redwingcross.request.Checked
 import redwingcross.request.ProcessName
 import redwingcross.version.bundle.BundleVersion
@@ -43,7 +44,6 @@
     private val membership = Membership(MembershipSettings(sizeOf = GossipCodec.changeSize))
     private val gossip = Gossip(GossipSettings(sizes = GossipCodec.sizes))
     private val threads = ManagementFactory.getThreadMXBean()
-    private val statuses = fleet.statuses()
     private val roster = Roster.of(all.map { it.name })
 
     private var now = 10.seconds
@@ -62,7 +62,9 @@
 
     init {
         val present = all.drop(1).map { MemberChange(it, MemberCondition.ALIVE) }
-        members = membership.step(members, MembershipMessage.ChangesReceived(present), now).state
+        val digest = TableDigest(List(TableDigest.PARTS) { 0 })
+        val table = MembershipMessage.SyncAnswered(self.peer, digest, digest, present)
+        members = membership.step(members, table, now).state
         news = gossip.step(news, GossipMessage.RosterChanged(roster), now).state
         peers = gossip.step(peers, GossipMessage.RosterChanged(roster), now).state
     }
@@ -79,6 +81,7 @@
 
     fun run(seconds: Int) = repeat(seconds) {
         refreshPeers()
+        dueChanges += changesPerSecond
         repeat(10) {
             now += 100.milliseconds
             tick()
@@ -88,7 +91,7 @@
 
     private fun refreshPeers() {
         val messages =
-            statuses.map { GossipMessage.Observed(it) } + all.map { GossipMessage.Contacted(it.name, now) }
+            fleet.statuses(now).map { GossipMessage.Observed(it) } + all.map { GossipMessage.Contacted(it.name, now) }
         messages.forEach { peers = gossip.step(peers, it, now).state }
         if (isPlatformUp) {
             val stamp = ConfirmationStamp(BundleVersion(40), OverridesVersion(7), 500.milliseconds)
@@ -198,9 +201,8 @@
         news = gossip.step(news, GossipMessage.ZonesReceived(got.zones, now), now).state
     }
 
-    /** A change for this message, at the rate of the fleet times the copies that spread it. */
+    /** A change of the fleet, if one is due; further copies of it would be ignored. */
     private fun churn(): List<MemberChange> {
-        dueChanges += changesPerSecond
         if (dueChanges < 1) return emptyList()
         dueChanges -= 1
         val member = nextPeer()
--- a/bench/src/main/kotlin/redwingcross/bench/control/SyntheticFleet.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/control/SyntheticFleet.kt
@@ -41,16 +41,24 @@
 
     fun members(): List<Member> = List(size) { member(it) }
 
-    fun statuses(): List<ZoneStatus> = zones.map { status(it) }
+    /** Statuses at [now] of groups that have been ready since before the clock's origin and don't change. */
+    fun statuses(now: Duration): List<ZoneStatus> = zones.map { status(it, now) }
 
-    private fun status(zone: AvailabilityZone) =
-        ZoneStatus(zone, ProcessName("controller-$zone-1"), 0, List(groupsPerZone) { group(zone, it) })
+    private fun status(zone: AvailabilityZone, now: Duration) =
+        ZoneStatus(zone, ProcessName("controller-$zone-1"), 0, List(groupsPerZone) { group(zone, it, now) })
 
-    private fun group(zone: AvailabilityZone, index: Int): GroupStatus {
+    private fun group(zone: AvailabilityZone, index: Int, now: Duration): GroupStatus {
         val vms = List(8) { Vm("vm-$zone-$index-$it") }
         return GroupStatus(
-            GroupId("briefing-$zone-$index"), Generation(3), ServiceName("briefing-large"), vms.first(),
-            Endpoint("10.30.1.$index:9000"), vms, GroupReadiness.READY, BootId("boot-$zone-$index-4711"), 600.seconds,
+            group = GroupId("briefing-$zone-$index"),
+            generation = Generation(3),
+            model = ServiceName("briefing-large"),
+            leader = vms.first(),
+            leaderEndpoint = Endpoint("10.30.1.$index:9000"),
+            members = vms,
+            readiness = GroupReadiness.READY,
+            incarnation = BootId("boot-$zone-$index-4711"),
+            readyFor = 600.seconds + now,
         )
     }
 }
--- a/bench/src/main/kotlin/redwingcross/bench/control/Traffic.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/control/Traffic.kt
@@ -13,15 +13,17 @@
 internal fun measureTraffic(size: Int, isPlatformUp: Boolean): Traffic {
     MeasuredProcess(size, isPlatformUp).run(WARM_UP_SECONDS)
     val before = usedHeap()
-    val process = MeasuredProcess(size, isPlatformUp)
-    process.run(SETTLE_SECONDS)
+    val processes = List(HEAP_COPIES) { MeasuredProcess(size, isPlatformUp).apply { run(SETTLE_SECONDS) } }
+    // Each copy includes the synthetic peer with the same zones, so this is an upper bound.
+    val heap = (usedHeap() - before) / processes.size
+    val process = processes.first()
     process.reset()
     process.run(MEASURED_SECONDS)
-    // The synthetic peer holds a copy of the same zones, so this is an upper bound.
-    val heap = usedHeap() - before
     return process.traffic(MEASURED_SECONDS, heap)
 }
 
+/** Many copies make the state of one stand out from what else the JVM keeps. */
+private const val HEAP_COPIES = 20
 private const val WARM_UP_SECONDS = 300
 private const val SETTLE_SECONDS = 60
 private const val MEASURED_SECONDS = 600
--- a/connection/src/main/kotlin/redwingcross/connection/peer/OutgoingConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/peer/OutgoingConnection.kt
@@ -55,13 +55,19 @@
     private var lastProgress = Duration.ZERO
     private var writing = false
 
+    /** Once true, requests must go to a new connection. */
+    @Volatile
+    var isEnding = false
+        private set
+
     suspend fun request(timeout: Duration, build: BuildFrame): PeerAnswer {
         val waiting = Waiting(build(CorrelationId(correlations.incrementAndGet())), clock.now() + timeout)
         val mailbox = if (waiting.frame is PeerFrame.Gossip) gossip else requests
         val accepted = mailbox.trySend(waiting)
         if (accepted.isClosed) return PeerAnswer.Refused("connection closed")
         if (accepted.isFailure) return PeerAnswer.Refused("mailbox full")
-        return waiting.answer.await()
+        // A request that still waits in the mailbox of a stuck connection ends here; it isn't sent after its deadline.
+        return withTimeoutOrNull(timeout) { waiting.answer.await() } ?: PeerAnswer.NoAnswer("timeout")
     }
 
     /** Opens the socket and serves it until it fails, falls silent or idles. */
@@ -182,6 +188,7 @@
     }
 
     private fun release(end: ConnectionEnd) {
+        isEnding = true
         report(endpoint.value, end)
         unanswered.values.forEach { it.answer.complete(PeerAnswer.NoAnswer(end.toString())) }
         requests.cancel()
--- a/connection/src/main/kotlin/redwingcross/connection/peer/PeerNetwork.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/peer/PeerNetwork.kt
@@ -106,7 +106,7 @@
         }
 
         private fun acquire(endpoint: PeerEndpoint): OutgoingConnection {
-            val running = connections.remove(endpoint)?.takeIf { it.job.isActive } ?: start(endpoint)
+            val running = connections.remove(endpoint)?.takeIf { it.isOpen } ?: start(endpoint)
             connections[endpoint] = running
             return running.connection
         }
@@ -126,7 +126,9 @@
         }
     }
 
-    private class RunningConnection(val connection: OutgoingConnection, val job: Job)
+    private class RunningConnection(val connection: OutgoingConnection, val job: Job) {
+        val isOpen get() = job.isActive && !connection.isEnding
+    }
 
     private companion object {
         const val POOL_MAILBOX = 256
--- a/process/src/main/kotlin/redwingcross/process/membership/MembershipStep.kt
+++ b/process/src/main/kotlin/redwingcross/process/membership/MembershipStep.kt
@@ -200,7 +200,10 @@
                     ours.replaces(MemberEntry(their.member, their.condition, now))
                 }
             }
+        val isJoining = state.entries.isEmpty()
         message.changes.forEach(table::adopt)
+        // The others know what a joining process has just learned; passing on a whole table would take minutes.
+        if (isJoining) state = state.copy(unsent = state.unsent.filterKeys { it == state.self.name })
         if (missing.isNotEmpty()) effects += MembershipEffect.SendChanges(message.endpoint, missing)
     }
 
