Confirm views in time at large fleets and write log events in one way

Cause: an answer of a watch confirms the view as of the time of the question, so waits of 10 s at 350 gateways would leave every view stale; event names mixed hyphens and underscores and quoted by hand; the merge of two result types changed earlierAttempts of an unknown outcome.

Ruled out: stamps by gossip alone (up to 4.5 s to reach 350 nodes); changing the expectation of the failing test, which was right.

Change: gateways wait 2 s, controllers 20 s; log lines through eventLine; a keyed call whose own attempt is unknown says that no earlier one ran; the stop waits 5 s beyond the lifetime of addresses.

Conclusion: freshness no longer depends on the number of gateways.

--- a/connection/src/main/kotlin/redwingcross/connection/backend/EngineClient.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/backend/EngineClient.kt
@@ -5,6 +5,7 @@
 import okio.IOException
 import redwingcross.request.AttemptId
 import redwingcross.request.NotRunReason
+import redwingcross.request.eventLine
 import redwingcross.request.model.AnswerToken
 import redwingcross.request.model.AttemptFault
 import redwingcross.request.model.CancelModelAttempt
@@ -32,7 +33,14 @@
         try {
             call.execute().close()
         } catch (failure: IOException) {
-            backendLog.debug { "event=cancel-failed attempt=$attempt endpoint=${slot.endpoint} cause=\"$failure\"" }
+            backendLog.debug {
+                eventLine(
+                    "cancel_failed",
+                    "attempt" to attempt,
+                    "endpoint" to slot.endpoint,
+                    "cause" to failure,
+                )
+            }
         }
     }
 }
--- a/connection/src/main/kotlin/redwingcross/connection/caller/CallerServer.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/CallerServer.kt
@@ -17,6 +17,7 @@
 import org.xnio.XnioWorker
 import org.xnio.channels.AcceptingChannel
 import redwingcross.request.MonotonicClock
+import redwingcross.request.eventLine
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.time.toJavaDuration
@@ -64,7 +65,7 @@
     override fun stop(): Http4kServer = apply {
         IoUtils.safeClose(listener)
         val isDrained = exchanges.drain(settings.drainTimeout)
-        callerLog.info { "event=caller-server-stopped drained=$isDrained" }
+        callerLog.info { eventLine("caller_server_stopped", "drained" to isDrained) }
         openListener.closeConnections()
         worker.shutdown()
         if (!worker.awaitTermination(TERMINATION_SECONDS, TimeUnit.SECONDS)) worker.shutdownNow()
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ExchangeDispatcher.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ExchangeDispatcher.kt
@@ -7,6 +7,7 @@
 import org.http4k.core.HttpHandler
 import org.http4k.core.Response
 import org.xnio.IoUtils
+import redwingcross.request.eventLine
 import java.util.concurrent.Executors
 import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
@@ -81,7 +82,7 @@
 
     private fun respond(exchange: HttpServerExchange, body: ByteArray): Response =
         runCatching { http(exchange.toRequest(body)) }.getOrElse { failure ->
-            callerLog.error(failure) { "event=handler-failed path=${exchange.requestPath}" }
+            callerLog.error(failure) { eventLine("handler_failed", "path" to exchange.requestPath) }
             ServerRefusal.HANDLER_FAILED.toResponse()
         }
 
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ModelExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ModelExchange.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import redwingcross.request.NotRunReason
 import redwingcross.request.Transition
+import redwingcross.request.eventLine
 import redwingcross.request.model.AttemptFault
 import redwingcross.request.model.CallerLoss
 import redwingcross.request.model.ModelAttempt
@@ -89,7 +90,7 @@
 
     private suspend fun finish(result: ModelRequestResult) {
         if (result !is ModelRequestResult.Complete) {
-            callerLog.info { "event=model-request-failed request=${request.request} result=\"$result\"" }
+            callerLog.info { eventLine("model_request_failed", "request" to request.request, "result" to result) }
         }
         output.finish(result)
     }
@@ -99,7 +100,7 @@
         // Never cancelled, because a slot that is granted at the same moment would be lost.
         launch {
             val answer = runCatching { services.slots.acquire(wanted) }.getOrElse { failure ->
-                callerLog.error(failure) { "event=acquire-failed request=${request.request}" }
+                callerLog.error(failure) { eventLine("acquire_failed", "request" to request.request) }
                 SlotAnswer.Refused(NotRunReason.SHUTTING_DOWN, 1.seconds)
             }
             inbox.send(ModelRequestEvent.SlotAnswered(answer, services.newAttemptId()))
@@ -119,7 +120,7 @@
             runCatching { services.runAttempt(attempt, services.slots.confirm) { inbox.send(it) } }
                 .exceptionOrNull()?.let { failure ->
                     if (failure is CancellationException) throw failure
-                    callerLog.error(failure) { "event=attempt-failed attempt=${effect.attempt}" }
+                    callerLog.error(failure) { eventLine("attempt_failed", "attempt" to effect.attempt) }
                     val fault = AttemptFault.Broken(failure.toString())
                     inbox.send(ModelRequestEvent.AttemptFailed(effect.attempt, fault))
                 }
@@ -131,7 +132,7 @@
         // The slot is free only once the engine has stopped, else the engine would get more than its limit.
         launch {
             runCatching { services.cancelAttempt(effect.slot, effect.attempt) }.onFailure { failure ->
-                callerLog.warn { "event=cancel-failed attempt=${effect.attempt} cause=\"$failure\"" }
+                callerLog.warn { eventLine("cancel_failed", "attempt" to effect.attempt, "cause" to failure) }
             }
             services.slots.release(effect.slot.id, effect.result)
         }
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ModelHandler.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ModelHandler.kt
@@ -7,6 +7,7 @@
 import redwingcross.request.Checked
 import redwingcross.request.NotRunReason
 import redwingcross.request.RequestId
+import redwingcross.request.eventLine
 import redwingcross.request.service.RequestedCall
 import redwingcross.request.service.ResolvedCall
 import redwingcross.request.slot.SlotRequest
@@ -62,7 +63,7 @@
         val exchange = ModelExchange(services, slotRequest, engineBody, answer.output, answer.callerLoss)
         services.scope.launch(start = CoroutineStart.UNDISPATCHED) {
             runCatching { exchange.run() }.onFailure { failure ->
-                callerLog.error(failure) { "event=request-failed request=$id" }
+                callerLog.error(failure) { eventLine("request_failed", "request" to id) }
                 answer.fail(failure)
             }
         }
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ResponseWriter.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ResponseWriter.kt
@@ -7,6 +7,7 @@
 import org.xnio.IoUtils
 import org.xnio.channels.StreamSinkChannel
 import redwingcross.request.MonotonicClock
+import redwingcross.request.eventLine
 import java.io.IOException
 import java.nio.ByteBuffer
 import java.util.concurrent.TimeUnit
@@ -20,7 +21,7 @@
             response.use { writeHeadAndBody(exchange, it) }
             exchange.endExchange()
         } catch (failure: IOException) {
-            callerLog.debug { "event=caller-disconnected peer=${exchange.sourceAddress} cause=\"$failure\"" }
+            callerLog.debug { eventLine("caller_disconnected", "peer" to exchange.sourceAddress, "cause" to failure) }
             IoUtils.safeClose(exchange.connection)
         }
     }
--- a/connection/src/main/kotlin/redwingcross/connection/caller/ServiceExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ServiceExchange.kt
@@ -33,7 +33,7 @@
         repeat(MAX_ATTEMPTS) {
             when (val answer = services.slots.acquire(slotRequest(call, priority, failed))) {
                 is SlotAnswer.Refused -> return if (mayHaveRun) {
-                    call.unanswered(lastFailure)
+                    call.unanswered(lastFailure).toResponse()
                 } else {
                     call.refused(answer)
                 }
@@ -47,7 +47,7 @@
             }
         }
         return if (mayHaveRun) {
-            call.unanswered(lastFailure)
+            call.unanswered(lastFailure).toResponse()
         } else {
             notRun(NotRunReason.CONNECT_FAILED).copy(requestId = call.request.value).toResponse(resolveRetryAfter)
         }
@@ -128,13 +128,13 @@
     },
 ).copy(requestId = request.value).toResponse(answer.retryAfter)
 
-private fun ServiceCall.unanswered(detail: String): Response = Problem(
+private fun ServiceCall.unanswered(detail: String): Problem = Problem(
     title = "Outcome unknown",
     status = ProblemStatus.GATEWAY_TIMEOUT,
     detail = "the request may have run: $detail",
     notRun = false,
     requestId = request.value,
-).toResponse()
+)
 
 private fun ServiceAnswer.toResponse(): Response = Response(Status(status, ""))
     .header("Content-Type", contentType)
@@ -146,7 +146,8 @@
     }
     is NonIdempotentResult.NotRun ->
         notRun(reason, earlierAttempts).copy(requestId = call.request.value).toResponse(resolveRetryAfter)
-    is NonIdempotentResult.OutcomeUnknown -> call.unanswered(detail)
+    // The claim was confirmed before the dispatch, so the key's record showed that no earlier attempt ran.
+    is NonIdempotentResult.OutcomeUnknown -> call.unanswered(detail).copy(earlierAttempts = "none").toResponse()
     is NonIdempotentResult.EarlierAttemptUnknown -> call.conflict(
         "Outcome unknown",
         "an earlier attempt with this key was started and may have run: $detail",
--- a/connection/src/main/kotlin/redwingcross/connection/idempotency/LeftoverCleaner.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/idempotency/LeftoverCleaner.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
 import redwingcross.request.MonotonicClock
+import redwingcross.request.eventLine
 import redwingcross.request.idempotency.CallEvent
 import redwingcross.request.idempotency.Leftover
 import redwingcross.request.idempotency.RecordName
@@ -68,7 +69,9 @@
         waiting += item
         if (waiting.size <= MAX_WAITING) return
         val dropped = waiting.removeFirst()
-        log.warn { "event=leftover_dropped record=${dropped.name.value} attempt=${dropped.leftover.attempt}" }
+        log.warn {
+            eventLine("leftover_dropped", "record" to dropped.name.value, "attempt" to dropped.leftover.attempt)
+        }
     }
 
     /** The item to try again, or null if nothing is left to do. */
@@ -109,7 +112,7 @@
     )
 
     private fun ended(item: Waiting): Waiting? {
-        log.info { "event=leftover_completed record=${item.name.value} attempt=${item.leftover.attempt}" }
+        log.info { eventLine("leftover_completed", "record" to item.name.value, "attempt" to item.leftover.attempt) }
         return null
     }
 
--- a/connection/src/main/kotlin/redwingcross/connection/idempotency/NonIdempotentCalls.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/idempotency/NonIdempotentCalls.kt
@@ -14,6 +14,7 @@
 import redwingcross.request.NotRunReason
 import redwingcross.request.Outcome
 import redwingcross.request.ProcessName
+import redwingcross.request.eventLine
 import redwingcross.request.idempotency.BodyDigest
 import redwingcross.request.idempotency.CallEffect
 import redwingcross.request.idempotency.CallEvent
@@ -138,7 +139,12 @@
         }
 
     private fun logEnd(id: AttemptId, name: RecordName, result: NonIdempotentResult) = log.info {
-        "event=non_idempotent_call_ended attempt=$id record=${name.value} result=${result.javaClass.simpleName}"
+        eventLine(
+            "non_idempotent_call_ended",
+            "attempt" to id,
+            "record" to name.value,
+            "result" to result.javaClass.simpleName,
+        )
     }
 
     private companion object {
--- a/connection/src/main/kotlin/redwingcross/connection/peer/PeerNetwork.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/peer/PeerNetwork.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.supervisorScope
 import kotlinx.io.IOException
 import redwingcross.request.MonotonicClock
+import redwingcross.request.eventLine
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
@@ -148,8 +149,14 @@
 /** Logs ends that an operator may have to act on as warnings, the others for debugging. */
 internal fun logConnectionEnd(peer: String, end: ConnectionEnd) = when (end) {
     is ConnectionEnd.Malformed ->
-        logger.warn { "event=peer_frame_malformed peer=$peer finding=\"${end.finding}\"" }
-    is ConnectionEnd.Silent -> logger.info { "event=peer_connection_silent peer=$peer silentFor=${end.since}" }
-    ConnectionEnd.LimitReached -> logger.warn { "event=peer_connection_limit peer=$peer" }
-    else -> logger.debug { "event=peer_connection_ended peer=$peer reason=\"$end\"" }
+        logger.warn { eventLine("peer_frame_malformed", "peer" to peer, "finding" to end.finding) }
+    is ConnectionEnd.Silent -> logger.info {
+        eventLine(
+            "peer_connection_silent",
+            "peer" to peer,
+            "silentFor" to end.since,
+        )
+    }
+    ConnectionEnd.LimitReached -> logger.warn { eventLine("peer_connection_limit", "peer" to peer) }
+    else -> logger.debug { eventLine("peer_connection_ended", "peer" to peer, "reason" to end) }
 }
--- a/process/src/main/kotlin/redwingcross/process/gossip/GossipRequests.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/GossipRequests.kt
@@ -17,6 +17,7 @@
 import redwingcross.process.membership.TableDigest
 import redwingcross.request.Checked
 import redwingcross.request.MonotonicClock
+import redwingcross.request.eventLine
 import redwingcross.version.bundle.Endpoint
 import redwingcross.version.control.ControlState
 import java.util.concurrent.Semaphore
@@ -92,7 +93,9 @@
                 true
             }
             is Checked.Invalid -> {
-                logger.warn { "event=gossip_malformed peer=${frame.from} finding=\"${decoded.findings.first()}\"" }
+                logger.warn {
+                    eventLine("gossip_malformed", "peer" to frame.from, "finding" to decoded.findings.first())
+                }
                 false
             }
         }
--- a/process/src/main/kotlin/redwingcross/process/gossip/MembershipTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/MembershipTask.kt
@@ -27,6 +27,7 @@
 import redwingcross.request.Checked
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
+import redwingcross.request.eventLine
 import redwingcross.version.bundle.Endpoint
 import redwingcross.version.control.ConfirmationStamp
 import redwingcross.version.placement.ZoneStatus
@@ -112,7 +113,7 @@
             when (val decoded = GossipCodec.decode(bytes, clock.now())) {
                 is Checked.Valid -> decoded.value
                 is Checked.Invalid -> {
-                    logger.warn { "event=gossip_malformed peer=$from finding=\"${decoded.findings.first()}\"" }
+                    logger.warn { eventLine("gossip_malformed", "peer" to from, "finding" to decoded.findings.first()) }
                     return null
                 }
             }
@@ -169,7 +170,7 @@
                         MembershipMessage.SyncAnswered(it.endpoint, it.digest, payload.digest, payload.changes)
                     step(message, requests)
                 }
-            else -> logger.warn { "event=gossip_unexpected_answer peer=${input.peer}" }
+            else -> logger.warn { eventLine("gossip_unexpected_answer", "peer" to input.peer) }
         }
     }
 
--- a/process/src/main/kotlin/redwingcross/process/lifecycle/Shutdown.kt
+++ b/process/src/main/kotlin/redwingcross/process/lifecycle/Shutdown.kt
@@ -11,7 +11,7 @@
     /** How long callers use the list of addresses that they were given. */
     val addressLifetime: Duration = 10.seconds,
     /** Time in which the other gateways hear that this one is leaving. */
-    val announceMargin: Duration = 2.seconds,
+    val announceMargin: Duration = 5.seconds,
     /** No request runs longer than 120 s, so a request that still runs after this time is stuck. */
     val drainLimit: Duration = 125.seconds,
     /** Leases that are not released by then expire by themselves. */
--- a/process/src/main/kotlin/redwingcross/process/lifecycle/ShutdownTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/lifecycle/ShutdownTask.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import redwingcross.process.membership.ProcessRole
 import redwingcross.request.MonotonicClock
+import redwingcross.request.eventLine
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -83,7 +84,7 @@
         if (next.phase !=
             state.phase
         ) {
-            logger.info { "event=shutdown_phase phase=\"${next.phase}\" inFlight=${next.inFlight}" }
+            logger.info { eventLine("shutdown_phase", "phase" to next.phase, "inFlight" to next.inFlight) }
         }
         state = next
         for (effect in effects) carryOut(effect, scope)
--- a/programs/controller/src/main/kotlin/redwingcross/controller/ControllerCommand.kt
+++ b/programs/controller/src/main/kotlin/redwingcross/controller/ControllerCommand.kt
@@ -28,6 +28,7 @@
     }
 
     private companion object {
-        val watchWait = 2.seconds
+        /** A controller admits no requests, so it needs changes at once but no frequent confirmations. */
+        val watchWait = 20.seconds
     }
 }
--- a/programs/gateway/src/main/kotlin/redwingcross/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/redwingcross/gateway/Gateway.kt
@@ -73,8 +73,7 @@
     private val budget = ByteBudget(settings.relayBudget, settings.callers.maxExchanges)
     private val state = GatewayState(member.name, links, router, { budget.heldBytes }, clock)
 
-    /** The task that owns the control state. */
-    val control: ControlTask get() = links.control
+    private val control: ControlTask get() = links.control
 
     /** Runs until the process is asked to stop and its requests have ended; returns the exit code. */
     suspend fun run(): Int {
--- a/programs/gateway/src/main/kotlin/redwingcross/gateway/GatewayCommand.kt
+++ b/programs/gateway/src/main/kotlin/redwingcross/gateway/GatewayCommand.kt
@@ -10,13 +10,10 @@
 import redwingcross.process.settings.SettingKind
 import redwingcross.request.MonotonicClock
 import redwingcross.version.bundle.Endpoint
-import redwingcross.version.control.ControlView
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Gateways that share one unit of watch calls: the fleet makes at most this many calls in [watchUnit]. */
-private const val GATEWAYS_PER_WATCH_UNIT = 64
-private val watchUnit = 2.seconds
+/** Must stay well below the lifetime of a view, because an answer confirms the view as of the time of the question. */
+private val watchWait = 2.seconds
 
 /** Command line of `redwingcross-gateway`. */
 internal class GatewayCommand(environment: (String) -> String? = System::getenv) :
@@ -39,8 +36,7 @@
     override suspend fun start() {
         val clock = MonotonicClock.system
         val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-        var readView: () -> ControlView = { ControlView() }
-        val store = openPlatform(scope, clock) { watchWait(readView()) }
+        val store = openPlatform(scope, clock) { watchWait }
         val gateway = Gateway(
             member = member(ProcessRole.GATEWAY, Endpoint(listen.value), clock),
             seeds = seedEndpoints,
@@ -49,7 +45,6 @@
             scope = scope,
             clock = clock,
         )
-        readView = { gateway.control.view.value }
         val exitCode = gateway.run()
         if (exitCode != 0) throw ProgramResult(exitCode)
     }
@@ -67,9 +62,3 @@
         const val MAXIMUM_EXCHANGES = 16_384
     }
 }
-
-/** Waiting time of the watches of one gateway, so that the calls of the whole fleet stay bounded. */
-internal fun watchWait(view: ControlView): Duration {
-    val gateways = view.control.bundle?.bundle?.gateways.orEmpty().size
-    return watchUnit * maxOf(1, gateways / GATEWAYS_PER_WATCH_UNIT)
-}
--- a/standins/src/main/kotlin/redwingcross/standins/engine/EngineMain.kt
+++ b/standins/src/main/kotlin/redwingcross/standins/engine/EngineMain.kt
@@ -36,7 +36,7 @@
 
     override fun run() {
         val host = EngineHost(engines.map { (vm, port) -> EngineSpec(vm, port, settings(vm)) }, address)
-        engines.forEach { (vm, _) -> echo("event=engine-started vm=$vm endpoint=${host.endpoint(vm)}") }
+        engines.forEach { (vm, _) -> echo("event=engine_started vm=$vm endpoint=${host.endpoint(vm)}") }
         Runtime.getRuntime().addShutdownHook(Thread { host.close() })
         CountDownLatch(1).await()
     }
--- a/version/src/main/kotlin/redwingcross/version/control/ControlObjects.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlObjects.kt
@@ -10,6 +10,7 @@
 import redwingcross.connection.platform.StoredObject
 import redwingcross.connection.platform.WatchEvent
 import redwingcross.request.Vm
+import redwingcross.request.eventLine
 import kotlin.time.Duration
 
 private val logger = KotlinLogging.logger {}
@@ -66,5 +67,5 @@
 }
 
 private fun rejected(key: ObjectKey, detail: String?) {
-    logger.error { "event=control_object_invalid object=$key detail=\"${detail?.lineSequence()?.first()}\"" }
+    logger.error { eventLine("control_object_invalid", "object" to key, "detail" to detail?.lineSequence()?.first()) }
 }
--- a/version/src/main/kotlin/redwingcross/version/control/ControlTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlTask.kt
@@ -14,6 +14,7 @@
 import redwingcross.connection.platform.WatchKind
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
+import redwingcross.request.eventLine
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -91,7 +92,7 @@
         watch(kind).collect { event ->
             translate(event, askedAt)?.let { mailbox.send(it) }
             if (event is WatchEvent.Unavailable) {
-                logger.warn { "event=watch_unavailable kind=$kind detail=\"${event.detail}\"" }
+                logger.warn { eventLine("watch_unavailable", "kind" to kind, "detail" to event.detail) }
             }
             askedAt = clock.now()
         }
@@ -102,10 +103,15 @@
             is ControlEffect.AskPeer -> askPeer(effect.peer)
             ControlEffect.AskSeedPeers -> askSeedPeers()
             is ControlEffect.Adopted -> logger.info {
-                "event=control_adopted bundle=${effect.bundle} overrides=${effect.overrides} vms=${effect.leaving}"
+                eventLine(
+                    "control_adopted",
+                    "bundle" to effect.bundle,
+                    "overrides" to effect.overrides,
+                    "vms" to effect.leaving,
+                )
             }
             is ControlEffect.OutdatedAnswer -> logger.warn {
-                "event=control_answer_outdated bundle=${effect.bundle} overrides=${effect.overrides}"
+                eventLine("control_answer_outdated", "bundle" to effect.bundle, "overrides" to effect.overrides)
             }
         }
     }
--- a/version/src/main/kotlin/redwingcross/version/control/ViewSettings.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ViewSettings.kt
@@ -11,9 +11,10 @@
     val maxRequestDuration: Duration = 120.seconds,
     /**
      * Time for which a gateway that left the roster goes on with its old share. Callers keep the list of addresses for
-     * 10 s, and those that still connect must not be refused because of a planned change.
+     * 10 s, gossip tells the last node after up to 5 s, and callers that still connect must not be refused because of a
+     * planned change.
      */
-    val departureGrace: Duration = 12.seconds,
+    val departureGrace: Duration = 15.seconds,
 ) {
     /**
      * Time after which no request runs any more that was admitted under a replaced roster: a gateway may admit under
--- a/version/src/main/kotlin/redwingcross/version/placement/ZoneReconciler.kt
+++ b/version/src/main/kotlin/redwingcross/version/placement/ZoneReconciler.kt
@@ -16,6 +16,7 @@
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
 import redwingcross.request.Vm
+import redwingcross.request.eventLine
 import redwingcross.version.control.ControlState
 import redwingcross.version.lease.LeaseEffect
 import redwingcross.version.lease.LeaseMessage
@@ -131,8 +132,8 @@
         when (effect) {
             is LeaseEffect.Read -> launch { send(calls.readLease(effect)) }
             is LeaseEffect.Write -> launch { send(calls.writeLease(effect)) }
-            is LeaseEffect.Acquired -> log.info { "event=lease-acquired zone=$zone epoch=${effect.epoch}" }
-            is LeaseEffect.Lost -> log.warn { "event=lease-lost zone=$zone epoch=${effect.epoch}" }
+            is LeaseEffect.Acquired -> log.info { eventLine("lease_acquired", "zone" to zone, "epoch" to effect.epoch) }
+            is LeaseEffect.Lost -> log.warn { eventLine("lease_lost", "zone" to zone, "epoch" to effect.epoch) }
             LeaseEffect.Released -> released.complete(Unit)
         }
     }
@@ -143,7 +144,13 @@
             is PlacementEffect.ReadPlacement -> launch { send(calls.readPlacement(effect)) }
             is PlacementEffect.WritePlacement -> launch { send(write(effect, until)) }
             is PlacementEffect.OrderEngine -> launch { order(effect.order, until) }
-            is PlacementEffect.LeaseDoubted -> log.warn { "event=lease-doubted zone=$zone epoch=${effect.epoch}" }
+            is PlacementEffect.LeaseDoubted -> log.warn {
+                eventLine(
+                    "lease_doubted",
+                    "zone" to zone,
+                    "epoch" to effect.epoch,
+                )
+            }
         }
     }
 
@@ -151,7 +158,7 @@
         if (clock.now() >= until) return PlacementMessage.CallFailed(effect.call)
         val answer = calls.writePlacement(effect)
         log.info {
-            "event=placement-written zone=$zone epoch=${effect.placement.epoch} " +
+            "event=placement_written zone=$zone epoch=${effect.placement.epoch} " +
                 "groups=${effect.placement.groups.size} result=${answer::class.simpleName}"
         }
         return answer
@@ -161,7 +168,7 @@
         if (clock.now() >= until) return
         val result = sendOrder(order.endpoint.value, order.toEngineOrder()).toOrderResult()
         log.info {
-            "event=order-sent zone=$zone vm=${order.vm} group=${order.assignment.group} " +
+            "event=order_sent zone=$zone vm=${order.vm} group=${order.assignment.group} " +
                 "generation=${order.assignment.generation} rank=${order.assignment.shard.rank} " +
                 "fencing=${order.epoch} result=${result::class.simpleName}"
         }
--- a/version/src/main/kotlin/redwingcross/version/routing/RouterTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/RouterTask.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.selects.select
 import redwingcross.request.MonotonicClock
 import redwingcross.request.NotRunReason
+import redwingcross.request.eventLine
 import redwingcross.request.slot.SlotAnswer
 import redwingcross.request.slot.SlotId
 import redwingcross.request.slot.SlotRequest
@@ -123,7 +124,13 @@
             null
         }
         is RouterEffect.ReportCold -> {
-            logger.warn { "event=server_cold server=${effect.report.server} incarnation=${effect.report.incarnation}" }
+            logger.warn {
+                eventLine(
+                    "server_cold",
+                    "server" to effect.report.server,
+                    "incarnation" to effect.report.incarnation,
+                )
+            }
             reportCold(effect.report)
             null
         }
