Report wrong settings before the start and admit while callers hold the address

Ruled out: admitting until the share is withdrawn in other gateways, which would exceed the limit.

Conclusion: bad settings start nothing, each finding has its flag.

--- a/connection/src/main/kotlin/redwingcross/connection/caller/ByteBudget.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ByteBudget.kt
@@ -50,6 +50,10 @@
 
         /** Per request, so that one slow caller holds at most 1/512 of the budget. */
         internal const val MAILBOX_BYTES = 65_536
+
+        /** Smallest budget with a block for each of [maxMailboxes] mailboxes and one that they share. */
+        fun smallestTotalBytes(maxMailboxes: Int): Long = (maxMailboxes + 1L) * BLOCK_BYTES
+
         private const val DEFAULT_TOTAL_BYTES = 33_554_432L
         private const val DEFAULT_MAX_MAILBOXES = 1024
     }
--- a/process/src/main/kotlin/redwingcross/process/node/NodeCommand.kt
+++ b/process/src/main/kotlin/redwingcross/process/node/NodeCommand.kt
@@ -12,9 +12,13 @@
 import redwingcross.process.settings.SettingKind
 import redwingcross.request.AvailabilityZone
 import redwingcross.request.Checked
+import redwingcross.request.Finding
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
 import redwingcross.version.bundle.Endpoint
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.ServerSocket
 import kotlin.random.Random
 import kotlin.time.Duration
 
@@ -35,10 +39,18 @@
 
     /** Where operators read health, metrics and state. */
     protected val operator: Setting<String> =
-        setting("--operator", "Address and port for operators.", SettingKind.endpoint)
+        setting("--operator-listen", "Address and port for operators.", SettingKind.endpoint)
 
     private val platform = setting("--platform", "Base URLs of the platform.", SettingKind.urls)
 
+    /** Listeners of this program by their flags; their ports must be free. */
+    protected open fun listeners(): Map<String, String> =
+        mapOf("--peer" to peer.value, "--operator-listen" to operator.value)
+
+    override fun checkTogether(): List<Finding> = listeners().mapNotNull { (flag, endpoint) ->
+        bindFailure(endpoint)?.let { Finding(flag, "can't listen on $endpoint: $it") }
+    }
+
     /** Peer addresses to join, without this process's own. */
     protected val seedEndpoints: List<Endpoint>
         get() = seeds.value.map(::Endpoint).filter { it.value != peer.value && it.value != NO_SEED }
@@ -69,3 +81,12 @@
         const val NO_SEED = "127.0.0.1:1"
     }
 }
+
+/** Why nothing can listen on [endpoint] now, or null when the port is free. */
+private fun bindFailure(endpoint: String): String? = try {
+    val address = InetSocketAddress(endpoint.substringBeforeLast(':'), endpoint.substringAfterLast(':').toInt())
+    ServerSocket().use { it.bind(address) }
+    null
+} catch (failure: IOException) {
+    failure.message
+}
--- a/process/src/main/kotlin/redwingcross/process/settings/ProgramCommand.kt
+++ b/process/src/main/kotlin/redwingcross/process/settings/ProgramCommand.kt
@@ -48,8 +48,9 @@
     }
 
     override suspend fun run() {
-        val findings = settings.flatMap { it.resolve(environment) } +
+        val single = settings.flatMap { it.resolve(environment) } +
             unexpected.map { Finding(it.substringBefore('='), "is not a known flag") }
+        val findings = single.ifEmpty { checkTogether() }
         if (findings.isNotEmpty()) {
             findings.forEach { echo(it.toString(), err = true) }
             throw ProgramResult(EXIT_BAD_INPUT)
@@ -57,6 +58,9 @@
         if (printSettings) settings.forEach { echo(it.describe()) } else start()
     }
 
+    /** Findings about settings that are valid one by one but not together. */
+    protected open fun checkTogether(): List<Finding> = emptyList()
+
     /** Runs the program; every setting has its value. */
     protected abstract suspend fun start()
 }
--- a/programs/cli/src/main/kotlin/redwingcross/cli/CliMain.kt
+++ b/programs/cli/src/main/kotlin/redwingcross/cli/CliMain.kt
@@ -1,14 +1,17 @@
 package redwingcross.cli
 
 import com.github.ajalt.clikt.command.SuspendingCliktCommand
-import com.github.ajalt.clikt.command.main
+import com.github.ajalt.clikt.command.parse
+import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.core.context
 import com.github.ajalt.clikt.core.obj
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.choice
+import kotlin.system.exitProcess
 
 private class RedwingcrossCommand : SuspendingCliktCommand("redwingcross") {
     private val platform by option("--platform", help = "HTTP base URLs of the platform, with commas between them.")
@@ -28,8 +31,18 @@
     }
 }
 
-/** Runs the operator command. */
-suspend fun main(arguments: Array<String>): Unit = RedwingcrossCommand()
+/** Runs the operator command; a wrong command line ends with [ExitCode.BAD_INPUT]. */
+suspend fun main(arguments: Array<String>) {
+    val command = operatorCommand()
+    try {
+        command.parse(arguments)
+    } catch (error: CliktError) {
+        command.echoFormattedHelp(error)
+        exitProcess(if (error is UsageError) ExitCode.BAD_INPUT.code else error.statusCode)
+    }
+}
+
+private fun operatorCommand(): SuspendingCliktCommand = RedwingcrossCommand()
     .subcommands(
         bundleCommands(),
         zoneCommands(),
@@ -39,4 +52,3 @@
         CustomersCommand(),
         StateCommand(),
     )
-    .main(arguments)
--- a/programs/gateway/src/main/kotlin/redwingcross/gateway/GatewayCommand.kt
+++ b/programs/gateway/src/main/kotlin/redwingcross/gateway/GatewayCommand.kt
@@ -4,10 +4,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import redwingcross.connection.caller.ByteBudget
 import redwingcross.connection.caller.CallerServerSettings
 import redwingcross.process.membership.ProcessRole
 import redwingcross.process.node.NodeCommand
 import redwingcross.process.settings.SettingKind
+import redwingcross.request.Finding
 import redwingcross.request.MonotonicClock
 import redwingcross.version.bundle.Endpoint
 import kotlin.time.Duration.Companion.seconds
@@ -33,6 +35,15 @@
         default = "32MiB",
     )
 
+    override fun listeners(): Map<String, String> = super.listeners() + ("--listen" to listen.value)
+
+    override fun checkTogether(): List<Finding> {
+        val needed = ByteBudget.smallestTotalBytes(maxExchanges.value)
+        val message = "must be at least $needed bytes for ${maxExchanges.value} exchanges"
+        val budget = listOf(Finding("--relay-budget", message)).filter { relayBudget.value < needed }
+        return budget + super.checkTogether()
+    }
+
     override suspend fun start() {
         val clock = MonotonicClock.system
         val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/Deployment.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/Deployment.kt
@@ -157,7 +157,7 @@
         "--name", name,
         "--zone", if (name.endsWith("0")) "north" else "south",
         "--peer", "127.0.0.1:$peer",
-        "--operator", "127.0.0.1:$operator",
+        "--operator-listen", "127.0.0.1:$operator",
         "--platform", platformUrl,
         "--seeds", seeds(),
     )
--- a/version/src/main/kotlin/redwingcross/version/routing/Router.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/Router.kt
@@ -50,7 +50,7 @@
         val request = message.request
         val reason = when {
             !state.table.control.isFresh(now) -> NotRunReason.STALE_VIEW
-            !state.table.isInRoster || !state.table.knows(request.service) -> NotRunReason.NO_BACKEND_SERVER
+            !state.table.mayAdmit(now) || !state.table.knows(request.service) -> NotRunReason.NO_BACKEND_SERVER
             now >= request.deadline -> NotRunReason.DEADLINE_EXCEEDED
             else -> null
         }
--- a/version/src/main/kotlin/redwingcross/version/routing/RoutingTable.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/RoutingTable.kt
@@ -45,8 +45,13 @@
     /** Zone of this gateway by the bundle in force. */
     val zone: AvailabilityZone? get() = index.gatewayZones[gateway]
 
-    /** Whether this gateway belongs to the roster in force; without it, it has no share of any server. */
-    val isInRoster: Boolean get() = control.history.eras.lastOrNull()?.gateways?.contains(gateway) ?: false
+    /** Whether this gateway is in the roster, or left it so recently that callers still hold its address. */
+    fun mayAdmit(now: Duration): Boolean {
+        val former = control.history.eras.dropLast(1).lastOrNull()
+        val isDeparting = former?.replacedAt?.let { now < it + settings.view.departureGrace } ?: false
+        val current = control.history.eras.lastOrNull()
+        return current?.gateways?.contains(gateway) == true || (isDeparting && gateway in former.gateways)
+    }
 
     /** Whether the bundle in force has [service]. */
     fun knows(service: ServiceName): Boolean = control.history.eras.lastOrNull()?.limits?.containsKey(service) ?: false
