--- a/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
@@ -13,7 +13,7 @@
     /** Number of peers that a node asks while its view is stale; a majority of them must answer at about one time. */
     private val seedPeers: Int,
     /** Reading of the process clock when the process started. */
-    private val startedAt: Duration = Duration.ZERO,
+    private val startedAt: Duration,
 ) {
     /** One step; [now] is a reading of the process clock. */
     fun step(memory: ControlMemory, message: ControlMessage, now: Duration): Transition<ControlMemory, ControlEffect> {
--- a/version/src/test/kotlin/redwingcross/version/routing/GatewayProcess.kt
+++ b/version/src/test/kotlin/redwingcross/version/routing/GatewayProcess.kt
@@ -14,7 +14,7 @@
 
 /** One process of a gateway in [world], with a clock of its own. A restart makes a new process of the same [name]. */
 internal class GatewayProcess(val world: GatewayWorld, val name: ProcessName, private val offset: Duration) {
-    private val decision = ControlDecision(world.settings.view, seedPeers = world.gatewayCount)
+    private val decision = ControlDecision(world.settings.view, world.gatewayCount, startedAt = local())
     private val router = Router(name, world.settings)
     var memory = ControlMemory()
     var state = router.initial()
--- a/version/src/test/kotlin/redwingcross/version/routing/ShareTransitionTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/routing/ShareTransitionTest.kt
@@ -23,8 +23,8 @@
 /** Guards against shares that grow while requests admitted under an older or unseen roster may still run. */
 class ShareTransitionTest {
     private val settings = ViewSettings()
-    private val decision = ControlDecision(settings, seedPeers = 3)
     private val start = 1.hours
+    private val decision = ControlDecision(settings, seedPeers = 3, startedAt = start)
     private val wide = bundleOf(0..5)
     private val narrow = bundleOf(0..2)
 
@@ -40,11 +40,24 @@
 
     @Test
     fun `versions skipped while the view was stale make the history incomplete`() {
-        val memory = adopt(ControlMemory(), 1, wide, start)
+        val memory = adopt(ControlMemory(), 2, wide, start)
 
-        assertEquals(start, adopt(memory, 3, narrow, start + 4.seconds).history.completeSince)
-        assertEquals(start, adopt(memory, 2, narrow, start + 60.seconds).history.completeSince)
-        assertEquals(start + 60.seconds, adopt(memory, 3, narrow, start + 60.seconds).history.completeSince)
+        assertEquals(start, adopt(memory, 4, narrow, start + 4.seconds).history.completeSince)
+        assertEquals(start, adopt(memory, 3, narrow, start + 60.seconds).history.completeSince)
+        assertEquals(start + 60.seconds, adopt(memory, 4, narrow, start + 60.seconds).history.completeSince)
+    }
+
+    @Test
+    fun `only the first bundle ever has no rosters before it`() {
+        val earlier = start - settings.viewLifetime
+
+        assertEquals(earlier, adopt(ControlMemory(), 1, wide, start + 3.seconds).history.completeSince)
+        assertEquals(start + 3.seconds, adopt(ControlMemory(), 2, wide, start + 3.seconds).history.completeSince)
+        val out = Overrides(OverridesVersion(1))
+        assertEquals(
+            start + 3.seconds,
+            adopt(ControlMemory(), 1, wide, start + 3.seconds, out).history.completeSince,
+        )
     }
 
     @Test
