End a loop of stamps and admit at once after the first bundle

A process heard its own confirmation stamp from its gossip, took it for a newer confirmation by a few nanoseconds of rounding, and passed it on again without end.

Ruled out: a slower exchange, which would hide the loop.

Change: gossip reports only stamps of other processes; a process that saw the platform without any bundle has no quarantine after the first.

--- a/process/src/main/kotlin/redwingcross/process/gossip/NewsTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/gossip/NewsTable.kt
@@ -47,7 +47,8 @@
         val merged = held?.merge(stamp.heldAt(at)) ?: stamp.heldAt(at)
         if (merged == held) return
         state = state.copy(stamp = merged)
-        effects += GossipEffect.StampHeard(from, merged.at(now))
+        // A process that hears its own stamps would confirm its view by itself, and do so without end.
+        if (from != state.self) effects += GossipEffect.StampHeard(from, merged.at(now))
     }
 
     /** False if the content is needed and was not sent. */
--- a/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
@@ -56,7 +56,10 @@
         val hasContent = message.bundle != null || message.overrides != null
         val stillOutdated = adopted.controlOutdated && !hasContent
         val heardAt = if (stillOutdated) adopted.controlHeardAt else later(adopted.controlHeardAt, message.askedAt)
-        return Transition(adopted.copy(controlOutdated = stillOutdated, controlHeardAt = heardAt))
+        val sawNoBundle = adopted.sawNoBundle || adopted.control.bundle == null
+        return Transition(
+            adopted.copy(controlOutdated = stillOutdated, controlHeardAt = heardAt, sawNoBundle = sawNoBundle),
+        )
     }
 
     private fun vmsHeard(memory: ControlMemory, message: ControlMessage.VmsHeard): ControlMemory {
@@ -124,7 +127,7 @@
     private fun extend(memory: ControlMemory, next: ControlState, now: Duration): RosterHistory {
         val body = next.bundle?.bundle ?: return RosterHistory()
         val previous = memory.control
-        val previousBody = previous.bundle?.bundle ?: return firstHistory(body, next, now)
+        val previousBody = previous.bundle?.bundle ?: return firstHistory(memory, body, next, now)
         val recent = memory.history.within(settings.shareTransition, now).map {
             it.copy(
                 replacedAt =
@@ -144,9 +147,14 @@
      * process never saw, unless the bundle is the first one ever accepted: then only requests of this gateway's
      * previous process can be in flight.
      */
-    private fun firstHistory(body: Bundle, next: ControlState, now: Duration): RosterHistory {
+    private fun firstHistory(memory: ControlMemory, body: Bundle, next: ControlState, now: Duration): RosterHistory {
         val isFirstEver = next.bundleVersion().value == 1L && next.overrides.version.value == 0L
-        val completeSince = if (isFirstEver) startedAt - settings.viewLifetime else now
+        val completeSince = when {
+            !isFirstEver -> now
+            // This process has run since before the first bundle, so no earlier one can have sent a request.
+            memory.sawNoBundle -> -Duration.INFINITE
+            else -> startedAt - settings.viewLifetime
+        }
         return RosterHistory(listOf(eraOf(body, next.overrides)), completeSince)
     }
 
--- a/version/src/main/kotlin/redwingcross/version/control/ControlMemory.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlMemory.kt
@@ -38,6 +38,8 @@
     val vmsOutdated: Boolean = false,
     /** When some node heard from the platform that this node's versions are in force. */
     val stampedAt: Duration? = null,
+    /** Whether the platform answered, before the first adoption, that no bundle was ever accepted. */
+    val sawNoBundle: Boolean = false,
     val ahead: AheadStamp? = null,
     val majorityAt: Duration? = null,
     /** When each peer was asked whose control state arrived. */
--- a/version/src/test/kotlin/redwingcross/version/control/ControlTaskTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/control/ControlTaskTest.kt
@@ -58,7 +58,10 @@
             }
         }
         val settings = ViewSettings()
-        val task = ControlTask(ControlDecision(settings, 3, startedAt = 0.seconds), settings, { currentTime.milliseconds }, watch, {}) {}
+        val task =
+            ControlTask(ControlDecision(settings, 3, startedAt = 0.seconds), settings, {
+                currentTime.milliseconds
+            }, watch, {}) {}
         backgroundScope.launch { task.run() }
         delay(4900.milliseconds)
 
--- a/version/src/test/kotlin/redwingcross/version/routing/ShareTransitionTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/routing/ShareTransitionTest.kt
@@ -52,6 +52,8 @@
         val earlier = start - settings.viewLifetime
 
         assertEquals(earlier, adopt(ControlMemory(), 1, wide, start + 3.seconds).history.completeSince)
+        val none = decision.step(ControlMemory(), ControlMessage.ControlHeard(null, null, start), start).state
+        assertEquals(-Duration.INFINITE, adopt(none, 1, wide, start + 3.seconds).history.completeSince)
         assertEquals(start + 3.seconds, adopt(ControlMemory(), 2, wide, start + 3.seconds).history.completeSince)
         val out = Overrides(OverridesVersion(1))
         assertEquals(
