--- a/connection/src/main/kotlin/redwingcross/connection/caller/ServiceExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/caller/ServiceExchange.kt
@@ -117,16 +117,10 @@
 }
 
 /** The record of the key was not read, so an earlier attempt with it may have run. */
-private fun ServiceCall.refused(answer: SlotAnswer.Refused): Response = notRun(
-    answer.reason,
-    if (key ==
-        null
-    ) {
-        EarlierAttempts.NONE
-    } else {
-        EarlierAttempts.UNKNOWN
-    },
-).copy(requestId = request.value).toResponse(answer.retryAfter)
+private fun ServiceCall.refused(answer: SlotAnswer.Refused): Response {
+    val earlier = if (key == null) EarlierAttempts.NONE else EarlierAttempts.UNKNOWN
+    return notRun(answer.reason, earlier).copy(requestId = request.value).toResponse(answer.retryAfter)
+}
 
 private fun ServiceCall.unanswered(detail: String): Problem = Problem(
     title = "Outcome unknown",
--- a/connection/src/main/kotlin/redwingcross/connection/platform/PlatformClient.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/platform/PlatformClient.kt
@@ -145,9 +145,8 @@
             watchWait: () -> Duration = { 2.seconds },
         ): Checked<PlatformClient> {
             val parsed = settings.baseUrls.map { it to it.toHttpUrlOrNull() }
-            val findings = parsed.filter {
-                it.second == null
-            }.map { Finding("baseUrls", "not an HTTP URL: ${it.first}") }
+            val findings = parsed.filter { it.second == null }
+                .map { Finding("baseUrls", "not an HTTP URL: ${it.first}") }
             return when {
                 parsed.isEmpty() -> Checked.Invalid(listOf(Finding("baseUrls", "no base URL")))
                 findings.isNotEmpty() -> Checked.Invalid(findings)
--- a/process/src/main/kotlin/redwingcross/process/membership/MembershipStep.kt
+++ b/process/src/main/kotlin/redwingcross/process/membership/MembershipStep.kt
@@ -191,14 +191,9 @@
         val theirs = message.changes.associateBy { it.member.name }
         val missing =
             table.changesAt(message.digest, message.answerDigest).filter { ours ->
-                val their = theirs[ours.member.name]
-                if (their ==
-                    null
-                ) {
-                    ours.condition <= MemberCondition.SUSPECT
-                } else {
-                    ours.replaces(MemberEntry(their.member, their.condition, now))
-                }
+                theirs[ours.member.name]
+                    ?.let { ours.replaces(MemberEntry(it.member, it.condition, now)) }
+                    ?: (ours.condition <= MemberCondition.SUSPECT)
             }
         val isJoining = state.entries.isEmpty()
         message.changes.forEach(table::adopt)
--- a/standins/src/main/kotlin/redwingcross/standins/engine/ChatEndpoint.kt
+++ b/standins/src/main/kotlin/redwingcross/standins/engine/ChatEndpoint.kt
@@ -41,12 +41,9 @@
                 GateAnswer.Close -> exchange.abort()
                 GateAnswer.KeepSilent -> gate.holdSilently(exchange)
                 is GateAnswer.Proceed ->
-                    if (body ==
-                        null
-                    ) {
-                        exchange.answer(STATUS_BAD_REQUEST, "malformed body")
-                    } else {
-                        admit(exchange, chat, body, fault.fault)
+                    when (body) {
+                        null -> exchange.answer(STATUS_BAD_REQUEST, "malformed body")
+                        else -> admit(exchange, chat, body, fault.fault)
                     }
             }
         } catch (_: IOException) {
@@ -90,17 +87,8 @@
 
     private suspend fun tokens(body: ChatBody, fault: RequestFault): TokenSequence {
         val length = body.maxTokens ?: task.read { state, _ -> state.settings.defaultTokens }
-        return TokenSequence(
-            body.model,
-            if (fault ==
-                RequestFault.CROSS
-            ) {
-                "another ${body.prompt}"
-            } else {
-                body.prompt
-            },
-            length,
-        )
+        val prompt = if (fault == RequestFault.CROSS) "another ${body.prompt}" else body.prompt
+        return TokenSequence(body.model, prompt, length)
     }
 
     private suspend fun addHeaders(
--- a/standins/src/main/kotlin/redwingcross/standins/platform/PlatformStandin.kt
+++ b/standins/src/main/kotlin/redwingcross/standins/platform/PlatformStandin.kt
@@ -114,12 +114,9 @@
     }
 
     private fun store(kind: String, name: String, expected: Long?, value: JsonElement?): Response {
-        val written = if (value ==
-            null
-        ) {
-            table(kind).delete(name, expected!!)
-        } else {
-            table(kind).put(name, expected, value)
+        val written = when (value) {
+            null -> table(kind).delete(name, expected!!)
+            else -> table(kind).put(name, expected, value)
         }
         return when (written) {
             TableWrite.Conflict -> Response(Status.PRECONDITION_FAILED)
--- a/standins/src/main/kotlin/redwingcross/standins/service/ServiceStandin.kt
+++ b/standins/src/main/kotlin/redwingcross/standins/service/ServiceStandin.kt
@@ -33,12 +33,9 @@
 
     fun stop() = server.stop()
 
-    private fun route(request: Request): Response = if (request.uri.path ==
-        "/standin/runs"
-    ) {
-        json(Json.encodeToString(ServiceRuns(total, runsByKey)))
-    } else {
-        run(request)
+    private fun route(request: Request): Response = when (request.uri.path) {
+        "/standin/runs" -> json(Json.encodeToString(ServiceRuns(total, runsByKey)))
+        else -> run(request)
     }
 
     private fun run(request: Request): Response {
--- a/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/control/ControlDecision.kt
@@ -25,12 +25,8 @@
             is ControlMessage.MajorityReachable ->
                 Transition(memory.copy(majorityAt = later(memory.majorityAt, message.probedAt)))
             ControlMessage.MajorityLost -> Transition(memory.copy(majorityAt = null))
-            ControlMessage.Tick -> Transition(
-                memory,
-                listOf(ControlEffect.AskSeedPeers).filter {
-                    !memory.isFresh(settings, now)
-                },
-            )
+            ControlMessage.Tick ->
+                Transition(memory, listOf(ControlEffect.AskSeedPeers).filterNot { memory.isFresh(settings, now) })
         }
         val settled = settle(memory, next.state, now)
         val before = memory.control.versions()
@@ -128,12 +124,8 @@
         val body = next.bundle?.bundle ?: return RosterHistory()
         val previous = memory.control
         val previousBody = previous.bundle?.bundle ?: return firstHistory(memory, body, next, now)
-        val recent = memory.history.within(settings.shareTransition, now).map {
-            it.copy(
-                replacedAt =
-                it.replacedAt ?: now,
-            )
-        }
+        val recent = memory.history.within(settings.shareTransition, now)
+            .map { it.copy(replacedAt = it.replacedAt ?: now) }
         val passed = passedRosters(previousBody, body, previous, next).map { it.copy(replacedAt = now) }
         val skipped = next.bundleVersion().value > previous.bundleVersion().value + 1 ||
             next.overrides.version.value > previous.overrides.version.value + 1
--- a/version/src/main/kotlin/redwingcross/version/routing/ServerChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/ServerChoice.kt
@@ -23,13 +23,8 @@
     .minWithOrNull(
         compareBy<Candidate> { !it.isRamping }
             .thenBy {
-                load(it.server).requests.toDouble() / it.slots + if (it.zone ==
-                    ownZone
-                ) {
-                    0.0
-                } else {
-                    otherZonePenalty
-                }
+                val penalty = if (it.zone == ownZone) 0.0 else otherZonePenalty
+                load(it.server).requests.toDouble() / it.slots + penalty
             }
             .thenBy { it.position }
             .thenBy { it.server.value },
--- a/version/src/test/kotlin/redwingcross/version/routing/GatewayWorld.kt
+++ b/version/src/test/kotlin/redwingcross/version/routing/GatewayWorld.kt
@@ -202,13 +202,8 @@
         }
         val roster = process.memory.control.bundle?.bundle?.gateways.orEmpty().map { it.gateway }.toSet()
         val reached = processes.filter { it.isReachable() }.map { it.name }.toSet() intersect roster
-        val message = if (reached.size * 2 >
-            roster.size
-        ) {
-            ControlMessage.MajorityReachable(askedAt)
-        } else {
-            ControlMessage.MajorityLost
-        }
+        val isMajority = reached.size * 2 > roster.size
+        val message = if (isMajority) ControlMessage.MajorityReachable(askedAt) else ControlMessage.MajorityLost
         process.deliver(Duration.ZERO) { process.learn(message) }
     }
 
