--- a/programs/cli/src/main/kotlin/redwingcross/cli/CliMain.kt
+++ b/programs/cli/src/main/kotlin/redwingcross/cli/CliMain.kt
@@ -36,9 +36,12 @@
     val command = operatorCommand()
     try {
         command.parse(arguments)
+    } catch (error: UsageError) {
+        command.echoFormattedHelp(error)
+        exitProcess(ExitCode.BAD_INPUT.code)
     } catch (error: CliktError) {
         command.echoFormattedHelp(error)
-        exitProcess(if (error is UsageError) ExitCode.BAD_INPUT.code else error.statusCode)
+        exitProcess(error.statusCode)
     }
 }
 
--- a/version/src/test/kotlin/redwingcross/version/operation/BundleSessionTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/operation/BundleSessionTest.kt
@@ -14,7 +14,7 @@
 import kotlin.test.Test
 import kotlin.time.Duration.Companion.seconds
 
-/** Guards against a bundle that comes into force without its steps, or goes back after an outdated read or a rollback. */
+/** Guards against a bundle that skips a step on its way into force, or goes back after an outdated read. */
 class BundleSessionTest {
     private val lines = mutableListOf<String>()
     private var current: AcceptedBundle? = null
--- a/version/src/test/kotlin/redwingcross/version/routing/ZoneSessionTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/routing/ZoneSessionTest.kt
@@ -12,7 +12,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Guards against a zone that gets work while it is out, or that returns to the full load while its servers are cold. */
+/** Guards against a zone that gets work while it is out, or returns to full load while its servers are cold. */
 class ZoneSessionTest {
     private val settings = RouterSettings()
     private val router = Router(gatewayName(0), settings)
