--- /dev/null
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -0,0 +1,110 @@
+package redwingcross.connection.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpResponseEncoder
+import redwingcross.request.MonotonicClock
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** Accepts connections of callers at one address and gives each of their requests to [serve]. */
+class CallerListener(
+    private val group: EventLoopGroup,
+    private val clock: MonotonicClock,
+    private val maximumHeadBytes: () -> Int,
+    private val bounds: () -> CallerBounds,
+    private val onRefused: (status: Int) -> Unit,
+    private val serve: ServeExchange,
+) {
+    private val connections = HashSet<CallerConnection>()
+    private var channel: Channel? = null
+
+    /** Once set, each connection ends with the answer that is under way. */
+    var isClosing = false
+        private set
+
+    /** Connections that are open. */
+    val openConnections: Int get() = connections.size
+
+    /** Binds the address; throws if it is in use. */
+    fun start(address: InetSocketAddress) {
+        val bound = ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) = prepare(channel)
+                },
+            )
+            .bind(address)
+            .sync()
+            .channel()
+        channel = bound
+        bound.eventLoop().scheduleAtFixedRate(::checkTimeouts, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun prepare(channel: SocketChannel) {
+        KeepAlive.apply(channel)
+        val connection = CallerConnection(this, bounds, serve)
+        channel.pipeline()
+            .addLast(ArrivalNote(connection))
+            .addLast(StrictRequestDecoder(maximumHeadBytes()))
+            .addLast(HttpResponseEncoder())
+            .addLast(connection)
+    }
+
+    /** Ends idle connections and lets each of the others end with its answer. */
+    fun closeGracefully() {
+        isClosing = true
+        connections.toList().forEach(CallerConnection::closeIfIdle)
+    }
+
+    /** Takes no new connections. */
+    fun stopAccepting() {
+        channel?.close()
+    }
+
+    internal fun now(): Duration = clock.now()
+
+    internal fun opened(connection: CallerConnection) {
+        connections += connection
+    }
+
+    internal fun closed(connection: CallerConnection) {
+        connections -= connection
+    }
+
+    internal fun refused(status: Int): Unit = onRefused(status)
+
+    private fun checkTimeouts() {
+        val now = clock.now()
+        connections.toList().forEach { it.checkTimeouts(now) }
+    }
+
+    /** Notes the arrival of bytes before they are decoded, for the timeout of a request head. */
+    private class ArrivalNote(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            connection.bytesArrived()
+            context.fireChannelRead(message)
+        }
+    }
+
+    private companion object {
+        /** A full queue of new connections delays a caller by seconds. */
+        const val BACKLOG = 1024
+
+        /** Resolution of the timeouts of idle and slow callers. */
+        const val CHECK_MILLIS = 500L
+    }
+}
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/edge/EventLog.kt
@@ -0,0 +1,39 @@
+package redwingcross.process.edge
+
+import io.github.oshai.kotlinlogging.KLogger
+import redwingcross.request.MonotonicClock
+import redwingcross.request.eventLine
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Writes one line of key=value pairs for an event. */
+typealias LogEvent = (event: String, pairs: Array<out Pair<String, Any?>>) -> Unit
+
+/** Bounds the lines that a process logs in a second; what is over the bound is counted and the count is logged. */
+class EventLog(private val logger: KLogger, private val clock: MonotonicClock, private val linesPerSecond: Int) {
+    private var windowStart: Duration = clock.now()
+    private var written = 0
+    private var dropped = 0
+
+    /** Logs an event of ordinary operation. */
+    val info: LogEvent = { event, pairs -> if (admits()) logger.info { eventLine(event, *pairs) } }
+
+    /** Logs a dependency that is lost or an input that can't be used. */
+    val warn: LogEvent = { event, pairs -> if (admits()) logger.warn { eventLine(event, *pairs) } }
+
+    private fun admits(): Boolean {
+        val now = clock.now()
+        if (now - windowStart >= 1.seconds) {
+            if (dropped > 0) logger.warn { eventLine("log_lines_dropped", "count" to dropped) }
+            windowStart = now
+            written = 0
+            dropped = 0
+        }
+        if (written >= linesPerSecond) {
+            dropped++
+            return false
+        }
+        written++
+        return true
+    }
+}
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -0,0 +1,280 @@
+package redwingcross.process.edge
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import redwingcross.connection.http.AnswerListener
+import redwingcross.connection.http.CallerExchange
+import redwingcross.connection.http.PendingExchange
+import redwingcross.connection.http.RequestHead
+import redwingcross.request.BackendServer
+import redwingcross.request.Customer
+import redwingcross.request.GroupId
+import redwingcross.request.ModelName
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ProcessName
+import redwingcross.request.ServiceName
+import redwingcross.request.forward.InboundRequest
+import redwingcross.request.forward.OfferEnd
+import redwingcross.request.forward.Repeatability
+import redwingcross.request.forward.RetryBudget
+import redwingcross.version.fleet.ColdAllowance
+import redwingcross.version.fleet.FleetConfiguration
+import redwingcross.version.fleet.GatewayPlace
+import redwingcross.version.fleet.Route
+import redwingcross.version.fleet.ServingGroup
+import redwingcross.version.forwarding.BackendChooser
+import redwingcross.version.forwarding.BackendHealth
+import redwingcross.version.forwarding.BackendLoad
+import redwingcross.version.forwarding.CancelTimer
+import redwingcross.version.forwarding.Choice
+import redwingcross.version.forwarding.ChoiceScene
+import redwingcross.version.forwarding.ChoiceSettings
+import redwingcross.version.forwarding.ChosenBackend
+import redwingcross.version.forwarding.ForwardContext
+import redwingcross.version.forwarding.ForwardJob
+import redwingcross.version.forwarding.ForwardOutcome
+import redwingcross.version.forwarding.ForwardTask
+import redwingcross.version.forwarding.RequestCodec
+import redwingcross.version.forwarding.SendToBackend
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What the gateway's task needs from the rest of the process. */
+class GatewayLinks(
+    val clock: MonotonicClock,
+    val codec: RequestCodec,
+    val fleet: () -> FleetState,
+    val place: () -> GatewayPlace,
+    val send: SendToBackend,
+    val runLater: (Duration, () -> Unit) -> CancelTimer,
+    /** Tells the controller that a group makes no progress. */
+    val suspect: (GroupId) -> Unit,
+    /** Tells that a back end says that it is cold. */
+    val coldReported: (BackendServer, Duration) -> Unit,
+    val recordOutcome: (ForwardOutcome) -> Unit,
+    val log: LogEvent,
+)
+
+/** Admits requests of callers, chooses their back ends and watches the streams that are under way. */
+class GatewayTask(private val links: GatewayLinks, private val bounds: EdgeBounds, private val random: Random) {
+    private val load = BackendLoad()
+    private val health = BackendHealth()
+    private val allowance = ColdAllowance()
+    private val chooser = BackendChooser(
+        ChoiceSettings(coldOverrun = bounds.coldOverrun, coldSlack = bounds.coldSlack),
+        load,
+        health,
+        allowance,
+        random,
+    )
+    private val budgets = HashMap<ServiceName, RetryBudget>()
+    private val tasks = HashSet<ForwardTask>()
+    private val progress = HashMap<GroupId, Duration>()
+    private val suspects = HashMap<GroupId, Duration>()
+    private val context = ForwardContext(
+        clock = links.clock,
+        codec = links.codec,
+        health = health,
+        runLater = links.runLater,
+        choose = ::choose,
+        send = ::send,
+        began = { backend, _ -> load.began(backend.server) },
+        ended = { backend, _ -> load.ended(backend.server) },
+        offerEnded = ::offerEnded,
+        takeRepetition = ::takeRepetition,
+        priority = { null },
+        retryAfter = { refusalPause() },
+        coldReported = links.coldReported,
+        faultReported = { backend, _ -> backend.group?.let(::suspect) },
+        finished = ::finished,
+        log = { event, pairs -> links.log(event, pairs) },
+    )
+
+    /** Whether a request of a caller has been seen. */
+    var hasSeenRequests = false
+        private set
+
+    /** Requests under way. */
+    val running: Int get() = tasks.size
+
+    /** Requests under way by back end, for the other gateways. */
+    val ownLoad: Map<BackendServer, Int> get() = load.ownCounts
+
+    /** Takes the load of another gateway; null when it is gone. */
+    fun peerLoad(gateway: ProcessName, counts: Map<BackendServer, Int>?): Unit = load.heard(gateway, counts)
+
+    /** Serves one request of a caller. */
+    fun serve(exchange: CallerExchange) {
+        hasSeenRequests = true
+        val now = links.clock.now()
+        val request = links.codec.decode(exchange.head) ?: return refuse(exchange, null, BAD_REQUEST, "no_attempt_id")
+        val configuration = links.fleet().takeIf { it.isUsable }?.configuration
+            ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_configuration")
+        val route = configuration.route(request.host, request.path)
+            ?: return refuse(exchange, request, NOT_FOUND, "no_route", configuration)
+        val tenant = tenantOf(configuration, request)
+        if (tenant == null && configuration.requiresKeys && !route.anonymous) {
+            return refuse(exchange, request, UNAUTHORIZED, "unknown_key", configuration)
+        }
+        val service = pickService(route)
+            ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service", configuration)
+        budget(service).requestArrived(now)
+        val task = ForwardTask(ForwardJob(exchange, request, route, service, tenant, now), context)
+        tasks += task
+        task.start()
+    }
+
+    private fun tenantOf(configuration: FleetConfiguration, request: InboundRequest): Customer? =
+        request.credential?.let(configuration::tenant)?.name
+
+    private fun refuse(
+        exchange: CallerExchange,
+        request: InboundRequest?,
+        status: Int,
+        reason: String,
+        configuration: FleetConfiguration? = null,
+    ) {
+        val pause = if (status == SERVICE_UNAVAILABLE) refusalPause() else null
+        links.log(
+            "request_refused",
+            arrayOf(
+                "attempt" to request?.attempt,
+                "status" to status,
+                "reason" to reason,
+                "path" to request?.path,
+                "configuration" to configuration?.version?.value,
+            ),
+        )
+        val headers = if (pause != null) links.codec.refusal(pause) else DefaultHttpHeaders()
+        exchange.respond(status, headers, ByteArray(0))
+    }
+
+    private fun pickService(route: Route): ServiceName? {
+        val total = route.destinations.sumOf { it.weight }
+        if (total <= 0) return route.destinations.firstOrNull()?.service
+        var left = random.nextInt(total)
+        for (destination in route.destinations) {
+            left -= destination.weight
+            if (left < 0) return destination.service
+        }
+        return null
+    }
+
+    private fun choose(service: ServiceName, model: ModelName?, excluded: Set<BackendServer>): Choice {
+        val now = links.clock.now()
+        val fleet = links.fleet()
+        val terms = fleet.configuration?.services?.get(service) ?: return Choice.NoneServing
+        val scene = ChoiceScene(fleet.table, links.place(), excluded, suspects.keys, now)
+        return if (model != null && terms.pool != null) {
+            chooser.chooseGroup(terms, model, fleet.servingGroups(now), scene)
+        } else {
+            chooser.chooseServer(terms, scene)
+        }
+    }
+
+    private fun send(
+        backend: ChosenBackend,
+        head: RequestHead,
+        body: ByteArray,
+        repeatability: Repeatability,
+        listener: AnswerListener,
+    ): PendingExchange {
+        allowance.sent(backend.server, links.clock.now())
+        return links.send(backend, head, body, repeatability, listener)
+    }
+
+    private fun offerEnded(backend: ChosenBackend, end: OfferEnd?) {
+        val now = links.clock.now()
+        when (end) {
+            null -> health.ended(backend.server, failed = false)
+            OfferEnd.NotSent -> {
+                health.unreachable(backend.server, now)
+                backend.group?.let(::suspect)
+            }
+            OfferEnd.Declined -> health.declined(backend.server, now)
+            OfferEnd.Failed -> health.ended(backend.server, failed = true)
+            OfferEnd.Lost -> {
+                health.ended(backend.server, failed = true)
+                backend.group?.let(::suspect)
+            }
+            OfferEnd.Stalled -> Unit
+        }
+    }
+
+    private fun takeRepetition(service: ServiceName): Boolean =
+        budget(service).take(links.clock.now(), links.place().count)
+
+    private fun budget(service: ServiceName) = budgets.getOrPut(service) { RetryBudget(bounds.retryBudget) }
+
+    private fun refusalPause(): Duration = RETRY_BASE + RETRY_SPREAD * random.nextDouble()
+
+    private fun finished(task: ForwardTask, outcome: ForwardOutcome) {
+        tasks -= task
+        links.recordOutcome(outcome)
+    }
+
+    private fun suspect(group: GroupId) {
+        links.suspect(group)
+    }
+
+    /** Moves the streams of groups that have lost a member. */
+    fun groupsLost(groups: Set<GroupId>) {
+        if (groups.isEmpty()) return
+        tasks.filter { it.group in groups }.forEach(ForwardTask::groupLost)
+    }
+
+    /** Looks for streams without progress; called several times a second. */
+    fun watchStreams() {
+        val now = links.clock.now()
+        val byGroup = tasks.filter { it.group != null }.groupBy { it.group!! }
+        progress.keys.retainAll(byGroup.keys)
+        suspects.keys.retainAll(byGroup.keys)
+        for ((group, members) in byGroup) {
+            val moved = members.filter { it.hasProgressed }.maxOfOrNull { it.progressAt }
+            val last = maxOf(progress[group] ?: Duration.ZERO, moved ?: Duration.ZERO)
+            progress[group] = last
+            val stalledFor = members.maxOf { now - maxOf(it.progressAt, last) }
+            judge(group, members, stalledFor, now)
+        }
+    }
+
+    private fun judge(group: GroupId, members: List<ForwardTask>, stalledFor: Duration, now: Duration) {
+        if (stalledFor < SUSPECT_AFTER) {
+            suspects.remove(group)
+            return
+        }
+        val since = suspects.getOrPut(group) {
+            links.log("group_suspected", arrayOf("group" to group, "stalled" to stalledFor, "streams" to members.size))
+            now
+        }
+        suspect(group)
+        if (now - since > MOVE_AFTER) members.forEach(ForwardTask::giveUpStalled)
+    }
+
+    /** Forgets what is known of back ends that are gone. */
+    fun forgetGone(servers: Set<BackendServer>) {
+        health.retain(servers)
+        allowance.retain(servers)
+    }
+
+    /** The groups that this gateway uses at the moment, for the state dump. */
+    fun serving(): List<ServingGroup> = links.fleet().servingGroups(links.clock.now())
+
+    private companion object {
+        const val BAD_REQUEST = 400
+        const val UNAUTHORIZED = 401
+        const val NOT_FOUND = 404
+        const val SERVICE_UNAVAILABLE = 503
+
+        /** Pauses are shorter than this unless a group stands still or reads many prompts at once. */
+        val SUSPECT_AFTER = 450.milliseconds
+
+        /** Streams of a suspected group are moved after this time even if no finding confirms it. */
+        val MOVE_AFTER = 1.seconds
+
+        /** Callers wait at most a third of their time, so a short pause leaves room for one more try. */
+        val RETRY_BASE = 250.milliseconds
+        val RETRY_SPREAD = 350.milliseconds
+    }
+}
--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -0,0 +1,163 @@
+package redwingcross.process.edge
+
+import redwingcross.request.BackendServer
+import redwingcross.request.GroupId
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ProcessName
+import redwingcross.version.fleet.GatewayPlace
+import redwingcross.version.lease.LeaseMessage
+import redwingcross.version.lease.LeaseVersion
+import redwingcross.version.lease.SeenLease
+import java.net.InetSocketAddress
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** What the peers' task hears. */
+sealed interface PeerTaskMessage {
+    /** Time for the next beat. */
+    data object Tick : PeerTaskMessage
+
+    data class Received(val bytes: ByteArray) : PeerTaskMessage
+
+    data class Registry(val result: RegistryResult) : PeerTaskMessage
+}
+
+/** What the peers' task needs from the rest of the process. */
+class PeerLinks(
+    val send: (InetSocketAddress, ByteArray) -> Unit,
+    /** This process's next beat, without its sequence number. */
+    val beat: () -> Beat,
+    val register: () -> Unit,
+    val listRegistry: () -> Unit,
+    val onLoad: (ProcessName, Map<BackendServer, Int>?) -> Unit,
+    val onTraffic: () -> Unit,
+    val onGroups: (GroupAnnouncement) -> Unit,
+    val onSuspicion: (GroupId) -> Unit,
+    val onLease: (LeaseMessage) -> Unit,
+)
+
+/** Owns what this process knows of the others: sends beats, and hands what it hears to the tasks that it concerns. */
+class PeerTask(
+    private val self: GatewayRecord,
+    private val links: PeerLinks,
+    private val clock: MonotonicClock,
+    private val random: Random,
+    private val log: LogEvent,
+) {
+    private var table = PeerTable(self)
+    private var sequence = 0L
+    private var isRegistered = false
+    private var nextRegistryCall = Duration.ZERO
+    private var cachedPlace = GatewayPlace(self.node, table.everyone)
+
+    /** This process among all that may be running. */
+    val place: GatewayPlace get() = cachedPlace
+
+    fun alive(): List<Peer> = table.alive(clock.now())
+
+    fun hearsMajority(): Boolean = table.hearsMajority(clock.now())
+
+    fun handle(message: PeerTaskMessage) {
+        when (message) {
+            PeerTaskMessage.Tick -> tick()
+            is PeerTaskMessage.Received -> received(message.bytes)
+            is PeerTaskMessage.Registry -> registry(message.result)
+        }
+    }
+
+    private fun tick() {
+        val now = clock.now()
+        val before = table
+        val silent = table.peers.keys - table.alive(now).map { it.record.node }.toSet()
+        silent.forEach { links.onLoad(ProcessName(it), null) }
+        table = table.expired(now)
+        (before.peers.keys - table.peers.keys).forEach { log("peer_forgotten", arrayOf("node" to it)) }
+        if (now >= nextRegistryCall) callRegistry(now)
+        sendToSome(links.beat().copy(sequence = ++sequence))
+        placeChanged(before)
+    }
+
+    private fun callRegistry(now: Duration) {
+        val alone = table.alive(now).isEmpty()
+        nextRegistryCall = now + if (isRegistered && !alone) REGISTRY_INTERVAL else table.times.silence
+        if (!isRegistered) links.register() else if (alone) links.listRegistry()
+    }
+
+    private fun registry(result: RegistryResult) {
+        when (result) {
+            RegistryResult.Registered -> {
+                isRegistered = true
+                links.listRegistry()
+            }
+            is RegistryResult.Listed -> {
+                val before = table
+                table = table.registered(result.records, clock.now())
+                placeChanged(before)
+                sendToSome(links.beat().copy(sequence = ++sequence))
+            }
+            RegistryResult.Failed -> Unit
+        }
+    }
+
+    private fun placeChanged(before: PeerTable) {
+        if (before.peers.keys != table.peers.keys) cachedPlace = GatewayPlace(self.node, table.everyone)
+    }
+
+    /** Sends [beat] to every process, or to a random part of them if there are many. */
+    private fun sendToSome(beat: Beat) {
+        val all = table.peers.values.map { it.record }
+        val chosen = if (all.size <= MAXIMUM_TARGETS) all else all.shuffled(random).take(MAXIMUM_TARGETS)
+        val bytes = PeerCodec.encode(beat)
+        chosen.forEach { links.send(InetSocketAddress(it.ip, it.peerPort), bytes) }
+    }
+
+    /** Sends [message] to every process. */
+    fun broadcast(message: PeerMessage) {
+        val bytes = PeerCodec.encode(message)
+        table.peers.values.forEach { links.send(InetSocketAddress(it.record.ip, it.record.peerPort), bytes) }
+    }
+
+    /** Sends [message] to the process that holds the duties; false if none is known. */
+    fun sendToController(message: PeerMessage): Boolean {
+        val holder = table.alive(clock.now())
+            .filter { it.beat?.duty != null }
+            .maxByOrNull { it.beat?.duty?.record?.epoch?.value ?: 0 }
+            ?: return false
+        links.send(InetSocketAddress(holder.record.ip, holder.record.peerPort), PeerCodec.encode(message))
+        return true
+    }
+
+    private fun received(bytes: ByteArray) {
+        val message = PeerCodec.decode(bytes)
+        if (message == null) {
+            log("peer_message_unreadable", arrayOf("bytes" to bytes.size))
+            return
+        }
+        when (message) {
+            is Beat -> beat(message)
+            is GroupAnnouncement -> links.onGroups(message)
+            is GroupSuspicion -> links.onSuspicion(GroupId(message.group))
+        }
+    }
+
+    private fun beat(beat: Beat) {
+        val before = table
+        table = table.heard(beat, clock.now())
+        if (table === before) return
+        val isNew = beat.sender.node !in before.peers
+        if (isNew) log("peer_heard", arrayOf("node" to beat.sender.node, "start" to beat.sender.start))
+        placeChanged(before)
+        links.onLoad(ProcessName(beat.sender.node), beat.load.mapKeys { BackendServer(it.key) })
+        if (beat.trafficSeen) links.onTraffic()
+        beat.duty?.let { duty ->
+            links.onLease(LeaseMessage.HolderRenewed(SeenLease(LeaseVersion(duty.version), duty.record)))
+            links.onLease(LeaseMessage.HolderHeard(duty.record.epoch))
+        }
+    }
+
+    private companion object {
+        /** Processes that one beat is sent to, so that its cost doesn't grow with the fleet. */
+        const val MAXIMUM_TARGETS = 24
+        val REGISTRY_INTERVAL = Duration.INFINITE
+    }
+}
--- /dev/null
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -0,0 +1,475 @@
+package redwingcross.edge
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import redwingcross.connection.datagram.DatagramSocket
+import redwingcross.connection.http.CallResult
+import redwingcross.connection.http.CallerBounds
+import redwingcross.connection.http.CallerExchange
+import redwingcross.connection.http.CallerListener
+import redwingcross.connection.http.ConnectionBounds
+import redwingcross.connection.http.HttpCaller
+import redwingcross.connection.http.HttpConnections
+import redwingcross.connection.http.RemoteParty
+import redwingcross.connection.http.ServeExchange
+import redwingcross.platform.DirectoryFormat
+import redwingcross.platform.EngineFormat
+import redwingcross.platform.OrderFormat
+import redwingcross.platform.PlatformFleet
+import redwingcross.platform.RequestFormat
+import redwingcross.process.edge.AnnouncedGroup
+import redwingcross.process.edge.AnnouncedGroups
+import redwingcross.process.edge.Beat
+import redwingcross.process.edge.ControllerLinks
+import redwingcross.process.edge.ControllerMessage
+import redwingcross.process.edge.ControllerTask
+import redwingcross.process.edge.EdgeSettings
+import redwingcross.process.edge.EventLog
+import redwingcross.process.edge.FleetDecision
+import redwingcross.process.edge.FleetState
+import redwingcross.process.edge.GatewayLinks
+import redwingcross.process.edge.GatewayRecord
+import redwingcross.process.edge.GatewayTask
+import redwingcross.process.edge.GroupAnnouncement
+import redwingcross.process.edge.GroupSuspicion
+import redwingcross.process.edge.LoopTask
+import redwingcross.process.edge.PeerLinks
+import redwingcross.process.edge.PeerTask
+import redwingcross.process.edge.PeerTaskMessage
+import redwingcross.request.BackendServer
+import redwingcross.request.GroupId
+import redwingcross.request.ModelName
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ServiceName
+import redwingcross.request.forward.Repeatability
+import redwingcross.version.bundle.Endpoint
+import redwingcross.version.fleet.FleetNews
+import redwingcross.version.fleet.FormationOrder
+import redwingcross.version.fleet.GroupEpoch
+import redwingcross.version.fleet.NewsSource
+import redwingcross.version.fleet.OrderCount
+import redwingcross.version.fleet.ServingGroup
+import redwingcross.version.forwarding.CancelTimer
+import redwingcross.version.forwarding.SendToBackend
+import redwingcross.version.lease.LeaseMessage
+import redwingcross.version.placement.LeaseEpoch
+import sun.misc.Signal
+import java.net.InetSocketAddress
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** One process: the tasks of a gateway and a controller on one event loop, and the sockets that they own. */
+internal class EdgeProcess(private val settings: EdgeSettings) {
+    private val clock = MonotonicClock.system
+    private val group = NioEventLoopGroup(1)
+    private val loop = group.next()
+    private val events = EventLog(KotlinLogging.logger("redwingcross"), clock, LOG_LINES_PER_SECOND)
+    private val random = Random(System.nanoTime())
+    private val startMillis = System.currentTimeMillis()
+    private val self = GatewayRecord(
+        settings.node.value,
+        startMillis,
+        settings.ip,
+        settings.internalPorts.first,
+        settings.callers.value,
+        settings.zone.value,
+    )
+    private val backends = HttpConnections(group, clock, BACKEND_BOUNDS)
+    private val control = HttpConnections(group, clock, CONTROL_BOUNDS)
+    private val caller = HttpCaller(control, loop as io.netty.channel.EventLoop)
+    private val storeParty = RemoteParty(address(settings.store), settings.store.value)
+    private val platform = PlatformFleet(storeParty, caller::call, ::runAfter) { event, pairs ->
+        events.warn(event, pairs.toTypedArray())
+    }
+    private val peerSocket = DatagramSocket(
+        group,
+        onReceived = { peerPost(PeerTaskMessage.Received(it)) },
+        onError = { events.warn("peer_socket_error", arrayOf("detail" to it.message)) },
+    )
+    private var fleet = FleetState()
+    private var trafficHeard = false
+    private var stopping = false
+    private val stopped = CountDownLatch(1)
+
+    private val gateway = GatewayTask(
+        GatewayLinks(
+            clock = clock,
+            codec = RequestFormat.codec,
+            fleet = { fleet },
+            place = { peers.place },
+            send = sendToBackend(),
+            runLater = ::runLater,
+            suspect = ::suspect,
+            coldReported = { _, _ -> },
+            recordOutcome = { outcome ->
+                events.info(
+                    "request_finished",
+                    arrayOf(
+                        "attempt" to outcome.job.request.attempt,
+                        "route" to outcome.job.route.name,
+                        "outcome" to outcome.outcome,
+                        "reason" to outcome.reason,
+                        "sends" to outcome.sends,
+                        "first" to outcome.firstEvent?.inWholeMilliseconds,
+                        "total" to outcome.total.inWholeMilliseconds,
+                    ),
+                )
+            },
+            log = events.info,
+        ),
+        settings.bounds,
+        random,
+    )
+    private val controller = ControllerTask(
+        settings.node,
+        "$startMillis",
+        ControllerLinks(
+            configuration = { fleet.configuration },
+            table = { fleet.table },
+            trafficSeen = { trafficHeard || gateway.hasSeenRequests },
+            hearsMajority = { peers.hearsMajority() },
+            storeAnswers = { fleet.interruptedAt == null },
+            applyReport = { engine, report ->
+                fleet = FleetDecision.reported(fleet, engine, report, clock.now())
+            },
+            readLease = { call -> platform.readLease(call, ::postLease) },
+            writeLease = { call, expected, record -> platform.writeLease(call, expected, record, ::postLease) },
+            ask = ::ask,
+            order = ::order,
+            announce = ::announce,
+        ),
+        clock,
+        events.info,
+    )
+    private val peers: PeerTask = PeerTask(
+        self,
+        PeerLinks(
+            send = peerSocket::send,
+            beat = ::beat,
+            register = { platform.register(self) { peerPost(PeerTaskMessage.Registry(it)) } },
+            listRegistry = { platform.listGateways { peerPost(PeerTaskMessage.Registry(it)) } },
+            onLoad = gateway::peerLoad,
+            onTraffic = { trafficHeard = true },
+            onGroups = ::groupsAnnounced,
+            onSuspicion = { controllerPost(ControllerMessage.Suspected(it)) },
+            onLease = ::postLease,
+        ),
+        clock,
+        random,
+        events.info,
+    )
+    private val controllerTask = LoopTask<ControllerMessage>(loop, MAILBOX, ::dropped, controller::handle)
+    private val peerTask = LoopTask<PeerTaskMessage>(loop, MAILBOX, ::dropped, peers::handle)
+    private val fleetTask = LoopTask<FleetNews>(loop, MAILBOX, ::dropped, ::fleetNews)
+    private var announcementSequence = 0L
+
+    private val callers = CallerListener(
+        group,
+        clock,
+        maximumHeadBytes = { fleet.configuration?.limits?.headerBytes ?: DEFAULT_HEAD_BYTES },
+        bounds = ::callerBounds,
+        onRefused = { events.info("caller_refused", arrayOf("status" to it)) },
+        serve = gateway::serve,
+    )
+    private val readiness = listener(::serveControl)
+    private val directory = listener(::serveControl)
+
+    /** Serves until the process is stopped. */
+    fun run() {
+        events.info("start", arrayOf("node" to settings.node, "zone" to settings.zone, "callers" to settings.callers))
+        for (name in listOf("TERM", "INT")) Signal.handle(Signal(name)) { loop.execute { stop(name) } }
+        Signal.handle(Signal("HUP")) { events.info("reload", arrayOf("settings" to "unchanged")) }
+        peerSocket.start(InetSocketAddress(settings.ip, settings.internalPorts.first))
+        readiness.start(address(settings.readiness))
+        settings.directory?.let { directory.start(address(it)) }
+        callers.start(address(settings.callers))
+        loop.execute(::startTasks)
+        stopped.await()
+    }
+
+    private fun startTasks() {
+        platform.follow(::watchPause, fleetTask.post)
+        backends.startExpiry()
+        control.startExpiry()
+        peerTask.post(PeerTaskMessage.Tick)
+        peerTask.every(BEAT_INTERVAL, PeerTaskMessage.Tick)
+        controllerTask.every(CONTROLLER_INTERVAL, ControllerMessage.Tick)
+        loop.scheduleWithFixedDelay(
+            ::watch,
+            WATCH_INTERVAL.inWholeMilliseconds,
+            WATCH_INTERVAL.inWholeMilliseconds,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
+    private fun watch() {
+        val before = fleet
+        fleet = FleetDecision.expired(fleet, clock.now())
+        if (fleet !== before) gateway.forgetGone(fleet.table.engines.keys)
+        gateway.watchStreams()
+    }
+
+    private fun peerPost(message: PeerTaskMessage): Unit = peerTask.post(message)
+
+    private fun controllerPost(message: ControllerMessage): Unit = controllerTask.post(message)
+
+    private fun postLease(message: LeaseMessage): Unit = controllerPost(ControllerMessage.Lease(message))
+
+    private fun dropped(): Unit = events.warn("mailbox_full", emptyArray())
+
+    private fun fleetNews(news: FleetNews) {
+        val before = fleet
+        fleet = FleetDecision.news(fleet, news, clock.now())
+        when {
+            before.configuration !== fleet.configuration ->
+                events.info("configuration_adopted", arrayOf("version" to fleet.configuration?.version?.value))
+            before.table.evacuatedZones != fleet.table.evacuatedZones ->
+                events.info("zones_out", arrayOf("zones" to fleet.table.evacuatedZones.joinToString(",")))
+            before.interruptedAt == null && fleet.interruptedAt != null ->
+                events.warn("store_lost", arrayOf("news" to news))
+            before.interruptedAt != null && fleet.interruptedAt == null ->
+                events.info("store_regained", arrayOf("after" to (clock.now() - before.interruptedAt!!)))
+            news is FleetNews.ServerRemoved -> events.info("back_end_removed", arrayOf("server" to news.server))
+            news is FleetNews.ServerChanged && news.server.draining ->
+                events.info("back_end_draining", arrayOf("server" to news.server.id))
+            else -> Unit
+        }
+    }
+
+    private fun watchPause(source: NewsSource): Duration = when {
+        source != NewsSource.BACKEND_SERVERS -> CONFIGURATION_PAUSE
+        controller.isActing -> CONTROLLER_LIST_PAUSE
+        else -> minOf(GATEWAY_LIST_PAUSE, settings.bounds.drain / 2)
+    }
+
+    private fun beat() = Beat(
+        sender = self,
+        sequence = 0,
+        ready = isReady(),
+        leaving = stopping,
+        trafficSeen = trafficHeard || gateway.hasSeenRequests,
+        configuration = fleet.configuration?.version?.value ?: 0,
+        load = gateway.ownLoad.entries.associate { (server, count) -> server.value to count },
+        duty = controller.heldLease,
+    )
+
+    private fun isReady(): Boolean = fleet.isUsable && !stopping
+
+    private fun suspect(suspected: GroupId) {
+        if (controller.isActing) {
+            controllerPost(ControllerMessage.Suspected(suspected))
+        } else {
+            peers.sendToController(GroupSuspicion(self, suspected.value))
+        }
+    }
+
+    private fun announce(service: ServiceName, epoch: LeaseEpoch, serving: List<ServingGroup>, lost: Set<GroupId>) {
+        announcementSequence++
+        val message = GroupAnnouncement(
+            self,
+            epoch.value,
+            announcementSequence,
+            service.value,
+            serving.map {
+                AnnouncedGroup(
+                    it.id.value,
+                    it.epoch.value,
+                    it.model.value,
+                    it.head.value,
+                    it.headAddress.value,
+                    it.headZone.value,
+                )
+            },
+            lost.map { it.value },
+        )
+        peers.broadcast(message)
+        groupsAnnounced(message)
+    }
+
+    private fun groupsAnnounced(message: GroupAnnouncement) {
+        val groups = AnnouncedGroups(
+            message.leaseEpoch,
+            message.sequence,
+            clock.now(),
+            message.serving.map {
+                ServingGroup(
+                    GroupId(it.id),
+                    GroupEpoch(it.epoch),
+                    ServiceName(message.service),
+                    ModelName(it.model),
+                    BackendServer(it.head),
+                    Endpoint(it.address),
+                    redwingcross.request.AvailabilityZone(it.zone),
+                    emptyList(),
+                )
+            },
+            message.lost.mapTo(mutableSetOf(), ::GroupId),
+        )
+        fleet = FleetDecision.announced(fleet, groups)
+        gateway.groupsLost(groups.lost)
+    }
+
+    private fun ask(service: ServiceName, engine: BackendServer, endpoint: Endpoint) {
+        val askedAt = clock.now()
+        val party = RemoteParty(address(endpoint), engine.value)
+        caller.call(party, OrderFormat.reportHead(endpoint.value), ByteArray(0), ASK_TIMEOUT) { result ->
+            val report = (result as? CallResult.Answered)?.let { EngineFormat.report(it.body) }
+            val refused = result == CallResult.NotSent && clock.now() - askedAt < REFUSED_WITHIN
+            controllerPost(ControllerMessage.Asked(service, engine, report, refused))
+        }
+    }
+
+    private fun order(
+        service: ServiceName,
+        engine: BackendServer,
+        endpoint: Endpoint,
+        order: FormationOrder,
+        expected: OrderCount,
+    ) {
+        val party = RemoteParty(address(endpoint), engine.value)
+        val body = OrderFormat.encode(order, expected)
+        caller.call(party, OrderFormat.orderHead(endpoint.value), body, ORDER_TIMEOUT) { result ->
+            val outcome = OrderFormat.outcome(result)
+            val status = (result as? CallResult.Answered)?.status
+            events.info(
+                "order",
+                arrayOf("engine" to engine, "order" to order, "outcome" to outcome, "status" to status),
+            )
+            controllerPost(ControllerMessage.Ordered(service, engine, outcome))
+        }
+    }
+
+    private fun sendToBackend(): SendToBackend = { backend, head, body, repeatability, listener ->
+        val maximumIdle = if (repeatability.mayRunAgain) Duration.INFINITE else UNREPEATABLE_IDLE
+        val expected = head.headers.get("Attempt-Id")
+        backends.exchange(
+            RemoteParty(address(backend.address), backend.server.value),
+            head,
+            body,
+            { answer -> answer.headers.get("Attempt-Id")?.let { it == expected } ?: true },
+            listener,
+            maximumIdle,
+        )
+    }
+
+    private fun serveControl(exchange: CallerExchange) {
+        val target = exchange.head.target
+        val zone = DirectoryFormat.resolveZone(target)
+        val headers = DefaultHttpHeaders()
+        when {
+            DirectoryFormat.isReadiness(target) -> exchange.respond(if (isReady()) OK else UNAVAILABLE, headers, EMPTY)
+            zone != null -> {
+                val addresses = addressesFor()
+                if (addresses.isEmpty()) {
+                    exchange.respond(UNAVAILABLE, headers, EMPTY)
+                } else {
+                    headers.add("Content-Type", "application/json")
+                    exchange.respond(OK, headers, DirectoryFormat.addresses(addresses, listLifetime()))
+                }
+            }
+            else -> exchange.respond(NOT_FOUND, headers, EMPTY)
+        }
+    }
+
+    private fun addressesFor(): List<Endpoint> {
+        val others = peers.alive()
+            .filter { it.beat?.ready == true && it.beat?.leaving == false }
+            .map { Endpoint(it.record.callers) }
+        val own = listOf(settings.callers).filter { isReady() }
+        return (own + others).take(MAXIMUM_ADDRESSES)
+    }
+
+    private fun listLifetime(): Duration = minOf(LIST_LIFETIME, settings.bounds.maximumListLifetime)
+
+    private fun listener(serve: ServeExchange) =
+        CallerListener(group, clock, { DEFAULT_HEAD_BYTES }, ::callerBounds, {}, serve)
+
+    private fun callerBounds(): CallerBounds {
+        val limits = fleet.configuration?.limits
+        return CallerBounds(
+            limits?.bodyBytes ?: DEFAULT_BODY_BYTES,
+            limits?.headerTimeout ?: DEFAULT_HEAD_TIMEOUT,
+            limits?.idleTimeout ?: DEFAULT_IDLE_TIMEOUT,
+        )
+    }
+
+    private fun stop(signal: String) {
+        if (stopping) return
+        stopping = true
+        events.info("stop", arrayOf("signal" to signal, "running" to gateway.running))
+        controllerPost(ControllerMessage.Release)
+        peerPost(PeerTaskMessage.Tick)
+        val grace = settings.bounds.stopGrace
+        val drainUntil = clock.now() + minOf(LIST_LIFETIME * LIST_FACTOR + 300.milliseconds, grace / 2)
+        val endBy = clock.now() + grace - STOP_MARGIN
+        runAfter(minOf(LIST_LIFETIME * LIST_FACTOR, grace / 2)) { callers.closeGracefully() }
+        endWhenIdle(drainUntil, endBy)
+    }
+
+    private fun endWhenIdle(drainUntil: Duration, endBy: Duration) {
+        val now = clock.now()
+        if (now >= endBy || (now >= drainUntil && gateway.running == 0)) {
+            events.info("stopped", arrayOf("running" to gateway.running))
+            stopped.countDown()
+            runAfter(100.milliseconds) { Runtime.getRuntime().halt(0) }
+        } else {
+            runAfter(50.milliseconds) { endWhenIdle(drainUntil, endBy) }
+        }
+    }
+
+    private fun runAfter(delay: Duration, action: () -> Unit) {
+        loop.schedule(action, delay.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+    }
+
+    private fun runLater(delay: Duration, action: () -> Unit): CancelTimer {
+        val future = loop.schedule(action, delay.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+        return CancelTimer { future.cancel(false) }
+    }
+
+    private fun address(endpoint: Endpoint): InetSocketAddress {
+        val text = endpoint.value
+        return InetSocketAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+        const val NOT_FOUND = 404
+        val EMPTY = ByteArray(0)
+
+        /** Messages that wait for a task; more are dropped and counted in the log. */
+        const val MAILBOX = 4096
+        const val LOG_LINES_PER_SECOND = 150
+        const val DEFAULT_HEAD_BYTES = 16_384
+        const val DEFAULT_BODY_BYTES = 4_194_304L
+        val DEFAULT_HEAD_TIMEOUT = 3.seconds
+        val DEFAULT_IDLE_TIMEOUT = 15.seconds
+        val BACKEND_BOUNDS = ConnectionBounds(connectTimeout = 300.milliseconds, maximumIdle = 16)
+        val CONTROL_BOUNDS = ConnectionBounds(connectTimeout = 300.milliseconds, maximumIdle = 4)
+
+        /** A connection that was idle longer may be closed while a request that can't be repeated is on its way. */
+        val UNREPEATABLE_IDLE = 700.milliseconds
+        val ASK_TIMEOUT = 300.milliseconds
+        val REFUSED_WITHIN = 200.milliseconds
+        val ORDER_TIMEOUT = 400.milliseconds
+        val BEAT_INTERVAL = 250.milliseconds
+        val CONTROLLER_INTERVAL = 100.milliseconds
+        val WATCH_INTERVAL = 100.milliseconds
+        val CONFIGURATION_PAUSE = 200.milliseconds
+        val CONTROLLER_LIST_PAUSE = 250.milliseconds
+        val GATEWAY_LIST_PAUSE = 800.milliseconds
+
+        /** Callers keep a list for this long, some of them three times as long. */
+        val LIST_LIFETIME = 1.seconds
+        const val LIST_FACTOR = 3
+        const val MAXIMUM_ADDRESSES = 64
+
+        /** Time between the end of the process and the kill that follows the grace period. */
+        val STOP_MARGIN = 500.milliseconds
+    }
+}
--- a/request/src/main/kotlin/redwingcross/request/Ids.kt
+++ b/request/src/main/kotlin/redwingcross/request/Ids.kt
@@ -71,3 +71,10 @@
 value class ProcessName(val value: String) {
     override fun toString(): String = value
 }
+
+/** Name of a model as callers and engines spell it. */
+@Serializable
+@JvmInline
+value class ModelName(val value: String) {
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
@@ -0,0 +1,121 @@
+package redwingcross.version.fleet
+
+import redwingcross.request.Customer
+import redwingcross.request.ModelName
+import redwingcross.request.ServiceName
+import redwingcross.request.forward.Repeatability
+import kotlin.time.Duration
+
+/** Version of the operator's configuration; it rises in uneven steps. */
+@JvmInline
+value class ConfigurationVersion(val value: Long) : Comparable<ConfigurationVersion> {
+    override fun compareTo(other: ConfigurationVersion): Int = value.compareTo(other.value)
+}
+
+/** One whole configuration of the operator: what callers may ask for and which services answer. */
+class FleetConfiguration(
+    val version: ConfigurationVersion,
+    val routes: List<Route>,
+    val services: Map<ServiceName, ServiceTerms>,
+    val limits: CallerLimits,
+    val tenants: List<Tenant>,
+) {
+    private val routesByHost = routes.groupBy { it.host.lowercase() }
+        .mapValues { (_, sameHost) -> sameHost.sortedByDescending { it.pathPrefix.length } }
+    private val tenantsByKey = tenants.flatMap { tenant -> tenant.keys.map { it to tenant } }.toMap()
+
+    /** Whether callers have to present a key. */
+    val requiresKeys: Boolean get() = tenants.isNotEmpty()
+
+    /** The route with the longest prefix of [path] at [host]; null if there is none. */
+    fun route(host: String, path: String): Route? =
+        routesByHost[host.substringBefore(':').lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+
+    /** The tenant that holds [key]. */
+    fun tenant(key: String): Tenant? = tenantsByKey[key]
+}
+
+/** One route: what a request looks like, where it goes and what it may cost. */
+data class Route(
+    val name: String,
+    val host: String,
+    val pathPrefix: String,
+    val repeatability: Repeatability,
+    /** Longest time that the operator lets a request wait for its answer. */
+    val timeout: Duration,
+    /** Time within which the answer, or the first event of a stream, is on time. */
+    val targetLatency: Duration,
+    /** Longest pause between events of a stream that is on time; null for plain answers. */
+    val targetGap: Duration?,
+    /** Most back ends to which one attempt of a caller may be sent. */
+    val maximumSends: Int,
+    /** 0 is the most urgent. */
+    val priority: Int,
+    val anonymous: Boolean,
+    val destinations: List<Destination>,
+)
+
+/** A service with the part of a route's requests that goes to it. */
+data class Destination(val service: ServiceName, val weight: Int)
+
+/** Bounds on what a caller may send. */
+data class CallerLimits(
+    val headerBytes: Int,
+    val bodyBytes: Long,
+    val headerTimeout: Duration,
+    val idleTimeout: Duration,
+)
+
+/** A customer with the keys that its callers present. */
+data class Tenant(val name: Customer, val keys: List<String>, val priority: Int?)
+
+/** A service that routes lead to. */
+data class ServiceTerms(
+    val name: ServiceName,
+    val healthPath: String,
+    /** Connections that one back end accepts from all gateways together. */
+    val maximumConnections: Int,
+    val coldFor: Duration,
+    /** Requests a second that a cold back end tolerates from all gateways together; 0 if it never is cold. */
+    val coldRequestsPerSecond: Double,
+    /** Present if the back ends are model engines. */
+    val pool: ModelPool?,
+)
+
+/** What the engines of a service have in common. Slots, memory and times are those of a whole serving group. */
+data class ModelPool(
+    val slots: Int,
+    val memoryTokens: Long,
+    val models: List<ModelTerms>,
+    /** Token steps in one pass of an engine, and so tokens in one event of a stream. */
+    val stepsPerPass: Int,
+    val step: Duration,
+    /** Added to a step for each request that generates. */
+    val stepPerRequest: Duration,
+    /** Prompt tokens read a second. */
+    val promptTokensPerSecond: Double,
+    val loadsPerSecond: Double,
+    /** Loads of weights that run at full speed at the same time. */
+    val concurrentLoads: Int,
+    /** From the order to open a group until it serves. */
+    val opening: Duration,
+    /** Reports show the state of an engine as of this long ago. */
+    val reportLag: Duration,
+    val usualPromptTokens: Double,
+    val usualOutputTokens: Double,
+)
+
+/** A model that groups of engines serve. */
+data class ModelTerms(
+    val name: ModelName,
+    /** Engines in one serving group. */
+    val groupSize: Int,
+    /** Factor on all times of the group. */
+    val pace: Double,
+    /** Part of the work at the start. */
+    val share: Double,
+    /** Loading weights from the weight store. */
+    val load: Duration,
+    /** Loading weights that are staged on the host. */
+    val warm: Duration,
+)
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/fleet/ServingGroups.kt
@@ -0,0 +1,83 @@
+package redwingcross.version.fleet
+
+import redwingcross.request.AvailabilityZone
+import redwingcross.request.BackendServer
+import redwingcross.request.GroupId
+import redwingcross.request.ModelName
+import redwingcross.request.ServiceName
+import redwingcross.version.bundle.Endpoint
+
+/** A group that requests may be sent to. */
+data class ServingGroup(
+    val id: GroupId,
+    val epoch: GroupEpoch,
+    val service: ServiceName,
+    val model: ModelName,
+    val head: BackendServer,
+    val headAddress: Endpoint,
+    val headZone: AvailabilityZone,
+    val members: List<BackendServer>,
+)
+
+/** Names of groups carry the model, so that a process that did not form a group knows what it serves. */
+object GroupNames {
+    private const val SEPARATOR = '.'
+
+    fun compose(model: ModelName, epoch: GroupEpoch): GroupId = GroupId("${model.value}$SEPARATOR${epoch.value}")
+
+    /** The model of a group; null if the name was given by somebody else. */
+    fun model(id: GroupId): ModelName? =
+        id.value.substringBeforeLast(SEPARATOR, "").takeIf { it.isNotEmpty() }?.let(::ModelName)
+}
+
+/** Engines that report the same group under the same epoch, by rank. */
+data class ReportedGroup(val id: GroupId, val epoch: GroupEpoch, val members: List<KnownEngine>) {
+    val head: KnownEngine? get() = members.firstOrNull { it.status.membership?.isHead == true }
+
+    /** Whether each rank from 0 to [size] is present once. */
+    fun isComplete(size: Int): Boolean =
+        members.size == size && members.withIndex().all { (rank, member) -> member.status.membership?.rank == rank }
+
+    /** Whether every member is ready or serves. */
+    val isReady: Boolean
+        get() = members.all {
+            val phase = it.status.membership?.phase
+            phase == MemberPhase.READY || phase == MemberPhase.OPEN
+        }
+}
+
+/** Every group that engines of [service] report to be in. */
+fun EngineTable.reportedGroups(service: ServiceName): List<ReportedGroup> = engines.values
+    .filter { it.status.service == service && it.status.membership != null }
+    .groupBy { it.status.membership!!.group to it.status.membership.epoch }
+    .map { (key, members) ->
+        ReportedGroup(key.first, key.second, members.sortedBy { it.status.membership?.rank })
+    }
+
+/**
+ * Groups whose head serves, of which every member is known and stays. The head of a group is opened only after every
+ * member has reported that it is ready under the group's name and epoch, so an open head proves that the group is whole.
+ */
+fun EngineTable.servingGroups(service: ServiceTerms): List<ServingGroup> {
+    val pool = service.pool ?: return emptyList()
+    return reportedGroups(service.name).mapNotNull { group ->
+        val model = GroupNames.model(group.id) ?: return@mapNotNull null
+        val terms = pool.models.firstOrNull { it.name == model } ?: return@mapNotNull null
+        val head = group.head ?: return@mapNotNull null
+        val serves = head.status.membership?.phase == MemberPhase.OPEN &&
+            group.isComplete(terms.groupSize) &&
+            group.members.none { it.status.membership?.phase == MemberPhase.BROKEN } &&
+            group.members.all { takesWork(it) }
+        if (!serves) return@mapNotNull null
+        ServingGroup(
+            id = group.id,
+            epoch = group.epoch,
+            service = service.name,
+            model = model,
+            head = head.id,
+            headAddress = head.status.address,
+            headZone = head.status.zone,
+            members = group.members.map { it.id },
+        )
+    }
+}
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -0,0 +1,105 @@
+package redwingcross.version.forwarding
+
+import redwingcross.request.BackendServer
+import redwingcross.request.GroupId
+import redwingcross.request.ModelName
+import redwingcross.request.ServiceName
+import redwingcross.version.bundle.Endpoint
+import redwingcross.version.fleet.ColdAllowance
+import redwingcross.version.fleet.EngineTable
+import redwingcross.version.fleet.GatewayPlace
+import redwingcross.version.fleet.KnownEngine
+import redwingcross.version.fleet.ServiceTerms
+import redwingcross.version.fleet.ServingGroup
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** Where a request is offered. */
+data class ChosenBackend(val server: BackendServer, val address: Endpoint, val group: GroupId?, val kind: String)
+
+/** The result of a choice. */
+sealed interface Choice {
+    data class Chosen(val backend: ChosenBackend) : Choice
+
+    /** Every back end that could run the request has as much as it can take. */
+    data object AllBusy : Choice
+
+    /** No back end could run the request. */
+    data object NoneServing : Choice
+}
+
+/** Bounds of the choice of a back end. */
+data class ChoiceSettings(
+    /** Requests at a group as a multiple of its slots, beyond which a request is refused rather than queued there. */
+    val groupLimit: Double = 1.3,
+    /** The same for back ends of plain services, whose requests are short. */
+    val serverLimit: Double = 3.0,
+    /** Factor and surplus on the request rate of a cold back end. */
+    val coldOverrun: Double,
+    val coldSlack: Double,
+)
+
+/** Chooses the back end with the least expected work; owned by the fleet task. */
+class BackendChooser(
+    private val settings: ChoiceSettings,
+    private val load: BackendLoad,
+    private val health: BackendHealth,
+    private val allowance: ColdAllowance,
+    private val random: Random,
+) {
+    /** Chooses among the groups that serve [model]. */
+    fun chooseGroup(
+        service: ServiceTerms,
+        model: ModelName,
+        groups: List<ServingGroup>,
+        scene: ChoiceScene,
+    ): Choice {
+        val slots = service.pool?.slots ?: return Choice.NoneServing
+        val limit = slots * settings.groupLimit
+        val serving = groups.filter { it.model == model && it.service == service.name }
+        val usable = serving.filter { group ->
+            val head = scene.table.engines[group.head]
+            head != null && scene.table.takesWork(head) && group.id !in scene.avoidedGroups &&
+                isOpenTo(head, service, scene)
+        }
+        val best = usable.filter { load.total(it.head) < limit }
+            .minByOrNull { score(it.head, model.value) }
+            ?: return if (usable.isEmpty()) Choice.NoneServing else Choice.AllBusy
+        return Choice.Chosen(ChosenBackend(best.head, best.headAddress, best.id, model.value))
+    }
+
+    /** Chooses among the back ends of a plain service. */
+    fun chooseServer(service: ServiceTerms, scene: ChoiceScene): Choice {
+        val usable = scene.table.engines.values.filter {
+            it.status.service == service.name && scene.table.takesWork(it) && isOpenTo(it, service, scene)
+        }
+        val best = usable.filter { load.total(it.id) < it.status.slots * settings.serverLimit }
+            .minByOrNull { score(it.id, service.name.value) / it.status.slots }
+            ?: return if (usable.isEmpty()) Choice.NoneServing else Choice.AllBusy
+        return Choice.Chosen(ChosenBackend(best.id, best.status.address, null, service.name.value))
+    }
+
+    private fun isOpenTo(engine: KnownEngine, service: ServiceTerms, scene: ChoiceScene): Boolean {
+        if (engine.id in scene.excluded || health.isAvoided(engine.id, scene.now)) return false
+        if (!scene.table.isCold(engine, scene.now) || service.coldRequestsPerSecond <= 0) return true
+        val bound = (service.coldRequestsPerSecond * settings.coldOverrun + settings.coldSlack).toInt()
+        return allowance.admits(engine.id, bound, scene.place, scene.now)
+    }
+
+    private fun score(server: BackendServer, kind: String): Double =
+        (load.total(server) + 1 + random.nextDouble()) * health.slowness(server, kind)
+}
+
+/** What a choice depends on at one moment. */
+class ChoiceScene(
+    val table: EngineTable,
+    val place: GatewayPlace,
+    /** Back ends that the request was offered to before. */
+    val excluded: Set<BackendServer>,
+    /** Groups that make no progress. */
+    val avoidedGroups: Set<GroupId>,
+    val now: Duration,
+)
+
+/** Chooses a back end of [service] for a request of [model], or of a plain service if it is null. */
+typealias ChooseBackend = (service: ServiceName, model: ModelName?, excluded: Set<BackendServer>) -> Choice
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -0,0 +1,46 @@
+package redwingcross.version.forwarding
+
+import redwingcross.connection.http.AnswerListener
+import redwingcross.connection.http.PendingExchange
+import redwingcross.connection.http.RequestHead
+import redwingcross.request.BackendServer
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ServiceName
+import redwingcross.request.forward.OfferEnd
+import redwingcross.request.forward.Repeatability
+import kotlin.time.Duration
+
+/** Cancels an action that was to run later. */
+fun interface CancelTimer {
+    fun cancel()
+}
+
+/** Sends a request to a back end and gives the answer to the listener. */
+typealias SendToBackend =
+    (ChosenBackend, RequestHead, ByteArray, Repeatability, AnswerListener) -> PendingExchange
+
+/** What the tasks of requests share within a process. All functions run on the event loop. */
+class ForwardContext(
+    val clock: MonotonicClock,
+    val codec: RequestCodec,
+    val health: BackendHealth,
+    val runLater: (Duration, () -> Unit) -> CancelTimer,
+    val choose: ChooseBackend,
+    val send: SendToBackend,
+    /** A request is offered to a back end. */
+    val began: (ChosenBackend, ForwardTask) -> Unit,
+    /** The offer is over. */
+    val ended: (ChosenBackend, ForwardTask) -> Unit,
+    /** How the offer ended; null if it was served. */
+    val offerEnded: (ChosenBackend, OfferEnd?) -> Unit,
+    /** Takes one repetition out of the retry budget of a service. */
+    val takeRepetition: (ServiceName) -> Boolean,
+    /** The priority that a back end is told. */
+    val priority: (ForwardJob) -> Int?,
+    /** When a refused caller may come back. */
+    val retryAfter: (ForwardJob) -> Duration,
+    val coldReported: (BackendServer, Duration) -> Unit,
+    val faultReported: (ChosenBackend, BackendServer) -> Unit,
+    val finished: (ForwardTask, ForwardOutcome) -> Unit,
+    val log: (event: String, pairs: Array<Pair<String, Any?>>) -> Unit,
+)
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
@@ -23,6 +23,7 @@
         is LeaseMessage.OutcomeUnknown -> state.answering(message.call) { it.pausing(now).with() }
         is LeaseMessage.WriteFailed -> state.answering(message.call) { it.pausing(now).with() }
         is LeaseMessage.HolderHeard -> holderHeard(state, message.epoch, now)
+        is LeaseMessage.HolderRenewed -> holderRenewed(state, message.lease, now)
         is LeaseMessage.RankChanged -> state.copy(rank = message.rank).with()
         LeaseMessage.Superseded -> state.copy(nextCallAt = now, seen = null).with()
         LeaseMessage.Release -> tick(state.copy(releasing = true, nextCallAt = now), now)
@@ -147,6 +148,13 @@
         }
     }
 
+    /** Knowing the newest version lets a standby take over without reading first; the write is conditional on it. */
+    private fun holderRenewed(state: LeaseState, lease: SeenLease, now: Duration): Step {
+        val isNewer = state.seen == null || lease.version > state.seen.version
+        if (!isNewer || state.held != null || state.unsettled != null || state.releasing) return state.with()
+        return holderHeard(state.copy(seen = lease, seenAt = now), lease.record.epoch, now)
+    }
+
     private fun LeaseState.mayTakeOver(now: Duration): Boolean {
         val current = seen ?: return false
         return current.record.holder == null || now >= seenAt + maxOf(settings.duration, current.record.duration)
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseMessage.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseMessage.kt
@@ -26,6 +26,9 @@
     /** The holder of the zone was heard by gossip. */
     data class HolderHeard(val epoch: LeaseEpoch) : LeaseMessage
 
+    /** The holder told that it renewed the lease, which became [lease]. */
+    data class HolderRenewed(val lease: SeenLease) : LeaseMessage
+
     /** Position of this process in the rendezvous order of the zone, from 0. */
     data class RankChanged(val rank: Int) : LeaseMessage
 
