Give group formation the weight store before spares

Cause: spares and small groups took the loads, so the large model had two groups at the start of traffic. Change: a group that waits for loads blocks spares; suspected engines are lost after one unanswered question; a suspected group is avoided only while another one serves.

--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -338,7 +338,13 @@
             val status = (result as? CallResult.Answered)?.status
             events.info(
                 "order",
-                arrayOf("engine" to engine, "order" to order, "outcome" to outcome, "status" to status),
+                arrayOf(
+                    "engine" to engine,
+                    "order" to order,
+                    "expected" to expected.value,
+                    "outcome" to outcome,
+                    "status" to status,
+                ),
             )
             controllerPost(ControllerMessage.Ordered(service, engine, outcome))
         }
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
@@ -63,7 +63,8 @@
         now: Duration,
     ): FormationState {
         val since = state.silentSince[engine] ?: (now - SILENCE_BEFORE_FIRST_FAILURE)
-        val lost = refused || now - since >= settings.silenceLimit
+        val isSuspected = state.suspected[engine]?.let { now - it < SUSPICION_LIFETIME } == true
+        val lost = refused || isSuspected || now - since >= settings.silenceLimit
         return state.copy(
             calls = state.calls.filterNot { it.key == engine && it.value.order == null },
             silentSince = state.silentSince + (engine to since),
@@ -120,7 +121,10 @@
     fun suspected(state: FormationState, group: GroupId, now: Duration): FormationState {
         val members = state.groups[group]?.members.orEmpty()
         val recently = members.filter { engine -> state.askedAt[engine]?.let { now - it < SUSPECT_PAUSE } == true }
-        return state.copy(unsettled = state.unsettled + (members - recently.toSet()))
+        return state.copy(
+            unsettled = state.unsettled + (members - recently.toSet()),
+            suspected = state.suspected.filterValues { now - it < SUSPICION_LIFETIME } + members.associateWith { now },
+        )
     }
 
     /** The question itself has waited that long when it fails for the first time. */
@@ -132,6 +136,8 @@
     /** An engine joins a group of the model of its last group in this time. */
     private val REJOIN_TIME = 200.milliseconds
 
+    private val SUSPICION_LIFETIME = 1.seconds
+
     /** Several gateways suspect the same group at about the same time. */
     private val SUSPECT_PAUSE = 0.4.seconds
 }
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
@@ -8,19 +8,23 @@
     private val models = view.pool.models
 
     fun plan() {
-        while (formNext()) {
-            // Each pass forms one group and changes what is free.
-        }
-        stageSpares()
+        var step = formNext()
+        while (step == FormStep.FORMED) step = formNext()
+        // Spares must not take the weight store from a group that waits for it.
+        if (step == FormStep.NOTHING) stageSpares()
     }
 
-    private fun formNext(): Boolean {
+    private fun formNext(): FormStep {
         val wanted = wantedGroups()
         val byNeed = models
             .map { it to work.state.liveGroups(it.name).toDouble() / wanted.getValue(it).coerceAtLeast(1) }
             .filter { (_, filled) -> filled < 1.0 }
             .sortedBy { (_, filled) -> filled }
-        return byNeed.any { (model, _) -> formIn(model) }
+        for ((model, _) in byNeed) {
+            val step = formIn(model)
+            if (step != FormStep.NOTHING) return step
+        }
+        return FormStep.NOTHING
     }
 
     /** Groups of each model that the engines at hand bear, with some engines left as spares. */
@@ -33,14 +37,14 @@
         return models.associateWith { (grouped * it.share / shares / it.groupSize).toInt().coerceAtLeast(1) }
     }
 
-    private fun formIn(model: ModelTerms): Boolean {
+    private fun formIn(model: ModelTerms): FormStep {
         val candidates = freeByDomain().values.mapNotNull { free -> membersFor(model, free) }
         val best = candidates.minWithOrNull(
             compareBy<Candidate> { it.loads }.thenByDescending { it.freeInDomain },
-        ) ?: return false
-        if (best.loads > 0 && !work.mayStartLoads(best.loads)) return false
+        ) ?: return FormStep.NOTHING
+        if (best.loads > 0 && !work.mayStartLoads(best.loads)) return FormStep.WAITS_FOR_LOADS
         work.form(model, best.members)
-        return true
+        return FormStep.FORMED
     }
 
     private fun membersFor(model: ModelTerms, free: List<KnownEngine>): Candidate? {
@@ -84,5 +88,7 @@
         )
     }
 
+    private enum class FormStep { FORMED, WAITS_FOR_LOADS, NOTHING }
+
     private data class Candidate(val members: List<KnownEngine>, val loads: Int, val freeInDomain: Int)
 }
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
@@ -115,6 +115,8 @@
     val silentSince: Map<BackendServer, Duration> = emptyMap(),
     /** Engines that don't answer, with the time of the last try. */
     val lost: Map<BackendServer, Duration> = emptyMap(),
+    /** Engines of groups that make no progress, with the time of the finding; one unanswered question loses them. */
+    val suspected: Map<BackendServer, Duration> = emptyMap(),
     /** Engines whose state must be read before the next order, because an order's outcome is unknown. */
     val unsettled: Set<BackendServer> = emptySet(),
     val loads: Map<BackendServer, WeightLoad> = emptyMap(),
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
@@ -238,9 +238,11 @@
         )
     }
 
-    /** Before the first request loads take a tenth of their time. */
-    private fun expectedLoad(model: ModelTerms): Duration =
-        if (view.trafficStarted) model.load else model.load * LOAD_FACTOR_BEFORE_TRAFFIC
+    /** Before the first request loads take a tenth of their time; beyond a number of loads each takes longer. */
+    private fun expectedLoad(model: ModelTerms): Duration {
+        val factor = if (view.trafficStarted) 1.0 else LOAD_FACTOR_BEFORE_TRAFFIC
+        return model.load * factor * maxOf(1.0, (runningLoads + 1.0) / view.pool.concurrentLoads)
+    }
 
     private fun expectedJoin(group: FormedGroup): Duration {
         val model = terms[group.model] ?: return Duration.ZERO
@@ -265,7 +267,8 @@
     /** Whether the weight store's rate leaves room for [count] loads. */
     fun mayStartLoads(count: Int): Boolean {
         val inLastSecond = state.loadStarts.count { now - it < LOAD_RATE_PERIOD }
-        return runningLoads + count <= maxOf(view.pool.concurrentLoads, count) &&
+        val slack = if (view.trafficStarted) 0 else LOADS_IN_ADVANCE
+        return runningLoads + count <= maxOf(view.pool.concurrentLoads + slack, count) &&
             inLastSecond + count <= maxOf(view.pool.loadsPerSecond.toInt(), count)
     }
 
@@ -302,6 +305,9 @@
 
         /** A load that isn't reported this long after it was due has failed or was never begun. */
         val LOAD_GRACE = 8000.milliseconds
+
+        /** Loads started beyond those that run at full speed, so that the weight store never idles. */
+        const val LOADS_IN_ADVANCE = 3
         val LOAD_WINDOW = 5000.milliseconds
         val LOAD_RATE_PERIOD = 1000.milliseconds
         val OPENING_GRACE = 1000.milliseconds
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -59,10 +59,11 @@
         val serving = groups.filter { it.model == model && it.service == service.name }
         val usable = serving.filter { group ->
             val head = scene.table.engines[group.head]
-            head != null && scene.table.takesWork(head) && group.id !in scene.avoidedGroups &&
-                isOpenTo(head, service, scene)
+            head != null && scene.table.takesWork(head) && isOpenTo(head, service, scene)
         }
-        val best = usable.filter { load.total(it.head) < limit }
+        // All groups of a model may pause at once while they read long prompts.
+        val preferred = usable.filter { it.id !in scene.avoidedGroups }.ifEmpty { usable }
+        val best = preferred.filter { load.total(it.head) < limit }
             .minByOrNull { score(it.head, model.value) }
             ?: return if (usable.isEmpty()) Choice.NoneServing else Choice.AllBusy
         return Choice.Chosen(ChosenBackend(best.head, best.headAddress, best.id, model.value))
