Take an accepted leave as done at once, and adopt only whole groups that answer

Cause: survivors of a group waited for the report lag before they could join again; a dissolved group with a dark member was adopted and lost again many times a second.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -67,6 +67,8 @@
     /** Whether the store answers this process. */
     val storeAnswers: () -> Boolean,
     val applyReport: (BackendServer, EngineReport) -> Unit,
+    /** An engine left its group and has accepted that many orders. */
+    val applyLeave: (BackendServer, OrderCount) -> Unit,
     val readLease: (call: Long) -> Unit,
     val writeLease: (call: Long, expected: LeaseVersion?, record: LeaseRecord) -> Unit,
     val ask: (ServiceName, BackendServer, Endpoint) -> Unit,
@@ -128,6 +130,11 @@
 
     private fun ordered(message: ControllerMessage.Ordered) {
         val pool = links.configuration()?.services?.get(message.service)?.pool ?: return
+        val call = formations[message.service]?.calls?.get(message.engine)
+        val expected = call?.expected
+        if (message.outcome == OrderOutcome.DONE && call?.order is FormationOrder.Leave && expected != null) {
+            links.applyLeave(message.engine, OrderCount(expected.value + 1))
+        }
         change(message.service) {
             FormationDecision.ordered(it, message.engine, message.outcome, pool, clock.now())
         }
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -7,6 +7,7 @@
 import redwingcross.version.fleet.FleetConfiguration
 import redwingcross.version.fleet.FleetNews
 import redwingcross.version.fleet.NewsSource
+import redwingcross.version.fleet.OrderCount
 import redwingcross.version.fleet.ServingGroup
 import redwingcross.version.fleet.servingGroups
 import kotlin.time.Duration
@@ -71,6 +72,10 @@
     fun reported(state: FleetState, engine: BackendServer, report: EngineReport, now: Duration): FleetState =
         state.withTable(state.table.reported(engine, report, now))
 
+    /** Takes that an engine left its group. */
+    fun left(state: FleetState, engine: BackendServer, orders: OrderCount, now: Duration): FleetState =
+        state.withTable(state.table.left(engine, orders, now))
+
     /** Takes an announcement unless a newer one is known. */
     fun announced(state: FleetState, groups: AnnouncedGroups): FleetState {
         val known = state.announced
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -137,6 +137,7 @@
             applyReport = { engine, report ->
                 fleet = FleetDecision.reported(fleet, engine, report, clock.now())
             },
+            applyLeave = { engine, orders -> fleet = FleetDecision.left(fleet, engine, orders, clock.now()) },
             readLease = { call -> platform.readLease(call, ::postLease) },
             writeLease = { call, expected, record -> platform.writeLease(call, expected, record, ::postLease) },
             ask = ::ask,
--- a/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
@@ -77,6 +77,13 @@
         )
     }
 
+    /** Takes that an engine accepted an order to leave its group, which takes effect at once. */
+    fun left(id: BackendServer, orders: OrderCount, now: Duration): EngineTable {
+        val known = engines[id] ?: return this
+        val status = known.status.copy(membership = null)
+        return with(known.copy(status = status, orders = orders, reportedAt = now))
+    }
+
     /** Forgets a back end whose entry is gone. */
     fun removed(id: BackendServer): EngineTable = copy(engines = engines - id)
 
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
@@ -83,7 +83,8 @@
     ): FormationState {
         val call = state.calls[engine] ?: return state
         val order = call.order
-        val begun = outcome == OrderOutcome.BEGUN
+        // A leave is done at once and counts as an order; the engine is in no group from then on.
+        val begun = outcome == OrderOutcome.BEGUN || (outcome == OrderOutcome.DONE && order is FormationOrder.Leave)
         val counted = call.expected?.takeIf { begun }?.let { OrderCount(it.value + 1) }
         val joined = (order as? FormationOrder.Join)?.model?.takeIf { begun }
         return state.copy(
@@ -92,7 +93,7 @@
             askAfter = state.askAfter + (engine to now + pool.reportLag + REPORT_MARGIN + duration(state, call, engine, pool)),
             acceptedOrders = if (counted != null) state.acceptedOrders + (engine to counted) else state.acceptedOrders,
             lastModel = if (joined != null) state.lastModel + (engine to joined) else state.lastModel,
-            unsettled = state.unsettled + engine,
+            unsettled = if (begun && order is FormationOrder.Leave) state.unsettled else state.unsettled + engine,
             loads = if (order is FormationOrder.Stage && !begun) state.loads - engine else state.loads,
         )
     }
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
@@ -42,7 +42,7 @@
             if (group.id in state.groups) continue
             raiseEpoch(group.epoch)
             val model = GroupNames.model(group.id)?.let(terms::get) ?: continue
-            if (!group.isComplete(model.groupSize)) continue
+            if (!group.isComplete(model.groupSize) || group.members.any { isGone(it.id) }) continue
             val stage = when (group.head?.status?.membership?.phase) {
                 MemberPhase.OPEN -> GroupStage.SERVING
                 MemberPhase.CLOSING -> GroupStage.RETIRING
