--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -88,6 +88,7 @@
     private var lease = LeaseState(self, incarnation, LEASE_SETTINGS)
     private var formations = emptyMap<ServiceName, FormationState>()
     private var actingEpoch: LeaseEpoch? = null
+    private var lastGroupEpoch = GroupEpoch(0)
     private var announcements = emptyMap<ServiceName, Announcement>()
 
     /** The lease that this process holds, for its beats. */
@@ -183,15 +184,20 @@
         val configuration = links.configuration() ?: return
         for (service in configuration.services.values) {
             val pool = service.pool ?: continue
-            val start = formations[service.name] ?: FormationState(epoch = GroupEpoch(epoch.value * EPOCHS_PER_LEASE))
+            val start = formations[service.name] ?: FormationState(epoch = firstEpoch(epoch))
             val view = FormationView(links.table(), service, pool, links.trafficSeen(), SETTINGS)
             val transition = FormationDecision.step(start, view, clock.now())
             formations = formations + (service.name to transition.state)
+            lastGroupEpoch = maxOf(lastGroupEpoch, transition.state.epoch)
             transition.effects.forEach { carryOut(service.name, it) }
             announce(service, epoch, transition.state)
         }
     }
 
+    /** A group's epoch is used once, also if this process lost the duties and took them again under the same lease. */
+    private fun firstEpoch(lease: LeaseEpoch) =
+        maxOf(GroupEpoch(lease.value * EPOCHS_PER_LEASE), lastGroupEpoch)
+
     private fun carryOut(service: ServiceName, effect: FormationEffect) {
         when (effect) {
             is FormationEffect.Ask -> links.ask(service, effect.engine, effect.address)
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import redwingcross.version.fleet.NewsSource
 import redwingcross.version.lease.LeaseRecord
 
 /** What a process tells the platform's registry about itself. */
@@ -21,6 +22,15 @@
     val zone: String,
 )
 
+/** How far a process has followed one kind of objects in the store. */
+@Serializable
+data class FollowProgress(
+    /** Highest revision of an object of the kind that was seen. */
+    val changed: Long,
+    /** The store's revision up to which all changes of the kind were seen. */
+    val confirmed: Long,
+)
+
 /** Results of calls to the registry. */
 sealed interface RegistryResult {
     data object Registered : RegistryResult
@@ -48,7 +58,7 @@
     val leaving: Boolean,
     /** Has seen a request of a caller, or heard of one. */
     val trafficSeen: Boolean,
-    val configuration: Long,
+    val followed: Map<NewsSource, FollowProgress>,
     /** Requests of the sender under way, by back end. */
     val load: Map<String, Int>,
     val duty: DutyBeat? = null,
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -5,6 +5,7 @@
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
 import redwingcross.version.fleet.GatewayPlace
+import redwingcross.version.fleet.NewsSource
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.lease.LeaseVersion
 import redwingcross.version.lease.SeenLease
@@ -31,6 +32,8 @@
     val listRegistry: () -> Unit,
     val onLoad: (ProcessName, Map<BackendServer, Int>?) -> Unit,
     val onTraffic: () -> Unit,
+    /** How far another process has followed the store. */
+    val onFollowed: (Map<NewsSource, FollowProgress>) -> Unit,
     val onGroups: (GroupAnnouncement) -> Unit,
     val onSuspicion: (GroupId) -> Unit,
     val onLease: (LeaseMessage) -> Unit,
@@ -149,6 +152,7 @@
         placeChanged(before)
         links.onLoad(ProcessName(beat.sender.node), beat.load.mapKeys { BackendServer(it.key) })
         if (beat.trafficSeen) links.onTraffic()
+        links.onFollowed(beat.followed)
         beat.duty?.let { duty ->
             links.onLease(LeaseMessage.HolderRenewed(SeenLease(LeaseVersion(duty.version), duty.record)))
             links.onLease(LeaseMessage.HolderHeard(duty.record.epoch))
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -28,6 +28,8 @@
 import redwingcross.process.edge.EventLog
 import redwingcross.process.edge.FleetDecision
 import redwingcross.process.edge.FleetState
+import redwingcross.process.edge.FollowLag
+import redwingcross.process.edge.FollowProgress
 import redwingcross.process.edge.GatewayLinks
 import redwingcross.process.edge.GatewayRecord
 import redwingcross.process.edge.GatewayTask
@@ -92,6 +94,9 @@
         onError = { events.warn("peer_socket_error", arrayOf("detail" to it.message)) },
     )
     private var fleet = FleetState()
+    private val followLag = FollowLag { source ->
+        if (source == NewsSource.BACKEND_SERVERS) SERVER_LAG else CONFIGURATION_LAG
+    }
     private var trafficHeard = false
     private var stopping = false
     private val stopped = CountDownLatch(1)
@@ -156,6 +161,7 @@
             listRegistry = { platform.listGateways { peerPost(PeerTaskMessage.Registry(it)) } },
             onLoad = gateway::peerLoad,
             onTraffic = { trafficHeard = true },
+            onFollowed = ::compareProgress,
             onGroups = ::groupsAnnounced,
             onSuspicion = { controllerPost(ControllerMessage.Suspected(it)) },
             onLease = ::postLease,
@@ -254,11 +260,18 @@
         ready = isReady(),
         leaving = stopping,
         trafficSeen = trafficHeard || gateway.hasSeenRequests,
-        configuration = fleet.configuration?.version?.value ?: 0,
+        followed = platform.progress(),
         load = gateway.ownLoad.entries.associate { (server, count) -> server.value to count },
         duty = controller.heldLease,
     )
 
+    private fun compareProgress(other: Map<NewsSource, FollowProgress>) {
+        for (source in followLag.compare(other, platform.progress(), clock.now())) {
+            events.info("follow_restarted", arrayOf("source" to source))
+            platform.refresh(source)
+        }
+    }
+
     private fun isReady(): Boolean = fleet.isUsable && !stopping
 
     private fun suspect(suspected: GroupId) {
@@ -468,6 +481,10 @@
         val CONTROLLER_INTERVAL = 100.milliseconds
         val WATCH_INTERVAL = 100.milliseconds
         val CONFIGURATION_PAUSE = 200.milliseconds
+
+        /** Other processes may be ahead by the pause between two questions and the beats' interval. */
+        val CONFIGURATION_LAG = 500.milliseconds
+        val SERVER_LAG = 1200.milliseconds
         val CONTROLLER_LIST_PAUSE = 250.milliseconds
         val GATEWAY_LIST_PAUSE = 800.milliseconds
 
