Name groups after the lease that formed them

A partial group opened. Ruled out: late orders alone; with one controller the property holds. Change: the lease's epoch is a part of the group's name.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -184,7 +184,7 @@
         val configuration = links.configuration() ?: return
         for (service in configuration.services.values) {
             val pool = service.pool ?: continue
-            val start = formations[service.name] ?: FormationState(epoch = firstEpoch(epoch))
+            val start = formations[service.name] ?: FormationState(epoch, epoch = firstEpoch(epoch))
             val view = FormationView(links.table(), service, pool, links.trafficSeen(), SETTINGS)
             val transition = FormationDecision.step(start, view, clock.now())
             formations = formations + (service.name to transition.state)
--- /dev/null
+++ b/request/src/test/kotlin/redwingcross/request/forward/ForwardDecisionProperties.kt
@@ -0,0 +1,78 @@
+package redwingcross.request.forward
+
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import redwingcross.request.BackendServer
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Plays a request through random ends of its offers and checks what its caller is told. */
+class ForwardDecisionProperties {
+    @Provide
+    fun ends(): Arbitrary<List<OfferEnd>> = Arbitraries.of(
+        OfferEnd.NotSent,
+        OfferEnd.Declined,
+        OfferEnd.Failed,
+        OfferEnd.Lost,
+        OfferEnd.Stalled,
+    ).list().ofMinSize(1).ofMaxSize(8)
+
+    @Provide
+    fun kinds(): Arbitrary<Repeatability> = Arbitraries.of(*Repeatability.entries.toTypedArray())
+
+    @Property(seed = "41")
+    fun `a request that must run once is never offered again after it may have run`(
+        @ForAll("ends") ends: List<OfferEnd>,
+        @ForAll("kinds") kind: Repeatability,
+    ) {
+        val play = play(kind, ends, maximumSends = 3)
+        if (!kind.mayRunAgain) assertTrue(play.offersAfterPossibleRun == 0, "ends $ends")
+    }
+
+    @Property(seed = "42")
+    fun `a refusal is given only if no back end can have run the request`(
+        @ForAll("ends") ends: List<OfferEnd>,
+        @ForAll("kinds") kind: Repeatability,
+    ) {
+        val play = play(kind, ends, maximumSends = 2)
+        if (play.last == ForwardStep.Refuse) assertFalse(play.mayHaveRun, "ends $ends")
+    }
+
+    @Property(seed = "43")
+    fun `no request is sent to more back ends than its route allows`(
+        @ForAll("ends") ends: List<OfferEnd>,
+        @ForAll("kinds") kind: Repeatability,
+    ) {
+        assertTrue(play(kind, ends, maximumSends = 2).sends <= 2, "ends $ends")
+    }
+
+    private class Play(
+        val last: ForwardStep?,
+        val sends: Int,
+        val mayHaveRun: Boolean,
+        val offersAfterPossibleRun: Int,
+    )
+
+    private fun play(kind: Repeatability, ends: List<OfferEnd>, maximumSends: Int): Play {
+        var state = ForwardState(ForwardTerms(kind, maximumSends, deadline = 10.seconds))
+        var offersAfterRun = 0
+        var step: ForwardStep? = null
+        for ((index, end) in ends.withIndex()) {
+            if (state.mayHaveRun) offersAfterRun++
+            val mayHaveRun = end != OfferEnd.NotSent && end != OfferEnd.Declined
+            state = state.copy(
+                offered = state.offered + BackendServer("server-$index"),
+                sends = state.sends + if (end == OfferEnd.NotSent) 0 else 1,
+                mayHaveRun = state.mayHaveRun || mayHaveRun,
+            )
+            step = ForwardDecision.afterOffer(state, end, Duration.ZERO) { true }
+            if (step !is ForwardStep.OfferAgain) break
+        }
+        return Play(step, state.sends, state.mayHaveRun, offersAfterRun)
+    }
+}
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
@@ -4,6 +4,7 @@
 import redwingcross.request.GroupId
 import redwingcross.request.ModelName
 import redwingcross.version.bundle.Endpoint
+import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -100,6 +101,8 @@
 
 /** State of the formation of one service's groups. */
 data class FormationState(
+    /** The lease under which groups are formed. */
+    val lease: LeaseEpoch,
     val groups: Map<GroupId, FormedGroup> = emptyMap(),
     val calls: Map<BackendServer, PendingCall> = emptyMap(),
     val askedAt: Map<BackendServer, Duration> = emptyMap(),
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
@@ -211,7 +211,7 @@
         val epoch = GroupEpoch(state.epoch.value + 1)
         raiseEpoch(epoch)
         val group = FormedGroup(
-            GroupNames.compose(model.name, epoch),
+            GroupNames.compose(model.name, state.lease, epoch),
             epoch,
             model.name,
             members.map { it.id },
--- a/version/src/main/kotlin/redwingcross/version/fleet/ServingGroups.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/ServingGroups.kt
@@ -6,6 +6,7 @@
 import redwingcross.request.ModelName
 import redwingcross.request.ServiceName
 import redwingcross.version.bundle.Endpoint
+import redwingcross.version.placement.LeaseEpoch
 
 /** A group that requests may be sent to. */
 data class ServingGroup(
@@ -23,7 +24,9 @@
 object GroupNames {
     private const val SEPARATOR = '.'
 
-    fun compose(model: ModelName, epoch: GroupEpoch): GroupId = GroupId("${model.value}$SEPARATOR${epoch.value}")
+    /** Controllers of two leases may use the same epoch, so the lease is a part of the name. */
+    fun compose(model: ModelName, lease: LeaseEpoch, epoch: GroupEpoch): GroupId =
+        GroupId("${model.value}$SEPARATOR${lease.value}-${epoch.value}")
 
     /** The model of a group; null if the name was given by somebody else. */
     fun model(id: GroupId): ModelName? =
--- /dev/null
+++ b/version/src/test/kotlin/redwingcross/version/fleet/FormationWorld.kt
@@ -0,0 +1,235 @@
+package redwingcross.version.fleet
+
+import redwingcross.request.BackendServer
+import redwingcross.request.GroupId
+import redwingcross.request.ModelName
+import redwingcross.version.bundle.FabricDomain
+import redwingcross.version.placement.LeaseEpoch
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** An engine as its orders and reports show it; it knows nothing of the other members of its group. */
+internal class FakeEngine(val id: BackendServer, val domain: String) {
+    var alive = true
+    var start = 1L
+    var orders = 0L
+    var staged = emptyList<ModelName>()
+    var staging: Pair<ModelName, Duration>? = null
+    var membership: GroupMembership? = null
+    var members = emptyList<BackendServer>()
+    var model: ModelName? = null
+    var readyAt = Duration.ZERO
+    var openAt: Duration? = null
+
+    fun advance(now: Duration) {
+        staging?.takeIf { now >= it.second }?.let {
+            staged = listOf(it.first)
+            staging = null
+        }
+        val current = membership ?: return
+        if (current.phase == MemberPhase.JOINING && now >= readyAt) {
+            membership = current.copy(phase = MemberPhase.READY)
+            model?.let { staged = listOf(it) }
+        }
+        if (openAt?.let { now >= it } == true) {
+            membership = membership?.copy(phase = MemberPhase.OPEN)
+            openAt = null
+        }
+    }
+
+    fun restart() {
+        start++
+        orders = 0
+        membership = null
+        openAt = null
+        staging = null
+        alive = true
+    }
+}
+
+/**
+ * Plays one controller, or two that don't know of each other, against fake engines in virtual time. Orders may be
+ * carried out seconds late, reports lag, and engines crash and come back. [violations] lists broken promises.
+ */
+internal class FormationWorld(seed: Int, private val controllers: Int, engineCount: Int, private val late: Double) {
+    private val random = Random(seed)
+    val engines = (1..engineCount).map { FakeEngine(BackendServer("e$it"), "d${(it - 1) / ENGINES_PER_DOMAIN}") }
+    private val byId = engines.associateBy { it.id }
+    private val states = MutableList(controllers) { FormationState(LeaseEpoch(it + 1L), epoch = GroupEpoch(EPOCHS * (it + 1L))) }
+    private val tables = MutableList(controllers) { EngineTable() }
+    private val events = mutableListOf<Pair<Duration, () -> Unit>>()
+    private val readyMembers = mutableMapOf<Pair<GroupId, GroupEpoch>, MutableSet<BackendServer>>()
+    val violations = mutableListOf<String>()
+    var now = Duration.ZERO
+        private set
+
+    /** Groups that could serve a request at this moment. */
+    fun servingGroups(): Int = engines.count { head ->
+        val membership = head.membership
+        head.alive && membership?.phase == MemberPhase.OPEN && head.members.all { member ->
+            byId.getValue(member).let { it.alive && it.membership?.group == membership.group }
+        }
+    }
+
+    fun crash(count: Int, returnAfter: Duration?) {
+        engines.filter { it.alive }.shuffled(random).take(count).forEach { engine ->
+            engine.alive = false
+            returnAfter?.let { delay -> at(now + delay) { engine.restart() } }
+        }
+    }
+
+    fun run(duration: Duration, trafficStarted: Boolean) {
+        val end = now + duration
+        while (now < end) {
+            now += STEP
+            engines.forEach { it.advance(now) }
+            noteReady()
+            events.filter { it.first <= now }.also(events::removeAll).forEach { it.second() }
+            if ((now / STEP).toInt() % STEPS_BETWEEN_TICKS == 0) repeat(controllers) { tick(it, trafficStarted) }
+        }
+    }
+
+    private fun noteReady() {
+        for (engine in engines.filter { it.alive }) {
+            val membership = engine.membership ?: continue
+            if (membership.phase != MemberPhase.JOINING) {
+                readyMembers.getOrPut(membership.group to membership.epoch, ::mutableSetOf) += engine.id
+            }
+        }
+    }
+
+    private fun at(time: Duration, action: () -> Unit) {
+        events += time to action
+    }
+
+    private fun tick(controller: Int, trafficStarted: Boolean) {
+        // The list shows an engine's life with the delay of its entry; its state of the group comes from reports.
+        for (engine in engines) {
+            val known = tables[controller].engines[engine.id]
+            if (engine.alive && known?.status?.start != EngineStart(engine.start)) list(controller, engine)
+        }
+        val view = FormationView(tables[controller], serviceTerms, pool, trafficStarted)
+        val transition = FormationDecision.step(states[controller], view, now)
+        states[controller] = transition.state
+        transition.effects.forEach { carryOut(controller, it, trafficStarted) }
+    }
+
+    private fun list(controller: Int, engine: FakeEngine) {
+        val status = engineStatus(engine.id.value, engine.domain, engine.start, engine.membership, engine.staged)
+            .copy(domain = FabricDomain(engine.domain))
+        tables[controller] = tables[controller].listed(status, now)
+    }
+
+    private fun carryOut(controller: Int, effect: FormationEffect, trafficStarted: Boolean) {
+        when (effect) {
+            is FormationEffect.Ask -> ask(controller, byId.getValue(effect.engine))
+            is FormationEffect.Send -> order(controller, byId.getValue(effect.engine), effect, trafficStarted)
+            is FormationEffect.Note -> Unit
+        }
+    }
+
+    private fun ask(controller: Int, engine: FakeEngine) {
+        val report = EngineReport(
+            EngineStart(engine.start),
+            OrderCount(engine.orders),
+            engine.staging != null,
+            engine.staged,
+            engine.membership,
+            1.0,
+            0,
+            0,
+        )
+        val answers = engine.alive
+        at(now + if (answers) 5.milliseconds else 300.milliseconds) {
+            states[controller] = if (answers) {
+                tables[controller] = tables[controller].reported(engine.id, report, now)
+                FormationDecision.answered(states[controller], engine.id, report)
+            } else {
+                FormationDecision.unanswered(states[controller], engine.id, false, FormationSettings(), now)
+            }
+        }
+    }
+
+    private fun order(controller: Int, engine: FakeEngine, effect: FormationEffect.Send, trafficStarted: Boolean) {
+        if (!engine.alive) return answer(controller, engine, OrderOutcome.UNKNOWN, 400.milliseconds, effect)
+        if (random.nextDouble() < late) {
+            at(now + 2.seconds + 10.seconds * random.nextDouble()) { accept(engine, effect, trafficStarted) }
+            return answer(controller, engine, OrderOutcome.UNKNOWN, 400.milliseconds, effect)
+        }
+        answer(controller, engine, accept(engine, effect, trafficStarted), 5.milliseconds, effect)
+    }
+
+    private fun answer(
+        controller: Int,
+        engine: FakeEngine,
+        outcome: OrderOutcome,
+        delay: Duration,
+        effect: FormationEffect.Send,
+    ) = at(now + delay) {
+        if (outcome == OrderOutcome.DONE && effect.order is FormationOrder.Leave) {
+            val orders = OrderCount(effect.expectedOrders.value + 1)
+            tables[controller] = tables[controller].left(engine.id, orders, now)
+        }
+        states[controller] = FormationDecision.ordered(states[controller], engine.id, outcome, pool, now)
+    }
+
+    private fun accept(engine: FakeEngine, effect: FormationEffect.Send, trafficStarted: Boolean): OrderOutcome {
+        if (!engine.alive || engine.orders != effect.expectedOrders.value) return OrderOutcome.REJECTED
+        return when (val order = effect.order) {
+            is FormationOrder.Join -> join(engine, order, trafficStarted)
+            is FormationOrder.Open -> open(engine, order)
+            is FormationOrder.Close -> OrderOutcome.REJECTED
+            is FormationOrder.Leave -> leave(engine, order)
+            is FormationOrder.Stage -> {
+                engine.orders++
+                engine.staging = order.model to now + if (trafficStarted) 12.seconds else 1.2.seconds
+                OrderOutcome.BEGUN
+            }
+        }
+    }
+
+    private fun join(engine: FakeEngine, order: FormationOrder.Join, trafficStarted: Boolean): OrderOutcome {
+        val head = engine.members.firstOrNull()?.let(byId::getValue)
+        val headServes = head != null && head.alive && head.membership?.phase == MemberPhase.OPEN &&
+            head.membership?.group == engine.membership?.group
+        if (headServes) violations += "${engine.id} joins ${order.group} while its head ${head?.id} serves"
+        engine.orders++
+        val staged = order.model in engine.staged
+        val load = if (trafficStarted) 12.seconds else 1.2.seconds
+        engine.readyAt = now + if (engine.model == order.model) 0.2.seconds else if (staged) 1.1.seconds else load
+        engine.model = order.model
+        engine.members = order.members
+        engine.membership =
+            GroupMembership(order.group, order.epoch, order.members.indexOf(engine.id), MemberPhase.JOINING)
+        return OrderOutcome.BEGUN
+    }
+
+    private fun open(engine: FakeEngine, order: FormationOrder.Open): OrderOutcome {
+        val membership = engine.membership
+        if (membership?.group != order.group || membership.phase != MemberPhase.READY) return OrderOutcome.REJECTED
+        engine.orders++
+        engine.openAt = now + pool.opening
+        val ready = readyMembers[order.group to order.epoch].orEmpty()
+        val absent = engine.members - ready
+        if (absent.isNotEmpty()) violations += "${order.group} opens and $absent were never ready"
+        return OrderOutcome.BEGUN
+    }
+
+    private fun leave(engine: FakeEngine, order: FormationOrder.Leave): OrderOutcome {
+        if (engine.membership?.group != order.group) return OrderOutcome.REJECTED
+        engine.orders++
+        engine.membership = null
+        engine.members = emptyList()
+        engine.openAt = null
+        return OrderOutcome.DONE
+    }
+
+    private companion object {
+        val STEP = 10.milliseconds
+        const val STEPS_BETWEEN_TICKS = 10
+        const val ENGINES_PER_DOMAIN = 10
+        const val EPOCHS = 100_000L
+    }
+}
