Let the engines of a domain serve one model and avoid stalled groups sooner

Ruled out: more spares a domain, which strand as many. Change: the planner prefers domains that hold the model already and forms groups beyond the wanted number from idle pairs; groups without progress are avoided after 250 ms and reported after 350 ms.

--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -72,6 +72,10 @@
     fun reported(state: FleetState, engine: BackendServer, report: EngineReport, now: Duration): FleetState =
         state.withTable(state.table.reported(engine, report, now))
 
+    /** Takes that a back end says how long it stays cold. */
+    fun coldReported(state: FleetState, server: BackendServer, remaining: Duration, now: Duration): FleetState =
+        state.copy(table = state.table.coldReported(server, remaining, now))
+
     /** Takes that an engine left its group. */
     fun left(state: FleetState, engine: BackendServer, orders: OrderCount, now: Duration): FleetState =
         state.withTable(state.table.left(engine, orders, now))
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -240,14 +240,13 @@
     }
 
     private fun judge(group: GroupId, members: List<ForwardTask>, stalledFor: Duration, now: Duration) {
-        if (stalledFor < SUSPECT_AFTER) {
+        if (stalledFor < AVOID_AFTER) {
             suspects.remove(group)
             return
         }
-        val since = suspects.getOrPut(group) {
-            links.log("group_suspected", arrayOf("group" to group, "stalled" to stalledFor, "streams" to members.size))
-            now
-        }
+        val since = suspects.getOrPut(group) { now }
+        if (stalledFor < SUSPECT_AFTER) return
+        links.log("group_suspected", arrayOf("group" to group, "stalled" to stalledFor, "streams" to members.size))
         suspect(group)
         if (now - since > MOVE_AFTER) members.forEach(ForwardTask::giveUpStalled)
     }
@@ -267,11 +266,14 @@
         const val NOT_FOUND = 404
         const val SERVICE_UNAVAILABLE = 503
 
+        /** A group without progress for this long gets new requests only if there is no other. */
+        val AVOID_AFTER = 250.milliseconds
+
         /** Pauses are shorter than this unless a group stands still or reads many prompts at once. */
-        val SUSPECT_AFTER = 450.milliseconds
+        val SUSPECT_AFTER = 350.milliseconds
 
         /** Streams of a suspected group are moved after this time even if no finding confirms it. */
-        val MOVE_AFTER = 1.seconds
+        val MOVE_AFTER = 1.2.seconds
 
         /** Callers wait at most a third of their time, so a short pause leaves room for one more try. */
         val RETRY_BASE = 250.milliseconds
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -110,7 +110,9 @@
             send = sendToBackend(),
             runLater = ::runLater,
             suspect = ::suspect,
-            coldReported = { _, _ -> },
+            coldReported = { server, remaining ->
+                fleet = FleetDecision.coldReported(fleet, server, remaining, clock.now())
+            },
             recordOutcome = { outcome ->
                 events.info(
                     "request_finished",
@@ -474,8 +476,8 @@
 
         /** A connection that was idle longer may be closed while a request that can't be repeated is on its way. */
         val UNREPEATABLE_IDLE = 700.milliseconds
-        val ASK_TIMEOUT = 300.milliseconds
-        val REFUSED_WITHIN = 200.milliseconds
+        val ASK_TIMEOUT = 250.milliseconds
+        val REFUSED_WITHIN = 150.milliseconds
         val ORDER_TIMEOUT = 400.milliseconds
         val BEAT_INTERVAL = 250.milliseconds
         val CONTROLLER_INTERVAL = 100.milliseconds
--- a/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
@@ -77,6 +77,12 @@
         )
     }
 
+    /** Takes that a back end says how long it stays cold. */
+    fun coldReported(id: BackendServer, remaining: Duration, now: Duration): EngineTable {
+        val known = engines[id] ?: return this
+        return with(known.copy(coldUntil = maxOf(known.coldUntil, now + remaining)))
+    }
+
     /** Takes that an engine accepted an order to leave its group, which takes effect at once. */
     fun left(id: BackendServer, orders: OrderCount, now: Duration): EngineTable {
         val known = engines[id] ?: return this
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
@@ -2,10 +2,14 @@
 
 import redwingcross.version.bundle.FabricDomain
 
-/** Chooses which idle engines form groups and which weights are staged on the rest. */
+/**
+ * Chooses which idle engines form groups and which weights are staged on the rest. The engines of a domain serve one
+ * model as far as possible: then each of them can replace any other, and few are left over when some are lost.
+ */
 internal class FormationPlanner(private val work: FormationWork) {
     private val view = work.view
     private val models = view.pool.models
+    private val wanted = wantedGroups()
 
     fun plan() {
         var step = formNext()
@@ -15,18 +19,20 @@
     }
 
     private fun formNext(): FormStep {
-        val wanted = wantedGroups()
-        val byNeed = models
-            .map { it to work.state.liveGroups(it.name).toDouble() / wanted.getValue(it).coerceAtLeast(1) }
-            .filter { (_, filled) -> filled < 1.0 }
-            .sortedBy { (_, filled) -> filled }
-        for ((model, _) in byNeed) {
-            val step = formIn(model)
+        val byNeed = models.map { it to filled(it) }.sortedBy { (_, filled) -> filled }
+        for ((model, filled) in byNeed) {
+            val step = formIn(model, reserve = if (filled < 1.0) 0 else reserveOf(model))
             if (step != FormStep.NOTHING) return step
         }
         return FormStep.NOTHING
     }
 
+    private fun filled(model: ModelTerms): Double =
+        work.state.liveGroups(model.name).toDouble() / wanted.getValue(model).coerceAtLeast(1)
+
+    /** Idle engines that stay in a domain when more groups than wanted are formed; two halves of pairs find together. */
+    private fun reserveOf(model: ModelTerms): Int = (model.groupSize - 1) / ENGINES_PER_SPARE
+
     /** Groups of each model that the engines at hand bear, with some engines left as spares. */
     private fun wantedGroups(): Map<ModelTerms, Int> {
         val usable = view.table.engines.values.count {
@@ -37,58 +43,85 @@
         return models.associateWith { (grouped * it.share / shares / it.groupSize).toInt().coerceAtLeast(1) }
     }
 
-    private fun formIn(model: ModelTerms): FormStep {
-        val candidates = freeByDomain().values.mapNotNull { free -> membersFor(model, free) }
+    private fun formIn(model: ModelTerms, reserve: Int): FormStep {
+        val isExtra = filled(model) >= 1.0
+        val candidates = freeByDomain().mapNotNull { (domain, free) -> membersFor(model, domain, free, reserve) }
+            .filterNot { isExtra && it.foreign > 0 }
         val best = candidates.minWithOrNull(
-            compareBy<Candidate> { it.loads }.thenByDescending { it.freeInDomain },
+            compareBy<Candidate> { if (view.trafficStarted) it.loads else 0 }
+                .thenBy { it.foreign }
+                .thenByDescending { it.related }
+                .thenBy { it.loads }
+                .thenByDescending { it.free },
         ) ?: return FormStep.NOTHING
         if (best.loads > 0 && !work.mayStartLoads(best.loads)) return FormStep.WAITS_FOR_LOADS
         work.form(model, best.members)
         return FormStep.FORMED
     }
 
-    private fun membersFor(model: ModelTerms, free: List<KnownEngine>): Candidate? {
+    private fun membersFor(
+        model: ModelTerms,
+        domain: FabricDomain?,
+        free: List<KnownEngine>,
+        reserve: Int,
+    ): Candidate? {
         val staged = free.filter { model.name in it.status.staged }
-        if (staged.size >= model.groupSize) return Candidate(staged.take(model.groupSize), 0, free.size)
-        // During traffic a load takes longer than the engine should be held for, so weights are staged beforehand.
-        if (view.trafficStarted) return null
         val unstaged = free.filter { it.status.staged.isEmpty() }
-        val members = (staged + unstaged).take(model.groupSize)
-        if (members.size < model.groupSize) return null
-        return Candidate(members, members.count { model.name !in it.status.staged }, free.size)
+        // During traffic a load takes longer than the engine should be held for, so weights are staged beforehand.
+        val usable = if (view.trafficStarted) staged else staged + unstaged
+        if (usable.size < model.groupSize + reserve) return null
+        val members = usable.take(model.groupSize)
+        val others = inDomain(domain)
+        return Candidate(
+            members = members,
+            loads = members.count { model.name !in it.status.staged },
+            related = others.count { work.modelOf(it) == model.name },
+            foreign = others.count { engine -> work.modelOf(engine)?.let { it != model.name } == true },
+            free = free.size,
+        )
     }
 
     private fun freeByDomain(): Map<FabricDomain?, List<KnownEngine>> =
         view.table.engines.values.filter(work::isFree).groupBy { it.status.domain }
 
+    private fun inDomain(domain: FabricDomain?): List<KnownEngine> =
+        view.table.engines.values.filter { it.status.service == view.service.name && it.status.domain == domain }
+
     private fun stageSpares() {
-        for ((_, free) in freeByDomain()) {
+        for ((domain, free) in freeByDomain()) {
             val unstaged = free.filter { engine -> models.none { it.name in engine.status.staged } }
             for (engine in unstaged) {
                 if (!work.mayStartLoads(1)) return
-                val model = modelToStage(engine.status.domain) ?: return
+                val model = modelToStage(domain) ?: return
                 work.stage(engine, model)
             }
         }
     }
 
-    /** The model whose next group in the domain lacks the fewest engines, models with too few groups first. */
+    /** The model that most engines of the domain serve; in a domain without one, the model with too few groups. */
     private fun modelToStage(domain: FabricDomain?): ModelTerms? {
-        val wanted = wantedGroups()
-        val idle = view.table.engines.values.filter { it.status.domain == domain && it.status.membership == null }
+        val others = inDomain(domain)
         return models.minWithOrNull(
-            compareBy<ModelTerms> { model ->
-                val ready = idle.count { engine ->
-                    val staging = work.state.loads[engine.id]?.model
-                    staging == model.name || (staging == null && model.name in engine.status.staged)
-                }
-                ready.toDouble() / model.groupSize
-            }.thenBy { model -> work.state.liveGroups(model.name).toDouble() / wanted.getValue(model).coerceAtLeast(1) }
+            compareByDescending<ModelTerms> { model -> others.count { work.modelOf(it) == model.name } }
+                .thenBy { filled(it) }
                 .thenByDescending { it.groupSize },
         )
     }
 
     private enum class FormStep { FORMED, WAITS_FOR_LOADS, NOTHING }
 
-    private data class Candidate(val members: List<KnownEngine>, val loads: Int, val freeInDomain: Int)
+    private data class Candidate(
+        val members: List<KnownEngine>,
+        val loads: Int,
+        /** Engines of the domain that hold the model. */
+        val related: Int,
+        /** Engines of the domain that hold another model. */
+        val foreign: Int,
+        val free: Int,
+    )
+
+    private companion object {
+        /** Members of a group for which one idle engine of its domain is kept. */
+        const val ENGINES_PER_SPARE = 3
+    }
 }
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
@@ -250,6 +250,12 @@
         return if (loads) model.load else model.warm + view.pool.reportLag
     }
 
+    /** The model that an engine holds, loads or is to join a group of. */
+    fun modelOf(engine: KnownEngine): ModelName? =
+        state.loads[engine.id]?.model
+            ?: state.groups.values.firstOrNull { engine.id in it.members && it.stage != GroupStage.LOST }?.model
+            ?: engine.status.staged.firstOrNull { it in terms }
+
     /** Whether an engine is idle and may be given a group or weights. */
     fun isFree(engine: KnownEngine): Boolean =
         engine.status.service == view.service.name &&
