--- a/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
@@ -172,14 +172,13 @@
         current.onEnd()
     }
 
-    private fun statedKeepAlive(headers: io.netty.handler.codec.http.HttpHeaders): Duration? =
-        headers.get("Keep-Alive")
-            ?.split(',')
-            ?.firstOrNull { it.trim().startsWith("timeout=") }
-            ?.substringAfter('=')
-            ?.trim()
-            ?.toIntOrNull()
-            ?.seconds
+    private fun statedKeepAlive(headers: io.netty.handler.codec.http.HttpHeaders): Duration? = headers.get("Keep-Alive")
+        ?.split(',')
+        ?.firstOrNull { it.trim().startsWith("timeout=") }
+        ?.substringAfter('=')
+        ?.trim()
+        ?.toIntOrNull()
+        ?.seconds
 
     private inner class Handler : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -58,6 +58,7 @@
 }
 
 /** What the controller's task needs from the rest of the process. */
+@Suppress("LongParameterList")
 class ControllerLinks(
     val configuration: () -> FleetConfiguration?,
     val table: () -> EngineTable,
@@ -195,8 +196,7 @@
     }
 
     /** A group's epoch is used once, also if this process lost the duties and took them again under the same lease. */
-    private fun firstEpoch(lease: LeaseEpoch) =
-        maxOf(GroupEpoch(lease.value * EPOCHS_PER_LEASE), lastGroupEpoch)
+    private fun firstEpoch(lease: LeaseEpoch) = maxOf(GroupEpoch(lease.value * EPOCHS_PER_LEASE), lastGroupEpoch)
 
     private fun carryOut(service: ServiceName, effect: FormationEffect) {
         when (effect) {
--- a/process/src/main/kotlin/redwingcross/process/edge/EventLog.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/EventLog.kt
@@ -16,10 +16,10 @@
     private var dropped = 0
 
     /** Logs an event of ordinary operation. */
-    val info: LogEvent = { event, pairs -> if (admits()) logger.info { eventLine(event, *pairs) } }
+    val info: LogEvent = { event, pairs -> if (admits()) logger.info { eventLine(event, pairs.asList()) } }
 
     /** Logs a dependency that is lost or an input that can't be used. */
-    val warn: LogEvent = { event, pairs -> if (admits()) logger.warn { eventLine(event, *pairs) } }
+    val warn: LogEvent = { event, pairs -> if (admits()) logger.warn { eventLine(event, pairs.asList()) } }
 
     private fun admits(): Boolean {
         val now = clock.now()
--- a/process/src/main/kotlin/redwingcross/process/edge/FollowLag.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FollowLag.kt
@@ -16,12 +16,16 @@
         own: Map<NewsSource, FollowProgress>,
         now: Duration,
     ): List<NewsSource> = other.mapNotNull { (source, progress) ->
-        val confirmed = own[source]?.confirmed ?: 0
+        val confirmed = own[source]?.seenOf(source) ?: 0
         if (confirmed >= (awaited[source]?.revision ?: 0)) awaited.remove(source)
         if (progress.changed > confirmed) awaited.getOrPut(source) { Awaited(progress.changed, now) }
         val isLate = awaited[source]?.let { now - it.since >= patience(source) } == true
         source.takeIf { isLate }?.also { awaited.remove(it) }
     }
 
+    /** The configuration is one object, so its own revision tells; of other kinds an entry may be gone. */
+    private fun FollowProgress.seenOf(source: NewsSource): Long =
+        if (source == NewsSource.CONFIGURATION) changed else confirmed
+
     private data class Awaited(val revision: Long, val since: Duration)
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -107,7 +107,6 @@
     /** Serves one request of a caller. */
     fun serve(exchange: CallerExchange) {
         hasSeenRequests = true
-        val now = links.clock.now()
         val request = links.codec.decode(exchange.head) ?: return refuse(exchange, null, BAD_REQUEST, "no_attempt_id")
         val configuration = links.fleet().takeIf { it.isUsable }?.configuration
             ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_configuration")
@@ -115,10 +114,15 @@
             ?: return refuse(exchange, request, NOT_FOUND, "no_route", configuration)
         val tenant = tenantOf(configuration, request)
         if (tenant == null && configuration.requiresKeys && !route.anonymous) {
-            return refuse(exchange, request, UNAUTHORIZED, "unknown_key", configuration)
+            refuse(exchange, request, UNAUTHORIZED, "unknown_key", configuration)
+        } else {
+            admit(exchange, request, route, tenant)
         }
-        val service = pickService(route)
-            ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service", configuration)
+    }
+
+    private fun admit(exchange: CallerExchange, request: InboundRequest, route: Route, tenant: Customer?) {
+        val now = links.clock.now()
+        val service = pickService(route) ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service")
         budget(service).requestArrived(now)
         val task = ForwardTask(ForwardJob(exchange, request, route, service, tenant, now), context)
         tasks += task
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
@@ -52,8 +52,7 @@
     }
 
     /** Processes that were heard lately. */
-    fun alive(now: Duration): List<Peer> =
-        peers.values.filter { it.beat != null && now - it.heardAt < times.silence }
+    fun alive(now: Duration): List<Peer> = peers.values.filter { it.beat != null && now - it.heardAt < times.silence }
 
     /** Names of all processes that may be running, this one included. */
     val everyone: Set<String> get() = peers.keys + self.node
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -4,6 +4,7 @@
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
+import redwingcross.version.bundle.Endpoint
 import redwingcross.version.fleet.GatewayPlace
 import redwingcross.version.fleet.NewsSource
 import redwingcross.version.lease.LeaseMessage
@@ -58,6 +59,11 @@
 
     fun alive(): List<Peer> = table.alive(clock.now())
 
+    /** Where callers reach the others that take requests. */
+    fun readyCallers(): List<Endpoint> = alive()
+        .filter { it.beat?.ready == true && it.beat.leaving == false }
+        .map { Endpoint(it.record.callers) }
+
     fun hearsMajority(): Boolean = table.hearsMajority(clock.now())
 
     fun handle(message: PeerTaskMessage) {
@@ -83,7 +89,11 @@
     private fun callRegistry(now: Duration) {
         val alone = table.alive(now).isEmpty()
         nextRegistryCall = now + if (isRegistered && !alone) REGISTRY_INTERVAL else table.times.silence
-        if (!isRegistered) links.register() else if (alone) links.listRegistry()
+        if (!isRegistered) {
+            links.register()
+        } else if (alone) {
+            links.listRegistry()
+        }
     }
 
     private fun registry(result: RegistryResult) {
--- /dev/null
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/ControlEndpoint.kt
@@ -0,0 +1,41 @@
+package redwingcross.edge
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import redwingcross.connection.http.CallerExchange
+import redwingcross.platform.DirectoryFormat
+import redwingcross.version.bundle.Endpoint
+import kotlin.time.Duration
+
+/** Answers callers that ask for addresses, and the platform that asks whether the process is ready. */
+internal class ControlEndpoint(
+    private val isReady: () -> Boolean,
+    /** Addresses of gateways that live and are ready. */
+    private val addresses: () -> List<Endpoint>,
+    private val listLifetime: Duration,
+) {
+    fun serve(exchange: CallerExchange) {
+        val target = exchange.head.target
+        when {
+            DirectoryFormat.isReadiness(target) ->
+                exchange.respond(if (isReady()) OK else UNAVAILABLE, DefaultHttpHeaders(), EMPTY)
+            DirectoryFormat.isResolve(target) -> resolve(exchange)
+            else -> exchange.respond(NOT_FOUND, DefaultHttpHeaders(), EMPTY)
+        }
+    }
+
+    private fun resolve(exchange: CallerExchange) {
+        val found = addresses().take(MAXIMUM_ADDRESSES)
+        val headers = DefaultHttpHeaders()
+        if (found.isEmpty()) return exchange.respond(UNAVAILABLE, headers, EMPTY)
+        headers.add("Content-Type", "application/json")
+        exchange.respond(OK, headers, DirectoryFormat.addresses(found, listLifetime))
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+        val EMPTY = ByteArray(0)
+        const val MAXIMUM_ADDRESSES = 64
+    }
+}
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -2,24 +2,16 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.nio.NioEventLoopGroup
-import io.netty.handler.codec.http.DefaultHttpHeaders
 import redwingcross.connection.datagram.DatagramSocket
-import redwingcross.connection.http.CallResult
 import redwingcross.connection.http.CallerBounds
-import redwingcross.connection.http.CallerExchange
 import redwingcross.connection.http.CallerListener
 import redwingcross.connection.http.ConnectionBounds
 import redwingcross.connection.http.HttpCaller
 import redwingcross.connection.http.HttpConnections
 import redwingcross.connection.http.RemoteParty
 import redwingcross.connection.http.ServeExchange
-import redwingcross.platform.DirectoryFormat
-import redwingcross.platform.EngineFormat
-import redwingcross.platform.OrderFormat
 import redwingcross.platform.PlatformFleet
 import redwingcross.platform.RequestFormat
-import redwingcross.process.edge.AnnouncedGroup
-import redwingcross.process.edge.AnnouncedGroups
 import redwingcross.process.edge.Beat
 import redwingcross.process.edge.ControllerLinks
 import redwingcross.process.edge.ControllerMessage
@@ -39,18 +31,11 @@
 import redwingcross.process.edge.PeerLinks
 import redwingcross.process.edge.PeerTask
 import redwingcross.process.edge.PeerTaskMessage
-import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
-import redwingcross.request.ModelName
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ServiceName
-import redwingcross.request.forward.Repeatability
-import redwingcross.version.bundle.Endpoint
 import redwingcross.version.fleet.FleetNews
-import redwingcross.version.fleet.FormationOrder
-import redwingcross.version.fleet.GroupEpoch
 import redwingcross.version.fleet.NewsSource
-import redwingcross.version.fleet.OrderCount
 import redwingcross.version.fleet.ServingGroup
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.forwarding.SendToBackend
@@ -84,8 +69,8 @@
     private val backends = HttpConnections(group, clock, BACKEND_BOUNDS)
     private val control = HttpConnections(group, clock, CONTROL_BOUNDS)
     private val caller = HttpCaller(control, loop as io.netty.channel.EventLoop)
-    private val storeParty = RemoteParty(address(settings.store), settings.store.value)
-    private val platform = PlatformFleet(storeParty, caller::call, ::runAfter) { event, pairs ->
+    private val storeParty = RemoteParty(settings.store.toSocketAddress(), settings.store.value)
+    private val platform = PlatformFleet(storeParty, caller::call, { delay, action -> runLater(delay, action) }) { event, pairs ->
         events.warn(event, pairs.toTypedArray())
     }
     private val peerSocket = DatagramSocket(
@@ -132,6 +117,7 @@
         settings.bounds,
         random,
     )
+    private val engines = EngineControl(caller::call, clock, { controllerPost(it) }, events.info)
     private val controller = ControllerTask(
         settings.node,
         "$startMillis",
@@ -147,8 +133,8 @@
             applyLeave = { engine, orders -> fleet = FleetDecision.left(fleet, engine, orders, clock.now()) },
             readLease = { call -> platform.readLease(call, ::postLease) },
             writeLease = { call, expected, record -> platform.writeLease(call, expected, record, ::postLease) },
-            ask = ::ask,
-            order = ::order,
+            ask = engines::ask,
+            order = engines::order,
             announce = ::announce,
         ),
         clock,
@@ -185,8 +171,13 @@
         onRefused = { events.info("caller_refused", arrayOf("status" to it)) },
         serve = gateway::serve,
     )
-    private val readiness = listener(::serveControl)
-    private val directory = listener(::serveControl)
+    private val controlEndpoint = ControlEndpoint(
+        ::isReady,
+        { listOf(settings.callers).filter { isReady() } + peers.readyCallers() },
+        minOf(LIST_LIFETIME, settings.bounds.maximumListLifetime),
+    )
+    private val readiness = listener(controlEndpoint::serve)
+    private val directory = listener(controlEndpoint::serve)
 
     /** Serves until the process is stopped. */
     fun run() {
@@ -194,9 +185,9 @@
         for (name in listOf("TERM", "INT")) Signal.handle(Signal(name)) { loop.execute { stop(name) } }
         Signal.handle(Signal("HUP")) { events.info("reload", arrayOf("settings" to "unchanged")) }
         peerSocket.start(InetSocketAddress(settings.ip, settings.internalPorts.first))
-        readiness.start(address(settings.readiness))
-        settings.directory?.let { directory.start(address(it)) }
-        callers.start(address(settings.callers))
+        readiness.start(settings.readiness.toSocketAddress())
+        settings.directory?.let { directory.start(it.toSocketAddress()) }
+        callers.start(settings.callers.toSocketAddress())
         loop.execute(::startTasks)
         stopped.await()
     }
@@ -286,91 +277,25 @@
 
     private fun announce(service: ServiceName, epoch: LeaseEpoch, serving: List<ServingGroup>, lost: Set<GroupId>) {
         announcementSequence++
-        val message = GroupAnnouncement(
-            self,
-            epoch.value,
-            announcementSequence,
-            service.value,
-            serving.map {
-                AnnouncedGroup(
-                    it.id.value,
-                    it.epoch.value,
-                    it.model.value,
-                    it.head.value,
-                    it.headAddress.value,
-                    it.headZone.value,
-                )
-            },
-            lost.map { it.value },
-        )
+        val groups = serving.map(ServingGroup::toMessage)
+        val lostNames = lost.map { it.value }
+        val message =
+            GroupAnnouncement(self, epoch.value, announcementSequence, service.value, groups, lostNames)
         peers.broadcast(message)
         groupsAnnounced(message)
     }
 
     private fun groupsAnnounced(message: GroupAnnouncement) {
-        val groups = AnnouncedGroups(
-            message.leaseEpoch,
-            message.sequence,
-            clock.now(),
-            message.serving.map {
-                ServingGroup(
-                    GroupId(it.id),
-                    GroupEpoch(it.epoch),
-                    ServiceName(message.service),
-                    ModelName(it.model),
-                    BackendServer(it.head),
-                    Endpoint(it.address),
-                    redwingcross.request.AvailabilityZone(it.zone),
-                    emptyList(),
-                )
-            },
-            message.lost.mapTo(mutableSetOf(), ::GroupId),
-        )
+        val groups = message.toGroups(clock.now())
         fleet = FleetDecision.announced(fleet, groups)
         gateway.groupsLost(groups.lost)
     }
 
-    private fun ask(service: ServiceName, engine: BackendServer, endpoint: Endpoint) {
-        val askedAt = clock.now()
-        val party = RemoteParty(address(endpoint), engine.value)
-        caller.call(party, OrderFormat.reportHead(endpoint.value), ByteArray(0), ASK_TIMEOUT) { result ->
-            val report = (result as? CallResult.Answered)?.let { EngineFormat.report(it.body) }
-            val refused = result == CallResult.NotSent && clock.now() - askedAt < REFUSED_WITHIN
-            controllerPost(ControllerMessage.Asked(service, engine, report, refused))
-        }
-    }
-
-    private fun order(
-        service: ServiceName,
-        engine: BackendServer,
-        endpoint: Endpoint,
-        order: FormationOrder,
-        expected: OrderCount,
-    ) {
-        val party = RemoteParty(address(endpoint), engine.value)
-        val body = OrderFormat.encode(order, expected)
-        caller.call(party, OrderFormat.orderHead(endpoint.value), body, ORDER_TIMEOUT) { result ->
-            val outcome = OrderFormat.outcome(result)
-            val status = (result as? CallResult.Answered)?.status
-            events.info(
-                "order",
-                arrayOf(
-                    "engine" to engine,
-                    "order" to order,
-                    "expected" to expected.value,
-                    "outcome" to outcome,
-                    "status" to status,
-                ),
-            )
-            controllerPost(ControllerMessage.Ordered(service, engine, outcome))
-        }
-    }
-
     private fun sendToBackend(): SendToBackend = { backend, head, body, repeatability, listener ->
         val maximumIdle = if (repeatability.mayRunAgain) Duration.INFINITE else UNREPEATABLE_IDLE
         val expected = head.headers.get("Attempt-Id")
         backends.exchange(
-            RemoteParty(address(backend.address), backend.server.value),
+            RemoteParty(backend.address.toSocketAddress(), backend.server.value),
             head,
             body,
             { answer -> answer.headers.get("Attempt-Id")?.let { it == expected } ?: true },
@@ -379,35 +304,6 @@
         )
     }
 
-    private fun serveControl(exchange: CallerExchange) {
-        val target = exchange.head.target
-        val zone = DirectoryFormat.resolveZone(target)
-        val headers = DefaultHttpHeaders()
-        when {
-            DirectoryFormat.isReadiness(target) -> exchange.respond(if (isReady()) OK else UNAVAILABLE, headers, EMPTY)
-            zone != null -> {
-                val addresses = addressesFor()
-                if (addresses.isEmpty()) {
-                    exchange.respond(UNAVAILABLE, headers, EMPTY)
-                } else {
-                    headers.add("Content-Type", "application/json")
-                    exchange.respond(OK, headers, DirectoryFormat.addresses(addresses, listLifetime()))
-                }
-            }
-            else -> exchange.respond(NOT_FOUND, headers, EMPTY)
-        }
-    }
-
-    private fun addressesFor(): List<Endpoint> {
-        val others = peers.alive()
-            .filter { it.beat?.ready == true && it.beat?.leaving == false }
-            .map { Endpoint(it.record.callers) }
-        val own = listOf(settings.callers).filter { isReady() }
-        return (own + others).take(MAXIMUM_ADDRESSES)
-    }
-
-    private fun listLifetime(): Duration = minOf(LIST_LIFETIME, settings.bounds.maximumListLifetime)
-
     private fun listener(serve: ServeExchange) =
         CallerListener(group, clock, { DEFAULT_HEAD_BYTES }, ::callerBounds, {}, serve)
 
@@ -426,26 +322,14 @@
         events.info("stop", arrayOf("signal" to signal, "running" to gateway.running))
         controllerPost(ControllerMessage.Release)
         peerPost(PeerTaskMessage.Tick)
-        val grace = settings.bounds.stopGrace
-        val drainUntil = clock.now() + minOf(LIST_LIFETIME * LIST_FACTOR + 300.milliseconds, grace / 2)
-        val endBy = clock.now() + grace - STOP_MARGIN
-        runAfter(minOf(LIST_LIFETIME * LIST_FACTOR, grace / 2)) { callers.closeGracefully() }
-        endWhenIdle(drainUntil, endBy)
-    }
-
-    private fun endWhenIdle(drainUntil: Duration, endBy: Duration) {
-        val now = clock.now()
-        if (now >= endBy || (now >= drainUntil && gateway.running == 0)) {
-            events.info("stopped", arrayOf("running" to gateway.running))
-            stopped.countDown()
-            runAfter(100.milliseconds) { Runtime.getRuntime().halt(0) }
-        } else {
-            runAfter(50.milliseconds) { endWhenIdle(drainUntil, endBy) }
-        }
-    }
-
-    private fun runAfter(delay: Duration, action: () -> Unit) {
-        loop.schedule(action, delay.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+        StopSequence(settings.bounds.stopGrace, LIST_LIFETIME, clock, ::runLater, { gateway.running }).start(
+            closeGracefully = callers::closeGracefully,
+            end = {
+                events.info("stopped", arrayOf("running" to gateway.running))
+                stopped.countDown()
+                Runtime.getRuntime().halt(0)
+            },
+        )
     }
 
     private fun runLater(delay: Duration, action: () -> Unit): CancelTimer {
@@ -453,17 +337,7 @@
         return CancelTimer { future.cancel(false) }
     }
 
-    private fun address(endpoint: Endpoint): InetSocketAddress {
-        val text = endpoint.value
-        return InetSocketAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
-    }
-
     private companion object {
-        const val OK = 200
-        const val UNAVAILABLE = 503
-        const val NOT_FOUND = 404
-        val EMPTY = ByteArray(0)
-
         /** Messages that wait for a task; more are dropped and counted in the log. */
         const val MAILBOX = 4096
         const val LOG_LINES_PER_SECOND = 150
@@ -476,9 +350,6 @@
 
         /** A connection that was idle longer may be closed while a request that can't be repeated is on its way. */
         val UNREPEATABLE_IDLE = 700.milliseconds
-        val ASK_TIMEOUT = 250.milliseconds
-        val REFUSED_WITHIN = 150.milliseconds
-        val ORDER_TIMEOUT = 400.milliseconds
         val BEAT_INTERVAL = 250.milliseconds
         val CONTROLLER_INTERVAL = 100.milliseconds
         val WATCH_INTERVAL = 100.milliseconds
@@ -492,10 +363,5 @@
 
         /** Callers keep a list for this long, some of them three times as long. */
         val LIST_LIFETIME = 1.seconds
-        const val LIST_FACTOR = 3
-        const val MAXIMUM_ADDRESSES = 64
-
-        /** Time between the end of the process and the kill that follows the grace period. */
-        val STOP_MARGIN = 500.milliseconds
     }
 }
--- /dev/null
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EngineControl.kt
@@ -0,0 +1,70 @@
+package redwingcross.edge
+
+import redwingcross.connection.http.CallResult
+import redwingcross.connection.http.MakeCall
+import redwingcross.connection.http.RemoteParty
+import redwingcross.platform.EngineFormat
+import redwingcross.platform.OrderFormat
+import redwingcross.process.edge.ControllerMessage
+import redwingcross.process.edge.LogEvent
+import redwingcross.process.edge.Post
+import redwingcross.request.BackendServer
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ServiceName
+import redwingcross.version.bundle.Endpoint
+import redwingcross.version.fleet.FormationOrder
+import redwingcross.version.fleet.OrderCount
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Questions and orders of the controller to engines; the answers go to its mailbox. */
+internal class EngineControl(
+    private val makeCall: MakeCall,
+    private val clock: MonotonicClock,
+    private val post: Post<ControllerMessage>,
+    private val log: LogEvent,
+) {
+    fun ask(service: ServiceName, engine: BackendServer, endpoint: Endpoint) {
+        val askedAt = clock.now()
+        val party = RemoteParty(endpoint.toSocketAddress(), engine.value)
+        makeCall(party, OrderFormat.reportHead(endpoint.value), ByteArray(0), ASK_TIMEOUT) { result ->
+            val report = (result as? CallResult.Answered)?.let { EngineFormat.report(it.body) }
+            val refused = result == CallResult.NotSent && clock.now() - askedAt < REFUSED_WITHIN
+            post(ControllerMessage.Asked(service, engine, report, refused))
+        }
+    }
+
+    fun order(
+        service: ServiceName,
+        engine: BackendServer,
+        endpoint: Endpoint,
+        order: FormationOrder,
+        expected: OrderCount,
+    ) {
+        val party = RemoteParty(endpoint.toSocketAddress(), engine.value)
+        val body = OrderFormat.encode(order, expected)
+        makeCall(party, OrderFormat.orderHead(endpoint.value), body, ORDER_TIMEOUT) { result ->
+            val outcome = OrderFormat.outcome(result)
+            val status = (result as? CallResult.Answered)?.status
+            log(
+                "order",
+                arrayOf(
+                    "engine" to engine,
+                    "order" to order,
+                    "expected" to expected.value,
+                    "outcome" to outcome,
+                    "status" to status,
+                ),
+            )
+            post(ControllerMessage.Ordered(service, engine, outcome))
+        }
+    }
+
+    private companion object {
+        /** An engine answers for its report without a free slot, so a longer silence means that it is gone. */
+        val ASK_TIMEOUT = 250.milliseconds
+
+        /** A connection that fails sooner was refused; a silent engine lets it time out. */
+        val REFUSED_WITHIN = 150.milliseconds
+        val ORDER_TIMEOUT = 400.milliseconds
+    }
+}
--- a/request/src/main/kotlin/redwingcross/request/EventLine.kt
+++ b/request/src/main/kotlin/redwingcross/request/EventLine.kt
@@ -4,7 +4,10 @@
  * One log line: `event=name` and the pairs as `key=value`. Values with spaces, quotes, equals signs or control
  * characters are quoted and escaped, so that every event stays one line that can be split again.
  */
-fun eventLine(event: String, vararg pairs: Pair<String, Any?>): String =
+fun eventLine(event: String, vararg pairs: Pair<String, Any?>): String = eventLine(event, pairs.asList())
+
+/** The same with the pairs in a list. */
+fun eventLine(event: String, pairs: List<Pair<String, Any?>>): String =
     (listOf<Pair<String, Any?>>("event" to event) + pairs).joinToString(" ") { (key, value) -> "$key=${quoted(value)}" }
 
 private fun quoted(value: Any?): String {
--- a/request/src/main/kotlin/redwingcross/request/forward/RetryBudget.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/RetryBudget.kt
@@ -43,7 +43,9 @@
     }
 
     override fun toString(): String =
-        "requests=${requests.size} repetitions=${repetitions.size} window=${terms.window.toDouble(DurationUnit.SECONDS)}s"
+        "requests=${requests.size} repetitions=${repetitions.size} window=${terms.window.toDouble(
+            DurationUnit.SECONDS,
+        )}s"
 
     private companion object {
         /** Part of the budget in use; the rest covers gateways that restarted and forgot what they used. */
--- a/request/src/main/kotlin/redwingcross/request/stream/EventSplitter.kt
+++ b/request/src/main/kotlin/redwingcross/request/stream/EventSplitter.kt
@@ -41,33 +41,46 @@
     }
 
     private fun batch(bytes: ByteArray): EventBatch {
-        var events = 0
-        var first: Long? = null
-        var last: Long? = null
+        val tally = EventTally()
         var lineStart = 0
-        var lineHasContent = false
         for (index in bytes.indices) {
             if (bytes[index] != NEWLINE) continue
             val lineEnd = if (index > lineStart && bytes[index - 1] == RETURN) index - 1 else index
-            if (lineEnd == lineStart) {
-                if (lineHasContent) events++
-                lineHasContent = false
-            } else {
-                lineHasContent = true
-                eventId(bytes, lineStart, lineEnd)?.let { id ->
-                    if (first == null) first = id
-                    last = id
-                }
-            }
+            if (lineEnd == lineStart) tally.blankLine() else tally.line(eventId(bytes, lineStart, lineEnd))
             lineStart = index + 1
         }
-        return EventBatch(bytes, events, last, first)
+        return EventBatch(bytes, tally.events, tally.lastId, tally.firstId)
+    }
+
+    /** Counts events and their ids line by line. */
+    private class EventTally {
+        var events = 0
+        var firstId: Long? = null
+        var lastId: Long? = null
+        private var hasContent = false
+
+        fun line(id: Long?) {
+            hasContent = true
+            if (id == null) return
+            if (firstId == null) firstId = id
+            lastId = id
+        }
+
+        fun blankLine() {
+            if (hasContent) events++
+            hasContent = false
+        }
     }
 
     private fun eventId(bytes: ByteArray, start: Int, end: Int): Long? {
         if (end - start < ID_FIELD.size) return null
         if (ID_FIELD.indices.any { bytes[start + it] != ID_FIELD[it] }) return null
-        return String(bytes, start + ID_FIELD.size, end - start - ID_FIELD.size, Charsets.US_ASCII).trim().toLongOrNull()
+        return String(
+            bytes,
+            start + ID_FIELD.size,
+            end - start - ID_FIELD.size,
+            Charsets.US_ASCII,
+        ).trim().toLongOrNull()
     }
 
     private companion object {
--- a/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
@@ -104,8 +104,7 @@
         engine.isCold(now) || returnedZones[engine.status.zone]?.let { now < it } == true
 
     /** Whether new work may be sent to [engine]. */
-    fun takesWork(engine: KnownEngine): Boolean =
-        !engine.status.draining && engine.status.zone !in evacuatedZones
+    fun takesWork(engine: KnownEngine): Boolean = !engine.status.draining && engine.status.zone !in evacuatedZones
 
     private fun with(engine: KnownEngine): EngineTable = copy(engines = engines + (engine.id to engine))
 
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
@@ -29,9 +29,10 @@
     /** One step; called several times a second and after each answer. */
     fun step(state: FormationState, view: FormationView, now: Duration): Transition<FormationState, FormationEffect> {
         val work = FormationWork(state, view, now)
-        work.adoptGroups()
-        work.advanceGroups()
-        work.releaseStrays()
+        val groups = FormationGroups(work)
+        groups.adoptGroups()
+        groups.advanceGroups()
+        groups.releaseStrays()
         FormationPlanner(work).plan()
         work.askAwaited()
         return work.result()
@@ -90,7 +91,8 @@
         return state.copy(
             calls = state.calls - engine,
             askedAt = state.askedAt - engine,
-            askAfter = state.askAfter + (engine to now + pool.reportLag + REPORT_MARGIN + duration(state, call, engine, pool)),
+            askAfter =
+            state.askAfter + (engine to now + pool.reportLag + REPORT_MARGIN + duration(state, call, engine, pool)),
             acceptedOrders = if (counted != null) state.acceptedOrders + (engine to counted) else state.acceptedOrders,
             lastModel = if (joined != null) state.lastModel + (engine to joined) else state.lastModel,
             unsettled = if (begun && order is FormationOrder.Leave) state.unsettled else state.unsettled + engine,
@@ -99,24 +101,20 @@
     }
 
     /** How long it takes until an order that has begun is done. */
-    private fun duration(
-        state: FormationState,
-        call: PendingCall,
-        engine: BackendServer,
-        pool: ModelPool,
-    ): Duration = when (val order = call.order) {
-        is FormationOrder.Open -> pool.opening
-        is FormationOrder.Join -> {
-            val terms = pool.models.firstOrNull { it.name == order.model }
-            val load = state.loads[engine]
-            when {
-                state.lastModel[engine] == order.model || terms == null -> REJOIN_TIME
-                load != null -> (load.dueAt - load.startedAt)
-                else -> terms.warm
+    private fun duration(state: FormationState, call: PendingCall, engine: BackendServer, pool: ModelPool): Duration =
+        when (val order = call.order) {
+            is FormationOrder.Open -> pool.opening
+            is FormationOrder.Join -> {
+                val terms = pool.models.firstOrNull { it.name == order.model }
+                val load = state.loads[engine]
+                when {
+                    state.lastModel[engine] == order.model || terms == null -> REJOIN_TIME
+                    load != null -> (load.dueAt - load.startedAt)
+                    else -> terms.warm
+                }
             }
+            else -> Duration.ZERO
         }
-        else -> Duration.ZERO
-    }
 
     /** A gateway sees no progress on streams of [group]: its members are asked at once. */
     fun suspected(state: FormationState, group: GroupId, now: Duration): FormationState {
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
@@ -1,6 +1,7 @@
 package redwingcross.version.fleet
 
 import redwingcross.version.bundle.FabricDomain
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Chooses which idle engines form groups and which weights are staged on the rest. The engines of a domain serve one
@@ -30,7 +31,7 @@
     private fun filled(model: ModelTerms): Double =
         work.state.liveGroups(model.name).toDouble() / wanted.getValue(model).coerceAtLeast(1)
 
-    /** Idle engines that stay in a domain when more groups than wanted are formed; two halves of pairs find together. */
+    /** Idle engines that stay in a domain when more groups than wanted are formed; halves of pairs find together. */
     private fun reserveOf(model: ModelTerms): Int = (model.groupSize - 1) / ENGINES_PER_SPARE
 
     /** Groups of each model that the engines at hand bear, with some engines left as spares. */
@@ -54,7 +55,7 @@
                 .thenBy { it.loads }
                 .thenByDescending { it.free },
         ) ?: return FormStep.NOTHING
-        if (best.loads > 0 && !work.mayStartLoads(best.loads)) return FormStep.WAITS_FOR_LOADS
+        if (best.loads > 0 && !mayStartLoads(best.loads)) return FormStep.WAITS_FOR_LOADS
         work.form(model, best.members)
         return FormStep.FORMED
     }
@@ -91,7 +92,7 @@
         for ((domain, free) in freeByDomain()) {
             val unstaged = free.filter { engine -> models.none { it.name in engine.status.staged } }
             for (engine in unstaged) {
-                if (!work.mayStartLoads(1)) return
+                if (!mayStartLoads(1)) return
                 val model = modelToStage(domain) ?: return
                 work.stage(engine, model)
             }
@@ -108,6 +109,14 @@
         )
     }
 
+    /** Whether the weight store's rate leaves room for [count] loads. */
+    private fun mayStartLoads(count: Int): Boolean {
+        val inLastSecond = work.state.loadStarts.count { work.now - it < LOAD_RATE_PERIOD }
+        val slack = if (view.trafficStarted) 0 else LOADS_IN_ADVANCE
+        return work.runningLoads + count <= maxOf(view.pool.concurrentLoads + slack, count) &&
+            inLastSecond + count <= maxOf(view.pool.loadsPerSecond.toInt(), count)
+    }
+
     private enum class FormStep { FORMED, WAITS_FOR_LOADS, NOTHING }
 
     private data class Candidate(
@@ -123,5 +132,9 @@
     private companion object {
         /** Members of a group for which one idle engine of its domain is kept. */
         const val ENGINES_PER_SPARE = 3
+
+        /** Loads started beyond those that run at full speed, so that the weight store never idles. */
+        const val LOADS_IN_ADVANCE = 3
+        val LOAD_RATE_PERIOD = 1.seconds
     }
 }
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
@@ -128,3 +128,8 @@
     /** Highest epoch in use; groups of later leases get higher ones. */
     val epoch: GroupEpoch = GroupEpoch(0),
 )
+
+/** How far [id] is as a member of [group]; null if it is in no group or in another one. */
+internal fun EngineTable.phaseIn(group: FormedGroup, id: BackendServer): MemberPhase? = engines[id]?.status?.membership
+    ?.takeIf { it.group == group.id && it.epoch == group.epoch }
+    ?.phase
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
@@ -14,7 +14,6 @@
     private val effects = mutableListOf<FormationEffect>()
 
     private val terms = view.pool.models.associateBy { it.name }
-    private val reported = view.table.reportedGroups(view.service.name).associateBy { it.id }
 
     init {
         val starts = view.table.engines.mapValues { it.value.status.start }
@@ -36,136 +35,17 @@
 
     fun result(): Transition<FormationState, FormationEffect> = Transition(state, effects)
 
-    /** Takes over complete groups that an earlier controller formed. */
-    fun adoptGroups() {
-        for (group in reported.values) {
-            if (group.id in state.groups) continue
-            raiseEpoch(group.epoch)
-            val model = GroupNames.model(group.id)?.let(terms::get) ?: continue
-            if (!group.isComplete(model.groupSize) || group.members.any { isGone(it.id) }) continue
-            val stage = when (group.head?.status?.membership?.phase) {
-                MemberPhase.OPEN -> GroupStage.SERVING
-                MemberPhase.CLOSING -> GroupStage.RETIRING
-                MemberPhase.BROKEN -> GroupStage.LOST
-                else -> GroupStage.JOINING
-            }
-            put(FormedGroup(group.id, group.epoch, model.name, group.members.map { it.id }, stage, now))
-            note("group_adopted", "group" to group.id, "stage" to stage)
-        }
-    }
-
-    fun advanceGroups() {
-        for (group in state.groups.values.toList()) {
-            when (group.stage) {
-                GroupStage.JOINING -> advanceJoining(group)
-                GroupStage.OPENING -> advanceOpening(group)
-                GroupStage.SERVING -> advanceServing(group)
-                GroupStage.RETIRING -> advanceRetiring(group)
-                GroupStage.LOST -> advanceLost(group)
-            }
-        }
-    }
-
-    private fun advanceJoining(group: FormedGroup) {
-        val missing = group.members.filter { isGone(it) }
-        val limit = group.since + expectedJoin(group) + view.settings.joinPatience
-        when {
-            missing.isNotEmpty() -> move(group, GroupStage.LOST, "member" to missing.first())
-            group.members.any { leaves(it) } -> move(group, GroupStage.LOST, "reason" to "member_leaves")
-            group.members.all { phaseIn(group, it) == MemberPhase.READY } -> open(group)
-            now > limit -> move(group, GroupStage.LOST, "reason" to "join_timeout")
-            else -> group.members.filter { phaseIn(group, it) == null }.forEach { join(group, it) }
-        }
-    }
-
-    private fun open(group: FormedGroup) {
-        if (send(group.members.first(), FormationOrder.Open(group.id, group.epoch))) move(group, GroupStage.OPENING)
-    }
-
-    private fun join(group: FormedGroup, member: BackendServer) {
-        val engine = view.table.engines[member] ?: return
-        if (engine.status.membership != null) return
-        send(member, FormationOrder.Join(group.id, group.epoch, group.model, group.members))
-    }
-
-    private fun advanceOpening(group: FormedGroup) {
-        val head = phaseIn(group, group.members.first())
-        val due = group.since + view.pool.opening + OPENING_GRACE
-        when {
-            group.members.any { isGone(it) || phaseIn(group, it) == null } ->
-                move(group, GroupStage.LOST, "reason" to "member_lost")
-            head == MemberPhase.OPEN || hasBegunToOpen(group) -> move(group, GroupStage.SERVING)
-            head == MemberPhase.BROKEN -> move(group, GroupStage.LOST, "reason" to "broken")
-            head == MemberPhase.READY && now > due -> move(group, GroupStage.JOINING, "reason" to "open_not_done")
-            else -> Unit
-        }
-    }
-
-    /** An accepted order to open takes effect after a fixed time; the report that shows it comes later. */
-    private fun hasBegunToOpen(group: FormedGroup): Boolean {
-        val head = group.members.first()
-        val shown = view.table.engines[head]?.orders ?: return false
-        val accepted = state.acceptedOrders[head] ?: return false
-        return shown < accepted && now > group.since + view.pool.opening + ORDER_TRAVEL
-    }
-
-    private fun advanceServing(group: FormedGroup) {
-        val gone = group.members.firstOrNull { isGone(it) || phaseIn(group, it) == null }
-        val broken = group.members.firstOrNull { phaseIn(group, it) == MemberPhase.BROKEN }
-        when {
-            gone != null -> move(group, GroupStage.LOST, "member" to gone)
-            phaseIn(group, group.members.first()) == MemberPhase.READY && isSettled(group.members.first()) &&
-                now - group.since > view.pool.opening + view.pool.reportLag + OPENING_GRACE ->
-                move(group, GroupStage.JOINING, "reason" to "open_not_done")
-            broken != null -> move(group, GroupStage.LOST, "broken" to broken)
-            group.members.any { leaves(it) } -> move(group, GroupStage.RETIRING)
-            else -> Unit
-        }
-    }
-
-    private fun isSettled(id: BackendServer) = id !in state.unsettled && id !in state.calls
-
-    /** New work has stopped; the head is closed once requests that were on their way have arrived. */
-    private fun advanceRetiring(group: FormedGroup) {
-        val head = group.members.first()
-        val phase = phaseIn(group, head)
-        val gone = group.members.any { isGone(it) || phaseIn(group, it) == null }
-        val age = now - group.since
-        when {
-            gone || phase == MemberPhase.READY || phase == MemberPhase.BROKEN ->
-                move(group, GroupStage.LOST, "reason" to "retired")
-            phase == MemberPhase.OPEN && age > CLOSING_DELAY ->
-                send(head, FormationOrder.Close(group.id, group.epoch, age > view.settings.retirePatience))
-            else -> Unit
-        }
-    }
-
-    private fun advanceLost(group: FormedGroup) {
-        val present = group.members.filter { !isGone(it) && phaseIn(group, it) != null }
-        if (present.isEmpty()) {
-            state = state.copy(groups = state.groups - group.id)
-            note("group_dissolved", "group" to group.id)
-        } else {
-            present.forEach { send(it, FormationOrder.Leave(group.id, group.epoch)) }
-        }
-    }
-
-    /** Engines in a group that nobody manages leave it, so that they can join another. */
-    fun releaseStrays() {
-        for (engine in view.table.engines.values) {
-            val membership = engine.status.membership ?: continue
-            if (engine.status.service != view.service.name || membership.group in state.groups) continue
-            if (isGone(engine.id) || engine.status.draining) continue
-            send(engine.id, FormationOrder.Leave(membership.group, membership.epoch))
-        }
-    }
-
     /** Asks every engine whose state decides the next step. */
     fun askAwaited() {
         val interval = if (view.trafficStarted) view.settings.askInterval else view.settings.idleAskInterval
         val awaited = state.groups.values
             .filter { it.stage != GroupStage.SERVING }
-            .flatMap { group -> group.members.filter { phaseIn(group, it) != MemberPhase.READY || mayBeOpen(group) } }
+            .flatMap { group ->
+                group.members.filter {
+                    view.table.phaseIn(group, it) != MemberPhase.READY ||
+                        mayBeOpen(group)
+                }
+            }
         val loading = state.loads.filterValues { now >= it.dueAt }.keys
         val retried = state.lost.filterValues { now - it >= view.settings.lostRetry }.keys
         val silent = state.silentSince.keys - state.lost.keys
@@ -224,6 +104,12 @@
         group.members.forEach { join(group, it) }
     }
 
+    fun join(group: FormedGroup, member: BackendServer) {
+        val engine = view.table.engines[member] ?: return
+        if (engine.status.membership != null) return
+        send(member, FormationOrder.Join(group.id, group.epoch, group.model, group.members))
+    }
+
     /** Loads weights onto the host of an idle engine. */
     fun stage(engine: KnownEngine, model: ModelTerms) {
         if (!send(engine.id, FormationOrder.Stage(model.name))) return
@@ -244,60 +130,41 @@
         return model.load * factor * maxOf(1.0, (runningLoads + 1.0) / view.pool.concurrentLoads)
     }
 
-    private fun expectedJoin(group: FormedGroup): Duration {
-        val model = terms[group.model] ?: return Duration.ZERO
-        val loads = group.members.any { it in state.loads }
-        return if (loads) model.load else model.warm + view.pool.reportLag
-    }
-
     /** The model that an engine holds, loads or is to join a group of. */
-    fun modelOf(engine: KnownEngine): ModelName? =
-        state.loads[engine.id]?.model
-            ?: state.groups.values.firstOrNull { engine.id in it.members && it.stage != GroupStage.LOST }?.model
-            ?: engine.status.staged.firstOrNull { it in terms }
+    fun modelOf(engine: KnownEngine): ModelName? = state.loads[engine.id]?.model
+        ?: state.groups.values.firstOrNull { engine.id in it.members && it.stage != GroupStage.LOST }?.model
+        ?: engine.status.staged.firstOrNull { it in terms }
 
     /** Whether an engine is idle and may be given a group or weights. */
-    fun isFree(engine: KnownEngine): Boolean =
-        engine.status.service == view.service.name &&
-            engine.status.membership == null &&
-            view.table.takesWork(engine) &&
-            !isGone(engine.id) &&
-            engine.id !in state.calls &&
-            engine.id !in state.unsettled &&
-            engine.id !in state.loads &&
-            state.groups.values.none { engine.id in it.members && it.stage != GroupStage.LOST }
+    fun isFree(engine: KnownEngine): Boolean = engine.status.service == view.service.name &&
+        engine.status.membership == null &&
+        view.table.takesWork(engine) &&
+        !isGone(engine.id) &&
+        engine.id !in state.calls &&
+        engine.id !in state.unsettled &&
+        engine.id !in state.loads &&
+        state.groups.values.none { engine.id in it.members && it.stage != GroupStage.LOST }
 
     /** Loads of weights that run at this moment. */
-    private val runningLoads: Int get() = state.loads.count { now < it.value.dueAt }
-
-    /** Whether the weight store's rate leaves room for [count] loads. */
-    fun mayStartLoads(count: Int): Boolean {
-        val inLastSecond = state.loadStarts.count { now - it < LOAD_RATE_PERIOD }
-        val slack = if (view.trafficStarted) 0 else LOADS_IN_ADVANCE
-        return runningLoads + count <= maxOf(view.pool.concurrentLoads + slack, count) &&
-            inLastSecond + count <= maxOf(view.pool.loadsPerSecond.toInt(), count)
-    }
-
-    private fun isGone(id: BackendServer): Boolean = id !in view.table.engines || id in state.lost
+    val runningLoads: Int get() = state.loads.count { now < it.value.dueAt }
 
-    private fun leaves(id: BackendServer): Boolean = view.table.engines[id]?.let { !view.table.takesWork(it) } == true
+    fun isGone(id: BackendServer): Boolean = id !in view.table.engines || id in state.lost
 
-    private fun phaseIn(group: FormedGroup, id: BackendServer): MemberPhase? =
-        view.table.engines[id]?.status?.membership
-            ?.takeIf { it.group == group.id && it.epoch == group.epoch }
-            ?.phase
+    fun forget(group: FormedGroup) {
+        state = state.copy(groups = state.groups - group.id)
+    }
 
-    private fun put(group: FormedGroup) {
+    fun put(group: FormedGroup) {
         state = state.copy(groups = state.groups + (group.id to group))
     }
 
-    private fun move(group: FormedGroup, stage: GroupStage, vararg pairs: Pair<String, Any?>) {
+    fun move(group: FormedGroup, stage: GroupStage, vararg pairs: Pair<String, Any?>) {
         put(group.copy(stage = stage, since = now))
         val after = "after" to (now - group.since)
         note("group_${stage.name.lowercase()}", "group" to group.id, after, *pairs)
     }
 
-    private fun raiseEpoch(epoch: GroupEpoch) {
+    fun raiseEpoch(epoch: GroupEpoch) {
         if (epoch > state.epoch) state = state.copy(epoch = epoch)
     }
 
@@ -311,18 +178,7 @@
 
         /** A load that isn't reported this long after it was due has failed or was never begun. */
         val LOAD_GRACE = 8000.milliseconds
-
-        /** Loads started beyond those that run at full speed, so that the weight store never idles. */
-        const val LOADS_IN_ADVANCE = 3
         val LOAD_WINDOW = 5000.milliseconds
-        val LOAD_RATE_PERIOD = 1000.milliseconds
-        val OPENING_GRACE = 1000.milliseconds
-
-        /** An order may take this long to reach the engine and be answered. */
-        val ORDER_TRAVEL = 20.milliseconds
-
-        /** Gateways learn within this time that a group takes no new work. */
-        val CLOSING_DELAY = 400.milliseconds
     }
 }
 
--- a/version/src/main/kotlin/redwingcross/version/fleet/ServingGroups.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/ServingGroups.kt
@@ -58,8 +58,8 @@
     }
 
 /**
- * Groups whose head serves, of which every member is known and stays. The head of a group is opened only after every
- * member has reported that it is ready under the group's name and epoch, so an open head proves that the group is whole.
+ * Groups whose head serves, of which every member is known and stays. A head is opened only after every member has
+ * reported that it is ready under the group's name and epoch, so an open head proves that the group is whole.
  */
 fun EngineTable.servingGroups(service: ServiceTerms): List<ServingGroup> {
     val pool = service.pool ?: return emptyList()
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -48,12 +48,7 @@
     private val random: Random,
 ) {
     /** Chooses among the groups that serve [model]. */
-    fun chooseGroup(
-        service: ServiceTerms,
-        model: ModelName,
-        groups: List<ServingGroup>,
-        scene: ChoiceScene,
-    ): Choice {
+    fun chooseGroup(service: ServiceTerms, model: ModelName, groups: List<ServingGroup>, scene: ChoiceScene): Choice {
         val slots = service.pool?.slots ?: return Choice.NoneServing
         val limit = slots * settings.groupLimit
         val serving = groups.filter { it.model == model && it.service == service.name }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendLoad.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendLoad.kt
@@ -78,8 +78,7 @@
         return slow.coerceIn(SMALLEST_FACTOR, LARGEST_FACTOR) * (1 + FAILURE_FACTOR * record.failureRate)
     }
 
-    fun isAvoided(server: BackendServer, now: Duration): Boolean =
-        records[server]?.let { now < it.avoidUntil } == true
+    fun isAvoided(server: BackendServer, now: Duration): Boolean = records[server]?.let { now < it.avoidUntil } == true
 
     /** Forgets back ends that are gone. */
     fun retain(servers: Set<BackendServer>) {
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -20,6 +20,7 @@
     (ChosenBackend, RequestHead, ByteArray, Repeatability, AnswerListener) -> PendingExchange
 
 /** What the tasks of requests share within a process. All functions run on the event loop. */
+@Suppress("LongParameterList")
 class ForwardContext(
     val clock: MonotonicClock,
     val codec: RequestCodec,
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
@@ -151,7 +151,8 @@
     /** Knowing the newest version lets a standby take over without reading first; the write is conditional on it. */
     private fun holderRenewed(state: LeaseState, lease: SeenLease, now: Duration): Step {
         val isNewer = state.seen == null || lease.version > state.seen.version
-        if (!isNewer || state.held != null || state.unsettled != null || state.releasing) return state.with()
+        val isBystander = state.held == null && state.unsettled == null && !state.releasing
+        if (!isNewer || !isBystander) return state.with()
         return holderHeard(state.copy(seen = lease, seenAt = now), lease.record.epoch, now)
     }
 
