Leave a connection alone once its exchange is over

Restarting a watch cancelled its last exchange, which was over, and so closed a connection that another watch was waiting on; that watch heard nothing for 9 s. Ruled out: the store, since the one machine that had started later was told within 50 ms. Change: an exchange gives its connection up when it ends.

--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
@@ -18,21 +18,27 @@
 data class RemoteParty(val address: InetSocketAddress, val identity: String)
 
 /** A request that awaits its connection or its answer; it can be given up at any time. */
-class PendingExchange internal constructor() {
+class PendingExchange internal constructor(private val listener: AnswerListener) : AnswerListener by listener {
     internal var connection: BackendConnection? = null
+        set(value) {
+            field = value
+            if (value != null) wasSent = true
+        }
 
     /** Whether the exchange was given up. */
     var isCancelled = false
         private set
 
-    /** Whether the connection took the request. */
-    val wasSent: Boolean get() = connection != null
+    /** Whether a connection took the request. */
+    var wasSent = false
+        private set
 
-    /** Gives the exchange up; the listener hears no more of it. */
+    /** Gives the exchange up; the listener hears no more of it. Nothing happens if it is over. */
     fun cancel() {
         if (isCancelled) return
         isCancelled = true
         connection?.cancel()
+        connection = null
     }
 
     fun pauseReading() {
@@ -42,6 +48,17 @@
     fun resumeReading() {
         connection?.resumeReading()
     }
+
+    // The connection may carry another exchange from here on, which this one must not touch.
+    override fun onEnd() {
+        connection = null
+        listener.onEnd()
+    }
+
+    override fun onFailure(failure: ExchangeFailure) {
+        connection = null
+        listener.onFailure(failure)
+    }
 }
 
 /** Bounds of the connections to one kind of remote party. */
@@ -85,13 +102,13 @@
         listener: AnswerListener,
         maximumIdleAge: Duration = Duration.INFINITE,
     ): PendingExchange {
-        val pending = PendingExchange()
+        val pending = PendingExchange(listener)
         val reused = takeIdle(party, maximumIdleAge)
         if (reused != null) {
             pending.connection = reused
-            reused.send(head, body, matches, listener)
+            reused.send(head, body, matches, pending)
         } else {
-            connect(party, pending, listener) { it.send(head, body, matches, listener) }
+            connect(party, pending) { it.send(head, body, matches, pending) }
         }
         return pending
     }
@@ -110,12 +127,7 @@
         return null
     }
 
-    private fun connect(
-        party: RemoteParty,
-        pending: PendingExchange,
-        listener: AnswerListener,
-        use: (BackendConnection) -> Unit,
-    ) {
+    private fun connect(party: RemoteParty, pending: PendingExchange, use: (BackendConnection) -> Unit) {
         opened++
         open.merge(party, 1, Int::plus)
         var connection: BackendConnection? = null
@@ -148,7 +160,7 @@
             when {
                 !connected.isSuccess || created == null -> {
                     if (created == null) forget(party)
-                    if (!pending.isCancelled) listener.onFailure(ExchangeFailure.NOT_CONNECTED)
+                    if (!pending.isCancelled) pending.onFailure(ExchangeFailure.NOT_CONNECTED)
                 }
                 pending.isCancelled -> created.close()
                 else -> {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -70,9 +70,10 @@
     private val control = HttpConnections(group, clock, CONTROL_BOUNDS)
     private val caller = HttpCaller(control, loop as io.netty.channel.EventLoop)
     private val storeParty = RemoteParty(settings.store.toSocketAddress(), settings.store.value)
-    private val platform = PlatformFleet(storeParty, caller::call, { delay, action -> runLater(delay, action) }) { event, pairs ->
-        events.warn(event, pairs.toTypedArray())
-    }
+    private val platform =
+        PlatformFleet(storeParty, caller::call, { delay, action -> runLater(delay, action) }) { event, pairs ->
+            events.warn(event, pairs.toTypedArray())
+        }
     private val peerSocket = DatagramSocket(
         group,
         onReceived = { peerPost(PeerTaskMessage.Received(it)) },
