Serve counters and latencies of an edge process

Micrometer's registry is served on port 9464, which deploy/system.toml names; a port that is taken costs the metrics only.

--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -31,6 +31,7 @@
 import redwingcross.process.edge.PeerLinks
 import redwingcross.process.edge.PeerTask
 import redwingcross.process.edge.PeerTaskMessage
+import redwingcross.process.edge.Post
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ServiceName
@@ -42,6 +43,7 @@
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.placement.LeaseEpoch
 import sun.misc.Signal
+import java.io.IOException
 import java.net.InetSocketAddress
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -79,6 +81,11 @@
         onReceived = { peerPost(PeerTaskMessage.Received(it)) },
         onError = { events.warn("peer_socket_error", arrayOf("detail" to it.message)) },
     )
+    private val metrics = EdgeMetrics()
+    private val peerPost: Post<PeerTaskMessage> = { peerTask.post(it) }
+    private val controllerPost: Post<ControllerMessage> = { controllerTask.post(it) }
+    private val postLease: Post<LeaseMessage> = { controllerPost(ControllerMessage.Lease(it)) }
+    private val dropped: () -> Unit = { events.warn("mailbox_full", emptyArray()) }
     private var fleet = FleetState()
     private val followLag = FollowLag { source ->
         if (source == NewsSource.BACKEND_SERVERS) SERVER_LAG else CONFIGURATION_LAG
@@ -100,6 +107,7 @@
                 fleet = FleetDecision.coldReported(fleet, server, remaining, clock.now())
             },
             recordOutcome = { outcome ->
+                metrics.record(outcome)
                 events.info(
                     "request_finished",
                     arrayOf(
@@ -118,7 +126,7 @@
         settings.bounds,
         random,
     )
-    private val engines = EngineControl(caller::call, clock, { controllerPost(it) }, events.info)
+    private val engines = EngineControl(caller::call, clock, controllerPost, events.info)
     private val controller = ControllerTask(
         settings.node,
         "$startMillis",
@@ -132,8 +140,8 @@
                 fleet = FleetDecision.reported(fleet, engine, report, clock.now())
             },
             applyLeave = { engine, orders -> fleet = FleetDecision.left(fleet, engine, orders, clock.now()) },
-            readLease = { call -> platform.readLease(call, ::postLease) },
-            writeLease = { call, expected, record -> platform.writeLease(call, expected, record, ::postLease) },
+            readLease = { call -> platform.readLease(call, postLease) },
+            writeLease = { call, expected, record -> platform.writeLease(call, expected, record, postLease) },
             ask = engines::ask,
             order = engines::order,
             announce = ::announce,
@@ -153,15 +161,16 @@
             onFollowed = ::compareProgress,
             onGroups = ::groupsAnnounced,
             onSuspicion = { controllerPost(ControllerMessage.Suspected(it)) },
-            onLease = ::postLease,
+            onLease = postLease,
         ),
         clock,
         random,
         events.info,
     )
-    private val controllerTask = LoopTask<ControllerMessage>(loop, MAILBOX, ::dropped, controller::handle)
-    private val peerTask = LoopTask<PeerTaskMessage>(loop, MAILBOX, ::dropped, peers::handle)
-    private val fleetTask = LoopTask<FleetNews>(loop, MAILBOX, ::dropped, ::fleetNews)
+    private val controllerTask: LoopTask<ControllerMessage> =
+        LoopTask<ControllerMessage>(loop, MAILBOX, dropped, controller::handle)
+    private val peerTask: LoopTask<PeerTaskMessage> = LoopTask<PeerTaskMessage>(loop, MAILBOX, dropped, peers::handle)
+    private val fleetTask = LoopTask<FleetNews>(loop, MAILBOX, dropped, ::fleetNews)
     private var announcementSequence = 0L
 
     private val callers = CallerListener(
@@ -179,6 +188,7 @@
     )
     private val readiness = listener(controlEndpoint::serve)
     private val directory = listener(controlEndpoint::serve)
+    private val metricsListener = listener(metrics::serve)
 
     /** Serves until the process is stopped. */
     fun run() {
@@ -189,10 +199,25 @@
         readiness.start(settings.readiness.toSocketAddress())
         settings.directory?.let { directory.start(it.toSocketAddress()) }
         callers.start(settings.callers.toSocketAddress())
+        startMetrics()
         loop.execute(::startTasks)
         stopped.await()
     }
 
+    /** A port that is taken costs the metrics, not the service. */
+    private fun startMetrics() {
+        metrics.gauge("redwingcross_requests_running") { gateway.running }
+        metrics.gauge("redwingcross_groups_serving") { fleet.servingGroups(clock.now()).size }
+        metrics.gauge("redwingcross_backend_connections_opened") { backends.opened }
+        metrics.gauge("redwingcross_configuration_version") { fleet.configuration?.version?.value ?: 0 }
+        metrics.gauge("redwingcross_peers_alive") { peers.alive().size }
+        try {
+            metricsListener.start(InetSocketAddress(settings.ip, EdgeMetrics.PORT))
+        } catch (error: IOException) {
+            events.warn("metrics_not_served", arrayOf("port" to EdgeMetrics.PORT, "detail" to error.message))
+        }
+    }
+
     private fun startTasks() {
         platform.follow(::watchPause, fleetTask.post)
         backends.startExpiry()
@@ -215,14 +240,6 @@
         gateway.watchStreams()
     }
 
-    private fun peerPost(message: PeerTaskMessage): Unit = peerTask.post(message)
-
-    private fun controllerPost(message: ControllerMessage): Unit = controllerTask.post(message)
-
-    private fun postLease(message: LeaseMessage): Unit = controllerPost(ControllerMessage.Lease(message))
-
-    private fun dropped(): Unit = events.warn("mailbox_full", emptyArray())
-
     private fun fleetNews(news: FleetNews) {
         val before = fleet
         fleet = FleetDecision.news(fleet, news, clock.now())
