Leave a stalled stream where it is if it can't be offered again

Change: a stream is moved only if another offer is allowed; otherwise its back end may go on until the deadline.

--- a/request/src/main/kotlin/redwingcross/request/forward/ForwardDecision.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/ForwardDecision.kt
@@ -80,6 +80,13 @@
     fun expired(state: ForwardState): ForwardStep =
         if (state.answering) ForwardStep.BreakOff else ForwardStep.ReportTimeout
 
+    /**
+     * Whether a request whose back end makes no progress may be moved. One that could not be offered again is left
+     * where it is: its back end may go on, and breaking it off would only make sure that it fails.
+     */
+    fun mayMove(state: ForwardState): Boolean =
+        state.terms.repeatability.mayRunAgain && state.sends + 1 < state.terms.maximumSends
+
     private fun canOfferAgain(state: ForwardState, end: OfferEnd): Boolean {
         if (state.sends >= state.terms.maximumSends && end != OfferEnd.NotSent) return false
         if (state.offered.size >= state.terms.maximumSends + MAXIMUM_FAILED_CONNECTS) return false
--- a/request/src/test/kotlin/redwingcross/request/forward/ForwardDecisionProperties.kt
+++ b/request/src/test/kotlin/redwingcross/request/forward/ForwardDecisionProperties.kt
@@ -6,6 +6,7 @@
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
 import redwingcross.request.BackendServer
+import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration
@@ -51,6 +52,18 @@
         assertTrue(play(kind, ends, maximumSends = 2).sends <= 2, "ends $ends")
     }
 
+    @Property(seed = "44")
+    fun `a stalled request is moved only if it can be offered again`(
+        @ForAll("ends") ends: List<OfferEnd>,
+        @ForAll("kinds") kind: Repeatability,
+    ) {
+        val sends = ends.count { it != OfferEnd.NotSent }
+        val state = ForwardState(ForwardTerms(kind, 3, deadline = 10.seconds), sends = sends, answering = true)
+        val moved = state.copy(sends = sends + 1, mayHaveRun = true)
+        val next = ForwardDecision.afterOffer(moved, OfferEnd.Stalled, Duration.ZERO) { true }
+        assertEquals(next is ForwardStep.OfferAgain, ForwardDecision.mayMove(state), "$kind sends $sends")
+    }
+
     private class Play(
         val last: ForwardStep?,
         val sends: Int,
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -187,17 +187,16 @@
     }
 
     /** The group of the request has lost a member; its streams go on elsewhere. */
-    fun groupLost() {
-        val current = offer ?: return
-        current.pending?.cancel()
-        offerEnded(current, OfferEnd.Stalled, "group_lost")
-    }
+    fun groupLost(): Unit = move("group_lost")
 
     /** The request makes no progress for so long that it is moved without waiting for a finding. */
-    fun giveUpStalled() {
+    fun giveUpStalled(): Unit = move("stalled")
+
+    private fun move(detail: String) {
         val current = offer ?: return
+        if (!ForwardDecision.mayMove(state)) return
         current.pending?.cancel()
-        offerEnded(current, OfferEnd.Stalled, "stalled")
+        offerEnded(current, OfferEnd.Stalled, detail)
     }
 
     private inner class Offer(val backend: ChosenBackend, val startedAt: Duration) : AnswerListener {
