Match answers through the request codec and remove what nothing uses

Cause: a read of the whole change found a name of the platform in the edge process, where answers were matched by a second copy of the codec's check; the check for reports that lag stood twice; counts of open connections, of callers' connections and a list of groups had no reader. Change: the request's task gives the match to the connection; one function for lagging reports; dead code removed. Behaviour is unchanged.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -31,9 +31,6 @@
     var isClosing = false
         private set
 
-    /** Connections that are open. */
-    val openConnections: Int get() = connections.size
-
     /** Binds the address; throws if it is in use. */
     fun start(address: InetSocketAddress) {
         val bound = ServerBootstrap()
--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
@@ -81,15 +81,11 @@
     private val bounds: ConnectionBounds,
 ) {
     private val idle = HashMap<RemoteParty, ArrayDeque<BackendConnection>>()
-    private val open = HashMap<RemoteParty, Int>()
 
     /** Connections opened since the start. */
     var opened = 0L
         private set
 
-    /** Connections to [party] that are open or being opened. */
-    fun openTo(party: RemoteParty): Int = open[party] ?: 0
-
     /**
      * Sends a request to [party]. An idle connection is used only if it is younger than [maximumIdleAge], because the
      * other end may close it while the request is on its way.
@@ -129,7 +125,6 @@
 
     private fun connect(party: RemoteParty, pending: PendingExchange, use: (BackendConnection) -> Unit) {
         opened++
-        open.merge(party, 1, Int::plus)
         var connection: BackendConnection? = null
         val bootstrap = Bootstrap()
             .group(group)
@@ -158,10 +153,8 @@
         bootstrap.connect(party.address).addListener { connected ->
             val created = connection
             when {
-                !connected.isSuccess || created == null -> {
-                    if (created == null) forget(party)
+                !connected.isSuccess || created == null ->
                     if (!pending.isCancelled) pending.onFailure(ExchangeFailure.NOT_CONNECTED)
-                }
                 pending.isCancelled -> created.close()
                 else -> {
                     pending.connection = created
@@ -180,12 +173,6 @@
     private fun closed(party: RemoteParty, connection: BackendConnection) {
         idle[party]?.remove(connection)
         if (idle[party]?.isEmpty() == true) idle.remove(party)
-        forget(party)
-    }
-
-    private fun forget(party: RemoteParty) {
-        open.merge(party, -1, Int::plus)
-        if (open[party] == 0) open.remove(party)
     }
 
     /** Starts ending idle connections shortly before the other end would. */
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import redwingcross.connection.http.AnswerListener
 import redwingcross.connection.http.CallerExchange
+import redwingcross.connection.http.MatchAnswer
 import redwingcross.connection.http.PendingExchange
 import redwingcross.connection.http.RequestHead
 import redwingcross.request.BackendServer
@@ -20,7 +21,6 @@
 import redwingcross.version.fleet.FleetConfiguration
 import redwingcross.version.fleet.GatewayPlace
 import redwingcross.version.fleet.Route
-import redwingcross.version.fleet.ServingGroup
 import redwingcross.version.forwarding.BackendChooser
 import redwingcross.version.forwarding.BackendHealth
 import redwingcross.version.forwarding.BackendLoad
@@ -182,10 +182,11 @@
         head: RequestHead,
         body: ByteArray,
         repeatability: Repeatability,
+        matches: MatchAnswer,
         listener: AnswerListener,
     ): PendingExchange {
         allowance.sent(backend.server, links.clock.now())
-        return links.send(backend, head, body, repeatability, listener)
+        return links.send(backend, head, body, repeatability, matches, listener)
     }
 
     private fun offerEnded(backend: ChosenBackend, end: OfferEnd?) {
@@ -261,9 +262,6 @@
         allowance.retain(servers)
     }
 
-    /** The groups that this gateway uses at the moment, for the state dump. */
-    fun serving(): List<ServingGroup> = links.fleet().servingGroups(links.clock.now())
-
     private companion object {
         const val BAD_REQUEST = 400
         const val UNAUTHORIZED = 401
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -309,14 +309,13 @@
         gateway.groupsLost(groups.lost)
     }
 
-    private fun sendToBackend(): SendToBackend = { backend, head, body, repeatability, listener ->
+    private fun sendToBackend(): SendToBackend = { backend, head, body, repeatability, matches, listener ->
         val maximumIdle = if (repeatability.mayRunAgain) Duration.INFINITE else UNREPEATABLE_IDLE
-        val expected = head.headers.get("Attempt-Id")
         backends.exchange(
             RemoteParty(backend.address.toSocketAddress(), backend.server.value),
             head,
             body,
-            { answer -> answer.headers.get("Attempt-Id")?.let { it == expected } ?: true },
+            matches,
             listener,
             maximumIdle,
         )
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
@@ -46,15 +46,11 @@
             calls = state.calls.filterNot { it.key == engine && it.value.order == null },
             silentSince = state.silentSince - engine,
             lost = state.lost - engine,
-            unsettled = if (isBehind(state, engine, report)) state.unsettled else state.unsettled - engine,
+            unsettled = if (state.isBehind(engine, report.orders)) state.unsettled else state.unsettled - engine,
             loads = if (finished) state.loads - engine else state.loads,
         )
     }
 
-    /** Whether a report was made before the last order that the engine accepted. */
-    fun isBehind(state: FormationState, engine: BackendServer, report: EngineReport): Boolean =
-        state.acceptedOrders[engine]?.let { report.orders < it } == true
-
     /** An engine did not answer a question; [refused] if its address is certainly not served. */
     fun unanswered(
         state: FormationState,
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
@@ -133,3 +133,7 @@
 internal fun EngineTable.phaseIn(group: FormedGroup, id: BackendServer): MemberPhase? = engines[id]?.status?.membership
     ?.takeIf { it.group == group.id && it.epoch == group.epoch }
     ?.phase
+
+/** Whether a report with [reported] orders was made before the last order that the engine accepted. */
+internal fun FormationState.isBehind(id: BackendServer, reported: OrderCount): Boolean =
+    acceptedOrders[id]?.let { reported < it } == true
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationWork.kt
@@ -73,7 +73,7 @@
     fun send(id: BackendServer, order: FormationOrder): Boolean {
         val engine = view.table.engines[id] ?: return false
         if (id in state.calls || id in state.unsettled || isGone(id)) return false
-        val orders = engine.orders.takeUnless { engine.isContested }?.takeUnless { isBehind(id, it) }
+        val orders = engine.orders.takeUnless { engine.isContested }?.takeUnless { state.isBehind(id, it) }
         if (orders == null) {
             state = state.copy(unsettled = state.unsettled + id)
             return false
@@ -83,9 +83,6 @@
         return true
     }
 
-    private fun isBehind(id: BackendServer, reported: OrderCount) =
-        state.acceptedOrders[id]?.let { reported < it } == true
-
     /** Registers a new group and orders its members to join. */
     fun form(model: ModelTerms, members: List<KnownEngine>) {
         val epoch = GroupEpoch(state.epoch.value + 1)
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -1,6 +1,7 @@
 package redwingcross.version.forwarding
 
 import redwingcross.connection.http.AnswerListener
+import redwingcross.connection.http.MatchAnswer
 import redwingcross.connection.http.PendingExchange
 import redwingcross.connection.http.RequestHead
 import redwingcross.request.BackendServer
@@ -17,7 +18,7 @@
 
 /** Sends a request to a back end and gives the answer to the listener. */
 typealias SendToBackend =
-    (ChosenBackend, RequestHead, ByteArray, Repeatability, AnswerListener) -> PendingExchange
+    (ChosenBackend, RequestHead, ByteArray, Repeatability, MatchAnswer, AnswerListener) -> PendingExchange
 
 /** What the tasks of requests share within a process. All functions run on the event loop. */
 @Suppress("LongParameterList")
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -86,9 +86,11 @@
         val next = Offer(backend, now)
         offer = next
         context.began(backend, this)
-        next.pending = context.send(backend, head, exchange.body, route.repeatability, next)
+        next.pending = context.send(backend, head, exchange.body, route.repeatability, ::isForAttempt, next)
     }
 
+    private fun isForAttempt(answer: AnswerHead): Boolean = context.codec.facts(job.request, answer).isForAttempt
+
     private fun unavailable(choice: Choice) {
         val step = when {
             state.answering -> ForwardStep.BreakOff
