Read the registry again, bound idle connections, reread the settings, pass priorities

Cause: a process that had once heard another one never read the registry again, so two processes that were cut off from each other until both forgot the other stayed apart. The bound on a back end's connections was decoded and not kept: 8 gateways could hold 128 idle connections to a back end that accepts 51. A changed settings file was only logged. Engines were not told the priority of a request.

Change: the registry is read every 15 to 25 s from a cheap copy, each second while a process hears nobody; a process whose entry is gone registers again. Idle connections of a gateway are its part of half of what the back end accepts. The settings file is read again on SIGHUP and each 2 s; bounds apply at once, addresses at the next start. A request carries the tenant's priority, else the route's. Defaults of caller limits stand in one place.

--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
@@ -79,6 +79,8 @@
     private val group: EventLoopGroup,
     private val clock: MonotonicClock,
     private val bounds: ConnectionBounds,
+    /** Idle connections that may be kept to a party, if it accepts fewer than [bounds] allows. */
+    private val idleLimit: (RemoteParty) -> Int = { Int.MAX_VALUE },
 ) {
     private val idle = HashMap<RemoteParty, ArrayDeque<BackendConnection>>()
 
@@ -167,7 +169,8 @@
     private fun release(party: RemoteParty, connection: BackendConnection) {
         val waiting = idle.getOrPut(party) { ArrayDeque() }
         waiting.addLast(connection)
-        if (waiting.size > bounds.maximumIdle) waiting.removeFirst().close()
+        val limit = minOf(bounds.maximumIdle, idleLimit(party))
+        while (waiting.size > limit) waiting.removeFirst().close()
     }
 
     private fun closed(party: RemoteParty, connection: BackendConnection) {
--- a/connection/src/test/kotlin/redwingcross/connection/http/HttpConnectionsTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/HttpConnectionsTest.kt
@@ -21,8 +21,12 @@
     private val group = NioEventLoopGroup(1)
     private val server = ServerSocket(0, 10, InetAddress.getLoopbackAddress())
     private val party = RemoteParty(InetSocketAddress(server.inetAddress, server.localPort), "server")
-    private val connections =
-        HttpConnections(group, MonotonicClock.system, ConnectionBounds(connectTimeout = 2.seconds, maximumIdle = 4))
+    private var idleLimit = Int.MAX_VALUE
+    private val connections = HttpConnections(
+        group,
+        MonotonicClock.system,
+        ConnectionBounds(connectTimeout = 2.seconds, maximumIdle = 4),
+    ) { idleLimit }
     private val accepted = LinkedBlockingQueue<Socket>()
 
     init {
@@ -91,6 +95,23 @@
         assertEquals(listOf("head 200 b", "data y", "end"), List(3) { second.next() })
     }
 
+    @Test
+    fun `a party that accepts few connections keeps none that it can't bear`() {
+        idleLimit = 1
+        val (first, _) = send("a")
+        val one = connection()
+        one.awaitRequest()
+        val (second, _) = send("b")
+        val two = connection()
+        two.awaitRequest()
+        one.answer(whole("a", "x"))
+        assertEquals(listOf("head 200 a", "data x", "end"), List(3) { first.next() })
+        two.answer(whole("b", "y"))
+        assertEquals(listOf("head 200 b", "data y", "end"), List(3) { second.next() })
+        one.soTimeout = 5000
+        assertEquals(-1, one.getInputStream().read(), "the connection beyond the limit is ended")
+    }
+
     @Test
     fun `an extra answer of an earlier request is dropped and the right one is awaited`() {
         val (recorded, _) = send("b")
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -7,7 +7,6 @@
 import redwingcross.connection.http.PendingExchange
 import redwingcross.connection.http.RequestHead
 import redwingcross.request.BackendServer
-import redwingcross.request.Customer
 import redwingcross.request.GroupId
 import redwingcross.request.ModelName
 import redwingcross.request.MonotonicClock
@@ -21,6 +20,7 @@
 import redwingcross.version.fleet.FleetConfiguration
 import redwingcross.version.fleet.GatewayPlace
 import redwingcross.version.fleet.Route
+import redwingcross.version.fleet.Tenant
 import redwingcross.version.forwarding.BackendChooser
 import redwingcross.version.forwarding.BackendHealth
 import redwingcross.version.forwarding.BackendLoad
@@ -57,12 +57,12 @@
 )
 
 /** Admits requests of callers, chooses their back ends and watches the streams that are under way. */
-class GatewayTask(private val links: GatewayLinks, private val bounds: EdgeBounds, private val random: Random) {
+class GatewayTask(private val links: GatewayLinks, private val bounds: () -> EdgeBounds, private val random: Random) {
     private val load = BackendLoad()
     private val health = BackendHealth()
     private val allowance = ColdAllowance()
     private val chooser = BackendChooser(
-        ChoiceSettings(coldOverrun = bounds.coldOverrun, coldSlack = bounds.coldSlack),
+        { ChoiceSettings(coldOverrun = bounds().coldOverrun, coldSlack = bounds().coldSlack) },
         load,
         health,
         allowance,
@@ -83,7 +83,6 @@
         ended = { backend, _ -> load.ended(backend.server) },
         offerEnded = ::offerEnded,
         takeRepetition = ::takeRepetition,
-        priority = { null },
         retryAfter = { refusalPause() },
         coldReported = links.coldReported,
         faultReported = { backend, _ -> backend.group?.let(::suspect) },
@@ -120,17 +119,18 @@
         }
     }
 
-    private fun admit(exchange: CallerExchange, request: InboundRequest, route: Route, tenant: Customer?) {
+    private fun admit(exchange: CallerExchange, request: InboundRequest, route: Route, tenant: Tenant?) {
         val now = links.clock.now()
         val service = pickService(route) ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service")
         budget(service).requestArrived(now)
-        val task = ForwardTask(ForwardJob(exchange, request, route, service, tenant, now), context)
+        val priority = tenant?.priority ?: route.priority
+        val task = ForwardTask(ForwardJob(exchange, request, route, service, tenant?.name, priority, now), context)
         tasks += task
         task.start()
     }
 
-    private fun tenantOf(configuration: FleetConfiguration, request: InboundRequest): Customer? =
-        request.credential?.let(configuration::tenant)?.name
+    private fun tenantOf(configuration: FleetConfiguration, request: InboundRequest): Tenant? =
+        request.credential?.let(configuration::tenant)
 
     private fun refuse(
         exchange: CallerExchange,
@@ -210,7 +210,7 @@
     private fun takeRepetition(service: ServiceName): Boolean =
         budget(service).take(links.clock.now(), links.place().count)
 
-    private fun budget(service: ServiceName) = budgets.getOrPut(service) { RetryBudget(bounds.retryBudget) }
+    private fun budget(service: ServiceName) = budgets.getOrPut(service) { RetryBudget { bounds().retryBudget } }
 
     private fun refusalPause(): Duration = RETRY_BASE + RETRY_SPREAD * random.nextDouble()
 
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -35,7 +35,11 @@
 sealed interface RegistryResult {
     data object Registered : RegistryResult
 
-    data class Listed(val records: List<GatewayRecord>) : RegistryResult
+    data class Listed(
+        val records: List<GatewayRecord>,
+        /** False if the list may be some seconds old. */
+        val isCurrent: Boolean,
+    ) : RegistryResult
 
     data object Failed : RegistryResult
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** What the peers' task hears. */
 sealed interface PeerTaskMessage {
@@ -30,7 +31,8 @@
     /** This process's next beat, without its sequence number. */
     val beat: () -> Beat,
     val register: () -> Unit,
-    val listRegistry: () -> Unit,
+    /** Reads the registry; the argument tells whether the list may be some seconds old. */
+    val listRegistry: (Boolean) -> Unit,
     val onLoad: (ProcessName, Map<BackendServer, Int>?) -> Unit,
     val onTraffic: () -> Unit,
     /** How far another process has followed the store. */
@@ -52,6 +54,7 @@
     private var sequence = 0L
     private var isRegistered = false
     private var nextRegistryCall = Duration.ZERO
+    private var lastRegistryCall = -Duration.INFINITE
     private var cachedPlace = GatewayPlace(self.node, table.everyone)
 
     /** This process among all that may be running. */
@@ -81,18 +84,24 @@
         silent.forEach { links.onLoad(ProcessName(it), null) }
         table = table.expired(now)
         (before.peers.keys - table.peers.keys).forEach { log("peer_forgotten", arrayOf("node" to it)) }
-        if (now >= nextRegistryCall) callRegistry(now)
+        val alone = table.alive(now).isEmpty()
+        if (now >= nextRegistryCall ||
+            (alone && now - lastRegistryCall >= table.times.silence)
+        ) {
+            callRegistry(now, alone)
+        }
         sendToSome(links.beat().copy(sequence = ++sequence))
         placeChanged(before)
     }
 
-    private fun callRegistry(now: Duration) {
-        val alone = table.alive(now).isEmpty()
-        nextRegistryCall = now + if (isRegistered && !alone) REGISTRY_INTERVAL else table.times.silence
-        if (!isRegistered) {
+    private fun callRegistry(now: Duration, alone: Boolean) {
+        lastRegistryCall = now
+        nextRegistryCall = now + REGISTRY_INTERVAL + REGISTRY_SPREAD * random.nextDouble()
+        if (isRegistered) {
+            links.listRegistry(!alone)
+        } else {
+            nextRegistryCall = now + table.times.silence
             links.register()
-        } else if (alone) {
-            links.listRegistry()
         }
     }
 
@@ -100,9 +109,12 @@
         when (result) {
             RegistryResult.Registered -> {
                 isRegistered = true
-                links.listRegistry()
+                links.listRegistry(false)
             }
             is RegistryResult.Listed -> {
+                if (result.isCurrent && result.records.none { it.node == self.node && it.start >= self.start }) {
+                    isRegistered = false
+                }
                 val before = table
                 table = table.registered(result.records, clock.now())
                 placeChanged(before)
@@ -172,6 +184,9 @@
     private companion object {
         /** Processes that one beat is sent to, so that its cost doesn't grow with the fleet. */
         const val MAXIMUM_TARGETS = 24
-        val REGISTRY_INTERVAL = Duration.INFINITE
+
+        /** Two processes that forgot each other while they were cut off meet again through the registry. */
+        val REGISTRY_INTERVAL = 15.seconds
+        val REGISTRY_SPREAD = 10.seconds
     }
 }
--- /dev/null
+++ b/process/src/test/kotlin/redwingcross/process/edge/SettingsReloadTest.kt
@@ -0,0 +1,88 @@
+package redwingcross.process.edge
+
+import redwingcross.request.AvailabilityZone
+import redwingcross.request.Checked
+import redwingcross.request.Finding
+import redwingcross.request.ProcessName
+import redwingcross.request.forward.RetryBudgetTerms
+import redwingcross.version.bundle.Endpoint
+import java.io.IOException
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class SettingsReloadTest {
+    private val bounds = EdgeBounds(
+        drain = 2.seconds,
+        stopGrace = 8.seconds,
+        configurationApply = 2.seconds,
+        retryBudget = RetryBudgetTerms(0.2, 100.0, 10.seconds),
+        coldOverrun = 1.5,
+        coldSlack = 5.0,
+        evacuation = 5.seconds,
+        stall = 5.seconds,
+        maximumListLifetime = 5.seconds,
+        stableWindow = 3.seconds,
+    )
+    private val settings = EdgeSettings(
+        node = ProcessName("edge-1"),
+        ip = "10.0.0.1",
+        zone = AvailabilityZone("a"),
+        region = "r",
+        callers = Endpoint("10.0.0.1:80"),
+        readiness = Endpoint("10.0.0.1:81"),
+        directory = null,
+        internalPorts = 7340..7355,
+        store = Endpoint("10.0.0.2:80"),
+        storeRates = StoreRates(400.0, 2000.0),
+        maximumDescriptors = 4100,
+        memoryMegabytes = 430,
+        heartbeat = Duration.ZERO,
+        bounds = bounds,
+    )
+
+    private var text = "grace 8"
+    private val events = mutableListOf<String>()
+    private val changes = mutableListOf<EdgeSettings>()
+    private val reload = SettingsReload({ read() }, ::decode, text, settings, { event, _ -> events += event }) {
+        changes += it
+    }
+
+    private fun read(): String = if (text == "gone") throw IOException("no such file") else text
+
+    private fun decode(text: String): Checked<EdgeSettings> {
+        val grace = text.substringAfter(' ').toIntOrNull()
+            ?: return Checked.Invalid(listOf(Finding("grace", "must be a number")))
+        return Checked.Valid(settings.copy(bounds = bounds.copy(stopGrace = grace.seconds)))
+    }
+
+    @Test
+    fun `a bound that changes without a signal is taken`() {
+        text = "grace 20"
+        reload.check(signalled = false)
+        assertEquals(listOf(20.seconds), changes.map { it.bounds.stopGrace })
+        assertEquals(listOf("reload"), events)
+    }
+
+    @Test
+    fun `a file that is missing or can't be decoded leaves the settings as they are`() {
+        text = "grace x"
+        reload.check(signalled = true)
+        text = "gone"
+        reload.check(signalled = true)
+        assertEquals(listOf("reload_failed", "reload_failed"), events)
+        assertEquals(emptyList(), changes)
+        text = "grace 9"
+        reload.check(signalled = false)
+        assertEquals(listOf(9.seconds), changes.map { it.bounds.stopGrace })
+    }
+
+    @Test
+    fun `a signal without a change is logged and an unchanged file is not`() {
+        reload.check(signalled = false)
+        reload.check(signalled = true)
+        assertEquals(listOf("reload"), events)
+        assertEquals(emptyList(), changes)
+    }
+}
--- a/programs/edge/src/main/kotlin/redwingcross/edge/ControlEndpoint.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/ControlEndpoint.kt
@@ -11,7 +11,7 @@
     private val isReady: () -> Boolean,
     /** Addresses of gateways that live and are ready. */
     private val addresses: () -> List<Endpoint>,
-    private val listLifetime: Duration,
+    private val listLifetime: () -> Duration,
 ) {
     fun serve(exchange: CallerExchange) {
         val target = exchange.head.target
@@ -28,7 +28,7 @@
         val headers = DefaultHttpHeaders()
         if (found.isEmpty()) return exchange.respond(UNAVAILABLE, headers, EMPTY)
         headers.add("Content-Type", "application/json")
-        exchange.respond(OK, headers, DirectoryFormat.addresses(found, listLifetime))
+        exchange.respond(OK, headers, DirectoryFormat.addresses(found, listLifetime()))
     }
 
     private companion object {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeCommand.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeCommand.kt
@@ -6,7 +6,6 @@
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import redwingcross.platform.SettingsFile
-import redwingcross.process.edge.EdgeSettings
 import redwingcross.process.settings.EXIT_BAD_INPUT
 import redwingcross.request.Checked
 import redwingcross.request.Finding
@@ -27,22 +26,23 @@
     override fun help(context: Context): String = "Serves callers and forms serving groups on an entry VM."
 
     override fun run() {
-        when (val settings = readSettings()) {
-            is Checked.Invalid -> {
-                settings.findings.forEach { echo(it.toString(), err = true) }
-                throw ProgramResult(EXIT_BAD_INPUT)
-            }
-            is Checked.Valid -> if (checkOnly) echo(settings.value.toString()) else EdgeProcess(settings.value).run()
-        }
-    }
-
-    private fun readSettings(): Checked<EdgeSettings> {
         val path = settingsFile ?: environment(SettingsFile.VARIABLE)
-            ?: return Checked.Invalid(listOf(Finding("--settings", "is required; or set ${SettingsFile.VARIABLE}")))
-        return try {
-            SettingsFile.decode(Files.readString(Path.of(path)))
+            ?: reject(listOf(Finding("--settings", "is required; or set ${SettingsFile.VARIABLE}")))
+        val readText = { Files.readString(Path.of(path)) }
+        val text = try {
+            readText()
         } catch (error: IOException) {
-            Checked.Invalid(listOf(Finding(path, "can't be read: ${error.message}")))
+            reject(listOf(Finding(path, "can't be read: ${error.message}")))
         }
+        val settings = when (val decoded = SettingsFile.decode(text)) {
+            is Checked.Invalid -> reject(decoded.findings)
+            is Checked.Valid -> decoded.value
+        }
+        if (checkOnly) echo(settings.toString()) else EdgeProcess(settings, text, readText).run()
+    }
+
+    private fun reject(findings: List<Finding>): Nothing {
+        findings.forEach { echo(it.toString(), err = true) }
+        throw ProgramResult(EXIT_BAD_INPUT)
     }
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -12,6 +12,7 @@
 import redwingcross.connection.http.ServeExchange
 import redwingcross.platform.PlatformFleet
 import redwingcross.platform.RequestFormat
+import redwingcross.platform.SettingsFile
 import redwingcross.process.edge.Beat
 import redwingcross.process.edge.ControllerLinks
 import redwingcross.process.edge.ControllerMessage
@@ -32,9 +33,12 @@
 import redwingcross.process.edge.PeerTask
 import redwingcross.process.edge.PeerTaskMessage
 import redwingcross.process.edge.Post
+import redwingcross.process.edge.SettingsReload
+import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ServiceName
+import redwingcross.version.fleet.CallerLimits
 import redwingcross.version.fleet.FleetNews
 import redwingcross.version.fleet.NewsSource
 import redwingcross.version.fleet.ServingGroup
@@ -53,7 +57,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** One process: the tasks of a gateway and a controller on one event loop, and the sockets that they own. */
-internal class EdgeProcess(private val settings: EdgeSettings) {
+internal class EdgeProcess(private val settings: EdgeSettings, settingsText: String, readSettings: () -> String) {
     private val clock = MonotonicClock.system
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -68,7 +72,10 @@
         settings.callers.value,
         settings.zone.value,
     )
-    private val backends = HttpConnections(group, clock, BACKEND_BOUNDS)
+    private var bounds = settings.bounds
+    private val reload =
+        SettingsReload(readSettings, SettingsFile::decode, settingsText, settings, events.info) { bounds = it.bounds }
+    private val backends = HttpConnections(group, clock, BACKEND_BOUNDS, ::idleLimit)
     private val control = HttpConnections(group, clock, CONTROL_BOUNDS)
     private val caller = HttpCaller(control, loop as io.netty.channel.EventLoop)
     private val storeParty = RemoteParty(settings.store.toSocketAddress(), settings.store.value)
@@ -123,7 +130,7 @@
             },
             log = events.info,
         ),
-        settings.bounds,
+        { bounds },
         random,
     )
     private val engines = EngineControl(caller::call, clock, controllerPost, events.info)
@@ -155,7 +162,7 @@
             send = peerSocket::send,
             beat = ::beat,
             register = { platform.register(self) { peerPost(PeerTaskMessage.Registry(it)) } },
-            listRegistry = { platform.listGateways { peerPost(PeerTaskMessage.Registry(it)) } },
+            listRegistry = { mayBeOld -> platform.listGateways(mayBeOld) { peerPost(PeerTaskMessage.Registry(it)) } },
             onLoad = gateway::peerLoad,
             onTraffic = { trafficHeard = true },
             onFollowed = ::compareProgress,
@@ -176,7 +183,7 @@
     private val callers = CallerListener(
         group,
         clock,
-        maximumHeadBytes = { fleet.configuration?.limits?.headerBytes ?: DEFAULT_HEAD_BYTES },
+        maximumHeadBytes = { callerLimits().headerBytes },
         bounds = ::callerBounds,
         onRefused = { events.info("caller_refused", arrayOf("status" to it)) },
         serve = gateway::serve,
@@ -184,7 +191,7 @@
     private val controlEndpoint = ControlEndpoint(
         ::isReady,
         { listOf(settings.callers).filter { isReady() } + peers.readyCallers() },
-        minOf(LIST_LIFETIME, settings.bounds.maximumListLifetime),
+        { minOf(LIST_LIFETIME, bounds.maximumListLifetime) },
     )
     private val readiness = listener(controlEndpoint::serve)
     private val directory = listener(controlEndpoint::serve)
@@ -194,7 +201,7 @@
     fun run() {
         events.info("start", arrayOf("node" to settings.node, "zone" to settings.zone, "callers" to settings.callers))
         for (name in listOf("TERM", "INT")) Signal.handle(Signal(name)) { loop.execute { stop(name) } }
-        Signal.handle(Signal("HUP")) { events.info("reload", arrayOf("settings" to "unchanged")) }
+        Signal.handle(Signal("HUP")) { loop.execute { reload.check(signalled = true) } }
         peerSocket.start(InetSocketAddress(settings.ip, settings.internalPorts.first))
         readiness.start(settings.readiness.toSocketAddress())
         settings.directory?.let { directory.start(it.toSocketAddress()) }
@@ -225,6 +232,13 @@
         peerTask.post(PeerTaskMessage.Tick)
         peerTask.every(BEAT_INTERVAL, PeerTaskMessage.Tick)
         controllerTask.every(CONTROLLER_INTERVAL, ControllerMessage.Tick)
+        val reloadMillis = RELOAD_INTERVAL.inWholeMilliseconds
+        loop.scheduleWithFixedDelay(
+            { reload.check(signalled = false) },
+            reloadMillis,
+            reloadMillis,
+            TimeUnit.MILLISECONDS,
+        )
         loop.scheduleWithFixedDelay(
             ::watch,
             WATCH_INTERVAL.inWholeMilliseconds,
@@ -262,7 +276,7 @@
     private fun watchPause(source: NewsSource): Duration = when {
         source != NewsSource.BACKEND_SERVERS -> CONFIGURATION_PAUSE
         controller.isActing -> CONTROLLER_LIST_PAUSE
-        else -> minOf(GATEWAY_LIST_PAUSE, settings.bounds.drain / 2)
+        else -> minOf(GATEWAY_LIST_PAUSE, bounds.drain / 2)
     }
 
     private fun beat() = Beat(
@@ -321,16 +335,20 @@
         )
     }
 
+    private fun idleLimit(party: RemoteParty): Int {
+        val service = fleet.table.engines[BackendServer(party.identity)]?.status?.service
+        val terms = service?.let { fleet.configuration?.services?.get(it) }
+        return terms?.idleConnections(peers.place.count) ?: Int.MAX_VALUE
+    }
+
     private fun listener(serve: ServeExchange) =
-        CallerListener(group, clock, { DEFAULT_HEAD_BYTES }, ::callerBounds, {}, serve)
+        CallerListener(group, clock, { CallerLimits().headerBytes }, ::callerBounds, {}, serve)
+
+    private fun callerLimits(): CallerLimits = fleet.configuration?.limits ?: CallerLimits()
 
     private fun callerBounds(): CallerBounds {
-        val limits = fleet.configuration?.limits
-        return CallerBounds(
-            limits?.bodyBytes ?: DEFAULT_BODY_BYTES,
-            limits?.headerTimeout ?: DEFAULT_HEAD_TIMEOUT,
-            limits?.idleTimeout ?: DEFAULT_IDLE_TIMEOUT,
-        )
+        val limits = callerLimits()
+        return CallerBounds(limits.bodyBytes, limits.headerTimeout, limits.idleTimeout)
     }
 
     private fun stop(signal: String) {
@@ -339,7 +357,7 @@
         events.info("stop", arrayOf("signal" to signal, "running" to gateway.running))
         controllerPost(ControllerMessage.Release)
         peerPost(PeerTaskMessage.Tick)
-        StopSequence(settings.bounds.stopGrace, LIST_LIFETIME, clock, ::runLater, { gateway.running }).start(
+        StopSequence(bounds.stopGrace, LIST_LIFETIME, clock, ::runLater, { gateway.running }).start(
             closeGracefully = callers::closeGracefully,
             end = {
                 events.info("stopped", arrayOf("running" to gateway.running))
@@ -358,10 +376,6 @@
         /** Messages that wait for a task; more are dropped and counted in the log. */
         const val MAILBOX = 4096
         const val LOG_LINES_PER_SECOND = 150
-        const val DEFAULT_HEAD_BYTES = 16_384
-        const val DEFAULT_BODY_BYTES = 4_194_304L
-        val DEFAULT_HEAD_TIMEOUT = 3.seconds
-        val DEFAULT_IDLE_TIMEOUT = 15.seconds
         val BACKEND_BOUNDS = ConnectionBounds(connectTimeout = 300.milliseconds, maximumIdle = 16)
         val CONTROL_BOUNDS = ConnectionBounds(connectTimeout = 300.milliseconds, maximumIdle = 4)
 
@@ -370,6 +384,9 @@
         val BEAT_INTERVAL = 250.milliseconds
         val CONTROLLER_INTERVAL = 100.milliseconds
         val WATCH_INTERVAL = 100.milliseconds
+
+        /** The settings file may change without a signal; none of its bounds is promised to apply sooner. */
+        val RELOAD_INTERVAL = 2.seconds
         val CONFIGURATION_PAUSE = 200.milliseconds
 
         /** Other processes may be ahead by the pause between two questions and the beats' interval. */
--- a/request/src/main/kotlin/redwingcross/request/forward/RetryBudget.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/RetryBudget.kt
@@ -16,7 +16,7 @@
  * The part of a retry budget that one gateway may use. Each gateway uses the ratio of its own requests and an equal
  * part of the extra, so the sum over all gateways keeps within the budget without messages.
  */
-class RetryBudget(private val terms: RetryBudgetTerms) {
+class RetryBudget(private val terms: () -> RetryBudgetTerms) {
     private val requests = ArrayDeque<Duration>()
     private val repetitions = ArrayDeque<Duration>()
 
@@ -29,21 +29,22 @@
     /** Takes one repetition out of this gateway's part; false if nothing is left. [gateways] share the extra. */
     fun take(now: Duration, gateways: Int): Boolean {
         expire(now)
-        val share = terms.extra / gateways.coerceAtLeast(1)
-        val allowed = RESERVE * (terms.ratio * requests.size + share)
+        val current = terms()
+        val share = current.extra / gateways.coerceAtLeast(1)
+        val allowed = RESERVE * (current.ratio * requests.size + share)
         if (repetitions.size + 1 > allowed) return false
         repetitions.addLast(now)
         return true
     }
 
     private fun expire(now: Duration) {
-        val start = now - terms.window
+        val start = now - terms().window
         while (requests.isNotEmpty() && requests.first() < start) requests.removeFirst()
         while (repetitions.isNotEmpty() && repetitions.first() < start) repetitions.removeFirst()
     }
 
     override fun toString(): String =
-        "requests=${requests.size} repetitions=${repetitions.size} window=${terms.window.toDouble(
+        "requests=${requests.size} repetitions=${repetitions.size} window=${terms().window.toDouble(
             DurationUnit.SECONDS,
         )}s"
 
--- a/request/src/test/kotlin/redwingcross/request/forward/RetryBudgetTest.kt
+++ b/request/src/test/kotlin/redwingcross/request/forward/RetryBudgetTest.kt
@@ -13,7 +13,7 @@
     @Test
     fun `gateways that all repeat as much as they may stay within the budget together`() {
         val gateways = 8
-        val budgets = List(gateways) { RetryBudget(terms) }
+        val budgets = List(gateways) { RetryBudget { terms } }
         val repetitions = mutableListOf<Duration>()
         var requests = 0
         for (step in 0 until 300) {
@@ -36,7 +36,7 @@
 
     @Test
     fun `a budget that is used up opens again after the window`() {
-        val budget = RetryBudget(terms)
+        val budget = RetryBudget { terms }
         while (budget.take(Duration.ZERO, gateways = 8)) Unit
         assertFalse(budget.take(5.seconds, gateways = 8))
         assertTrue(budget.take(10.seconds + 1.milliseconds, gateways = 8))
--- a/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
@@ -5,6 +5,7 @@
 import redwingcross.request.ServiceName
 import redwingcross.request.forward.Repeatability
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Version of the operator's configuration; it rises in uneven steps. */
 @JvmInline
@@ -58,12 +59,12 @@
 /** A service with the part of a route's requests that goes to it. */
 data class Destination(val service: ServiceName, val weight: Int)
 
-/** Bounds on what a caller may send. */
+/** Bounds on what a caller may send; the defaults hold until the first configuration and for what it leaves out. */
 data class CallerLimits(
-    val headerBytes: Int,
-    val bodyBytes: Long,
-    val headerTimeout: Duration,
-    val idleTimeout: Duration,
+    val headerBytes: Int = 16_384,
+    val bodyBytes: Long = 4_194_304,
+    val headerTimeout: Duration = 3.seconds,
+    val idleTimeout: Duration = 15.seconds,
 )
 
 /** A customer with the keys that its callers present. */
@@ -80,7 +81,13 @@
     val coldRequestsPerSecond: Double,
     /** Present if the back ends are model engines. */
     val pool: ModelPool?,
-)
+) {
+    /**
+     * Idle connections that one of [gateways] may keep to a back end. Half of what the back end accepts is left for
+     * requests under way, because it resets every connection beyond its bound.
+     */
+    fun idleConnections(gateways: Int): Int = maximumConnections / 2 / gateways.coerceAtLeast(1)
+}
 
 /** What the engines of a service have in common. Slots, memory and times are those of a whole serving group. */
 data class ModelPool(
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -41,7 +41,7 @@
 
 /** Chooses the back end with the least expected work; owned by the fleet task. */
 class BackendChooser(
-    private val settings: ChoiceSettings,
+    private val settings: () -> ChoiceSettings,
     private val load: BackendLoad,
     private val health: BackendHealth,
     private val allowance: ColdAllowance,
@@ -50,7 +50,7 @@
     /** Chooses among the groups that serve [model]. */
     fun chooseGroup(service: ServiceTerms, model: ModelName, groups: List<ServingGroup>, scene: ChoiceScene): Choice {
         val slots = service.pool?.slots ?: return Choice.NoneServing
-        val limit = slots * settings.groupLimit
+        val limit = slots * settings().groupLimit
         val serving = groups.filter { it.model == model && it.service == service.name }
         val usable = serving.filter { group ->
             val head = scene.table.engines[group.head]
@@ -69,7 +69,9 @@
         val usable = scene.table.engines.values.filter {
             it.status.service == service.name && scene.table.takesWork(it) && isOpenTo(it, service, scene)
         }
-        val best = usable.filter { load.total(it.id) < it.status.slots * settings.serverLimit }
+        val limit = settings().serverLimit
+        val most = service.maximumConnections
+        val best = usable.filter { load.total(it.id) < minOf(it.status.slots * limit, most.toDouble()) }
             .minByOrNull { score(it.id, service.name.value) / it.status.slots }
             ?: return if (usable.isEmpty()) Choice.NoneServing else Choice.AllBusy
         return Choice.Chosen(ChosenBackend(best.id, best.status.address, null, service.name.value))
@@ -78,7 +80,8 @@
     private fun isOpenTo(engine: KnownEngine, service: ServiceTerms, scene: ChoiceScene): Boolean {
         if (engine.id in scene.excluded || health.isAvoided(engine.id, scene.now)) return false
         if (!scene.table.isCold(engine, scene.now) || service.coldRequestsPerSecond <= 0) return true
-        val bound = (service.coldRequestsPerSecond * settings.coldOverrun + settings.coldSlack).toInt()
+        val current = settings()
+        val bound = (service.coldRequestsPerSecond * current.coldOverrun + current.coldSlack).toInt()
         return allowance.admits(engine.id, bound, scene.place, scene.now)
     }
 
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -37,8 +37,6 @@
     val offerEnded: (ChosenBackend, OfferEnd?) -> Unit,
     /** Takes one repetition out of the retry budget of a service. */
     val takeRepetition: (ServiceName) -> Boolean,
-    /** The priority that a back end is told. */
-    val priority: (ForwardJob) -> Int?,
     /** When a refused caller may come back. */
     val retryAfter: (ForwardJob) -> Duration,
     val coldReported: (BackendServer, Duration) -> Unit,
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -28,6 +28,8 @@
     val route: Route,
     val service: ServiceName,
     val tenant: Customer?,
+    /** 0 is the most urgent; the tenant's own goes before that of the route. */
+    val priority: Int,
     val arrivedAt: Duration,
 )
 
@@ -81,7 +83,7 @@
         val head = context.codec.encode(
             exchange.head,
             job.request,
-            BackendHead(backend.server, job.tenant, deadline - now, context.priority(job), lastEvent),
+            BackendHead(backend.server, job.tenant, deadline - now, job.priority, lastEvent),
         )
         val next = Offer(backend, now)
         offer = next
--- a/version/src/main/kotlin/redwingcross/version/forwarding/RequestCodec.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/RequestCodec.kt
@@ -14,8 +14,8 @@
     val tenant: Customer?,
     /** Time after which the back end stops working on the request. */
     val timeLeft: Duration,
-    /** 0 to 9, 0 is served first; null for the default. */
-    val priority: Int?,
+    /** 0 is served first. */
+    val priority: Int,
     /** Id of the last event that the caller has. */
     val resumeAfter: Long?,
 )
