Send beats and announcements at a cost that doesn't grow with the fleet

Cause: a beat went to 24 random processes out of all, so with 85 processes a quarter of them counted as silent at any moment although they lived. Every announcement of groups, about 90 bytes a group, went to all each half second. The announcement of one service's groups replaced that of another service.

Ruled out: a beat to everyone, which costs 340 datagrams a second at 85 processes.

Change: rounds of beats go to all processes in turn, and the time after which one counts as silent follows from the number of rounds. An announcement names group, epoch and head only; beyond 24 listeners it is repeated each 2 s, after a change twice within a second. A process that stops tells all at once. Announcements are kept for each service. Idle connections older than 250 ms aren't used for requests that must run once.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -75,7 +75,21 @@
     val ask: (ServiceName, BackendServer, Endpoint) -> Unit,
     val order: (ServiceName, BackendServer, Endpoint, FormationOrder, OrderCount) -> Unit,
     /** Makes the groups of a service known to every gateway. */
-    val announce: (ServiceName, LeaseEpoch, List<ServingGroup>, Set<GroupId>) -> Unit,
+    val announce: (ServiceName, LeaseEpoch, Announcement) -> Unit,
+    /** Processes that announcements go to. */
+    val listeners: () -> Int,
+)
+
+/** The groups of a service as they were last announced. */
+data class Announcement(
+    val serving: List<ServingGroup>,
+    /** Groups that have lost a member; their streams have to move. */
+    val lost: Set<GroupId>,
+    /** How long the announcement stands if no other follows. */
+    val lifetime: Duration,
+    val at: Duration,
+    /** How often the same groups were announced before. */
+    val repetitions: Int,
 )
 
 /** Owns the lease of the controller's duties and, while it holds it, the formation of the serving groups. */
@@ -211,36 +225,38 @@
         val now = clock.now()
         val table = links.table()
         val serving = state.groups.values.filter { it.stage == GroupStage.SERVING }.mapNotNull { group ->
-            val head = table.engines[group.members.first()] ?: return@mapNotNull null
-            ServingGroup(
-                id = group.id,
-                epoch = group.epoch,
-                service = service.name,
-                model = group.model,
-                head = head.id,
-                headAddress = head.status.address,
-                headZone = head.status.zone,
-                members = group.members,
-            )
+            val head = group.members.first().takeIf { it in table.engines } ?: return@mapNotNull null
+            ServingGroup(group.id, group.epoch, service.name, group.model, head)
         }
         val lost = state.lostGroups()
         val last = announcements[service.name]
-        val isSame = last != null && last.serving == serving && last.lost == lost
-        if (isSame && now - last.at < ANNOUNCEMENT_INTERVAL) return
-        announcements = announcements + (service.name to Announcement(serving, lost, now))
-        links.announce(service.name, epoch, serving, lost)
+        val interval = if (links.listeners() <= FEW_LISTENERS) SHORT_INTERVAL else LONG_INTERVAL
+        val repetitions = if (last?.serving == serving && last.lost == lost) last.repetitions + 1 else 0
+        val pause = if (repetitions in 1..EARLY_REPETITIONS) SHORT_INTERVAL else interval
+        if (last != null && repetitions > 0 && now - last.at < pause) return
+        val next = Announcement(serving, lost, interval * INTERVALS_OF_LIFETIME, now, repetitions)
+        announcements = announcements + (service.name to next)
+        links.announce(service.name, epoch, next)
     }
 
-    private data class Announcement(val serving: List<ServingGroup>, val lost: Set<GroupId>, val at: Duration)
-
     private companion object {
         val SETTINGS = FormationSettings()
 
         /** Groups that one holder of the lease may form; later holders use higher epochs. */
         const val EPOCHS_PER_LEASE = 100_000L
 
-        /** Repeats an announcement, because datagrams are lost at times. */
-        val ANNOUNCEMENT_INTERVAL = 500.milliseconds
+        /** Announcements are repeated, because datagrams are lost at times. */
+        val SHORT_INTERVAL = 500.milliseconds
+
+        /** With many listeners, the steady repetition would take a good part of a small VM's link. */
+        val LONG_INTERVAL = 2.seconds
+        const val FEW_LISTENERS = 24
+
+        /** Repetitions that follow a change quickly whatever the number of listeners. */
+        const val EARLY_REPETITIONS = 2
+
+        /** Several announcements in a row may be lost before the controller is taken for gone. */
+        const val INTERVALS_OF_LIFETIME = 4
 
         /** Short, because groups that lose a member wait for the next holder. */
         val LEASE_SETTINGS = LeaseSettings(
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -2,6 +2,7 @@
 
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
+import redwingcross.request.ServiceName
 import redwingcross.version.fleet.EngineReport
 import redwingcross.version.fleet.EngineTable
 import redwingcross.version.fleet.FleetConfiguration
@@ -12,13 +13,14 @@
 import redwingcross.version.fleet.servingGroups
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
-/** The groups that the holder of the duties announced. */
+/** The groups of one service that the holder of the duties announced. */
 data class AnnouncedGroups(
+    val service: ServiceName,
     val leaseEpoch: Long,
     val sequence: Long,
-    val heardAt: Duration,
+    /** Until when the announcement stands unless another follows. */
+    val validUntil: Duration,
     val serving: List<ServingGroup>,
     val lost: Set<GroupId>,
 )
@@ -29,7 +31,7 @@
     val table: EngineTable = EngineTable(),
     /** Back ends whose entry is gone but may come back, with the time at which they are forgotten. */
     val removals: Map<BackendServer, Duration> = emptyMap(),
-    val announced: AnnouncedGroups? = null,
+    val announced: Map<ServiceName, AnnouncedGroups> = emptyMap(),
     /** When the store was found not to answer; null while it does. */
     val interruptedAt: Duration? = null,
     /** When the store answered again after an interruption. */
@@ -42,15 +44,11 @@
     /** Whether callers can be served. */
     val isUsable: Boolean get() = configuration != null && known.containsAll(NewsSource.entries)
 
-    /** Groups that requests may be sent to. Without a recent announcement, the list of back ends decides. */
-    fun servingGroups(now: Duration): List<ServingGroup> {
-        val current = announced?.takeIf { now - it.heardAt < ANNOUNCEMENT_LIFETIME }
-        return current?.serving ?: derived.filter { it.id !in announced?.lost.orEmpty() }
-    }
-
-    private companion object {
-        /** Several announcements in a row may be lost before the controller is taken for gone. */
-        val ANNOUNCEMENT_LIFETIME = 2.seconds
+    /** Groups of [service] that may get requests. Without a recent announcement, the list of back ends decides. */
+    fun servingGroups(service: ServiceName, now: Duration): List<ServingGroup> {
+        val last = announced[service]
+        return last?.takeIf { now < it.validUntil }?.serving
+            ?: derived.filter { it.service == service && it.id !in last?.lost.orEmpty() }
     }
 }
 
@@ -82,13 +80,13 @@
 
     /** Takes an announcement unless a newer one is known. */
     fun announced(state: FleetState, groups: AnnouncedGroups): FleetState {
-        val known = state.announced
+        val known = state.announced[groups.service]
         val outdated = known != null &&
             (
                 groups.leaseEpoch < known.leaseEpoch ||
                     (groups.leaseEpoch == known.leaseEpoch && groups.sequence <= known.sequence)
                 )
-        return if (outdated) state else state.copy(announced = groups)
+        return if (outdated) state else state.copy(announced = state.announced + (groups.service to groups))
     }
 
     /** Forgets back ends whose entries did not come back in time. */
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -171,7 +171,7 @@
         val terms = fleet.configuration?.services?.get(service) ?: return Choice.NoneServing
         val scene = ChoiceScene(fleet.table, links.place(), excluded, suspects.keys, now)
         return if (model != null && terms.pool != null) {
-            chooser.chooseGroup(terms, model, fleet.servingGroups(now), scene)
+            chooser.chooseGroup(terms, model, fleet.servingGroups(service, now), scene)
         } else {
             chooser.chooseServer(terms, scene)
         }
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -80,21 +80,16 @@
     val leaseEpoch: Long,
     val sequence: Long,
     val service: String,
+    /** How long the announcement stands if no other follows. */
+    val lifetimeMillis: Long,
     val serving: List<AnnouncedGroup>,
     /** Groups that have lost a member; their streams have to move. */
     val lost: List<String>,
 ) : PeerMessage
 
-/** One serving group of a [GroupAnnouncement]. */
+/** One serving group of a [GroupAnnouncement]; its name tells the model, and the list of back ends the address. */
 @Serializable
-data class AnnouncedGroup(
-    val id: String,
-    val epoch: Long,
-    val model: String,
-    val head: String,
-    val address: String,
-    val zone: String,
-)
+data class AnnouncedGroup(val id: String, val epoch: Long, val head: String)
 
 /** The sender sees no progress on streams of a group. */
 @Serializable
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
@@ -9,9 +9,11 @@
 
 /** Times after which a silent process is treated differently. */
 data class PeerTimes(
-    /** Pause between two beats. */
+    /** Pause between two rounds of beats. */
     val beatInterval: Duration = 250.milliseconds,
-    /** A process silent for this long is no longer named to callers. */
+    /** Processes that one round of beats goes to, so that its cost doesn't grow with the fleet. */
+    val targets: Int = 24,
+    /** In a small fleet, a process silent for this long is no longer named to callers. */
     val silence: Duration = 1.seconds,
     /** A process silent for this long is forgotten; until then it keeps its part of shared bounds. */
     val forget: Duration = 10.seconds,
@@ -51,12 +53,33 @@
         return if (kept.size == peers.size) this else copy(peers = kept)
     }
 
+    /** Rounds after which every process has been sent a beat. */
+    private val rounds: Int get() = (peers.size + times.targets - 1) / times.targets
+
+    /** A process silent for this long is no longer named to callers; two beats in a row may be lost. */
+    val silence: Duration get() = maxOf(times.silence, times.beatInterval * rounds * SILENT_BEATS)
+
+    /** Processes that the beat of round [sequence] goes to: all in turn, so that each hears this one equally often. */
+    fun targets(sequence: Long): List<GatewayRecord> {
+        val turn = if (rounds == 0) 0 else (sequence % rounds).toInt()
+        return peers.values.sortedBy {
+            it.record.node
+        }.filterIndexed { index, _ -> index % rounds == turn }.map { it.record }
+    }
+
     /** Processes that were heard lately. */
-    fun alive(now: Duration): List<Peer> = peers.values.filter { it.beat != null && now - it.heardAt < times.silence }
+    fun alive(now: Duration): List<Peer> {
+        val limit = silence
+        return peers.values.filter { it.beat != null && now - it.heardAt < limit }
+    }
 
     /** Names of all processes that may be running, this one included. */
     val everyone: Set<String> get() = peers.keys + self.node
 
     /** Whether this process hears more than half of those that it knows. */
     fun hearsMajority(now: Duration): Boolean = (alive(now).size + 1) * 2 > peers.size + 1
+
+    private companion object {
+        const val SILENT_BEATS = 2.5
+    }
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -20,6 +20,9 @@
     /** Time for the next beat. */
     data object Tick : PeerTaskMessage
 
+    /** This process's own state has changed in a way that all others must hear at once. */
+    data object Changed : PeerTaskMessage
+
     data class Received(val bytes: ByteArray) : PeerTaskMessage
 
     data class Registry(val result: RegistryResult) : PeerTaskMessage
@@ -72,6 +75,7 @@
     fun handle(message: PeerTaskMessage) {
         when (message) {
             PeerTaskMessage.Tick -> tick()
+            PeerTaskMessage.Changed -> sendBeat(toAll = true)
             is PeerTaskMessage.Received -> received(message.bytes)
             is PeerTaskMessage.Registry -> registry(message.result)
         }
@@ -86,11 +90,11 @@
         (before.peers.keys - table.peers.keys).forEach { log("peer_forgotten", arrayOf("node" to it)) }
         val alone = table.alive(now).isEmpty()
         if (now >= nextRegistryCall ||
-            (alone && now - lastRegistryCall >= table.times.silence)
+            (alone && now - lastRegistryCall >= table.silence)
         ) {
             callRegistry(now, alone)
         }
-        sendToSome(links.beat().copy(sequence = ++sequence))
+        sendBeat(toAll = false)
         placeChanged(before)
     }
 
@@ -100,7 +104,7 @@
         if (isRegistered) {
             links.listRegistry(!alone)
         } else {
-            nextRegistryCall = now + table.times.silence
+            nextRegistryCall = now + table.silence
             links.register()
         }
     }
@@ -118,7 +122,7 @@
                 val before = table
                 table = table.registered(result.records, clock.now())
                 placeChanged(before)
-                sendToSome(links.beat().copy(sequence = ++sequence))
+                if (table.peers.keys != before.peers.keys) sendBeat(toAll = true)
             }
             RegistryResult.Failed -> Unit
         }
@@ -128,12 +132,12 @@
         if (before.peers.keys != table.peers.keys) cachedPlace = GatewayPlace(self.node, table.everyone)
     }
 
-    /** Sends [beat] to every process, or to a random part of them if there are many. */
-    private fun sendToSome(beat: Beat) {
-        val all = table.peers.values.map { it.record }
-        val chosen = if (all.size <= MAXIMUM_TARGETS) all else all.shuffled(random).take(MAXIMUM_TARGETS)
+    /** Sends the next beat to the processes whose turn it is, or to all of them. */
+    private fun sendBeat(toAll: Boolean) {
+        val beat = links.beat().copy(sequence = ++sequence)
+        val targets = if (toAll) table.peers.values.map { it.record } else table.targets(sequence)
         val bytes = PeerCodec.encode(beat)
-        chosen.forEach { links.send(InetSocketAddress(it.ip, it.peerPort), bytes) }
+        targets.forEach { links.send(InetSocketAddress(it.ip, it.peerPort), bytes) }
     }
 
     /** Sends [message] to every process. */
@@ -182,9 +186,6 @@
     }
 
     private companion object {
-        /** Processes that one beat is sent to, so that its cost doesn't grow with the fleet. */
-        const val MAXIMUM_TARGETS = 24
-
         /** Two processes that forgot each other while they were cut off meet again through the registry. */
         val REGISTRY_INTERVAL = 15.seconds
         val REGISTRY_SPREAD = 10.seconds
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
@@ -3,6 +3,7 @@
 import redwingcross.request.AvailabilityZone
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
+import redwingcross.request.ModelName
 import redwingcross.request.ServiceName
 import redwingcross.version.bundle.Endpoint
 import redwingcross.version.fleet.CallerLimits
@@ -11,7 +12,9 @@
 import redwingcross.version.fleet.EngineStatus
 import redwingcross.version.fleet.FleetConfiguration
 import redwingcross.version.fleet.FleetNews
+import redwingcross.version.fleet.GroupEpoch
 import redwingcross.version.fleet.NewsSource
+import redwingcross.version.fleet.ServingGroup
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -69,10 +72,22 @@
 
     @Test
     fun `an overtaken announcement of groups is ignored`() {
-        val newer = AnnouncedGroups(2, 5, 1.seconds, emptyList(), setOf(GroupId("g")))
+        val app = ServiceName("app")
+        val newer = AnnouncedGroups(app, 2, 5, 1.seconds, emptyList(), setOf(GroupId("g")))
         val state = FleetDecision.announced(FleetState(), newer)
-        val older = AnnouncedGroups(1, 9, 2.seconds, emptyList(), emptySet())
-        assertEquals(newer, FleetDecision.announced(state, older).announced)
+        val older = AnnouncedGroups(app, 1, 9, 2.seconds, emptyList(), emptySet())
+        assertEquals(newer, FleetDecision.announced(state, older).announced.values.single())
+    }
+
+    @Test
+    fun `the announcement of one service's groups leaves those of another service alone`() {
+        val services = listOf("chat", "search").map(::ServiceName)
+        val groups = services.map { ServingGroup(GroupId("m.1-1"), GroupEpoch(1), it, ModelName("m"), id) }
+        val state = groups.fold(FleetState()) { state, group ->
+            FleetDecision.announced(state, AnnouncedGroups(group.service, 1, 1, 9.seconds, listOf(group), emptySet()))
+        }
+        for (group in groups) assertEquals(listOf(group), state.servingGroups(group.service, 2.seconds))
+        assertTrue(state.servingGroups(services.first(), 10.seconds).isEmpty(), "the announcement has lapsed")
     }
 
     @Test
--- a/process/src/test/kotlin/redwingcross/process/edge/PeerTableTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/PeerTableTest.kt
@@ -53,6 +53,18 @@
         assertFalse(alone.hearsMajority(3.seconds + 100.milliseconds))
     }
 
+    @Test
+    fun `in a large fleet every process hears every other before it counts as silent`() {
+        val names = List(90) { "n$it" }
+        val large = names.fold(table) { known, node -> known.heard(beat(node, 1), 1.seconds) }
+        val interval = large.times.beatInterval
+        val rounds = (large.silence / interval).toInt()
+        val reached = (1L..rounds).map { round -> large.targets(round).map { it.node } }
+        assertTrue(reached.all { it.size <= large.times.targets }, "one round costs no more than in a small fleet")
+        val counts = reached.flatten().groupingBy { it }.eachCount()
+        for (node in names) assertTrue((counts[node] ?: 0) >= 2, "$node is sent ${counts[node]} beats")
+    }
+
     @Test
     fun `messages survive encoding, and bytes that are none are told apart`() {
         val message = beat("a", 7).copy(load = mapOf("e1" to 3))
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -13,6 +13,7 @@
 import redwingcross.platform.PlatformFleet
 import redwingcross.platform.RequestFormat
 import redwingcross.platform.SettingsFile
+import redwingcross.process.edge.Announcement
 import redwingcross.process.edge.Beat
 import redwingcross.process.edge.ControllerLinks
 import redwingcross.process.edge.ControllerMessage
@@ -152,6 +153,7 @@
             ask = engines::ask,
             order = engines::order,
             announce = ::announce,
+            listeners = { peers.place.count },
         ),
         clock,
         events.info,
@@ -183,7 +185,7 @@
     private val callers = CallerListener(
         group,
         clock,
-        maximumHeadBytes = { callerLimits().headerBytes },
+        maximumHeadBytes = { callerLimits.headerBytes },
         bounds = ::callerBounds,
         onRefused = { events.info("caller_refused", arrayOf("status" to it)) },
         serve = gateway::serve,
@@ -214,7 +216,7 @@
     /** A port that is taken costs the metrics, not the service. */
     private fun startMetrics() {
         metrics.gauge("redwingcross_requests_running") { gateway.running }
-        metrics.gauge("redwingcross_groups_serving") { fleet.servingGroups(clock.now()).size }
+        metrics.gauge("redwingcross_groups_serving") { servingGroups }
         metrics.gauge("redwingcross_backend_connections_opened") { backends.opened }
         metrics.gauge("redwingcross_configuration_version") { fleet.configuration?.version?.value ?: 0 }
         metrics.gauge("redwingcross_peers_alive") { peers.alive().size }
@@ -225,6 +227,9 @@
         }
     }
 
+    private val servingGroups: Int
+        get() = fleet.configuration?.services?.keys.orEmpty().sumOf { fleet.servingGroups(it, clock.now()).size }
+
     private fun startTasks() {
         platform.follow(::watchPause, fleetTask.post)
         backends.startExpiry()
@@ -307,12 +312,17 @@
         }
     }
 
-    private fun announce(service: ServiceName, epoch: LeaseEpoch, serving: List<ServingGroup>, lost: Set<GroupId>) {
+    private fun announce(service: ServiceName, epoch: LeaseEpoch, announcement: Announcement) {
         announcementSequence++
-        val groups = serving.map(ServingGroup::toMessage)
-        val lostNames = lost.map { it.value }
-        val message =
-            GroupAnnouncement(self, epoch.value, announcementSequence, service.value, groups, lostNames)
+        val message = GroupAnnouncement(
+            self,
+            epoch.value,
+            announcementSequence,
+            service.value,
+            announcement.lifetime.inWholeMilliseconds,
+            announcement.serving.map(ServingGroup::toMessage),
+            announcement.lost.map { it.value },
+        )
         peers.broadcast(message)
         groupsAnnounced(message)
     }
@@ -344,10 +354,10 @@
     private fun listener(serve: ServeExchange) =
         CallerListener(group, clock, { CallerLimits().headerBytes }, ::callerBounds, {}, serve)
 
-    private fun callerLimits(): CallerLimits = fleet.configuration?.limits ?: CallerLimits()
+    private val callerLimits: CallerLimits get() = fleet.configuration?.limits ?: CallerLimits()
 
     private fun callerBounds(): CallerBounds {
-        val limits = callerLimits()
+        val limits = callerLimits
         return CallerBounds(limits.bodyBytes, limits.headerTimeout, limits.idleTimeout)
     }
 
@@ -356,7 +366,7 @@
         stopping = true
         events.info("stop", arrayOf("signal" to signal, "running" to gateway.running))
         controllerPost(ControllerMessage.Release)
-        peerPost(PeerTaskMessage.Tick)
+        peerPost(PeerTaskMessage.Changed)
         StopSequence(bounds.stopGrace, LIST_LIFETIME, clock, ::runLater, { gateway.running }).start(
             closeGracefully = callers::closeGracefully,
             end = {
@@ -379,8 +389,11 @@
         val BACKEND_BOUNDS = ConnectionBounds(connectTimeout = 300.milliseconds, maximumIdle = 16)
         val CONTROL_BOUNDS = ConnectionBounds(connectTimeout = 300.milliseconds, maximumIdle = 4)
 
-        /** A connection that was idle longer may be closed while a request that can't be repeated is on its way. */
-        val UNREPEATABLE_IDLE = 700.milliseconds
+        /**
+         * A connection that was idle longer may be closed while a request that can't be repeated is on its way;
+         * back ends that forget idle connections do so after 300 ms or more.
+         */
+        val UNREPEATABLE_IDLE = 250.milliseconds
         val BEAT_INTERVAL = 250.milliseconds
         val CONTROLLER_INTERVAL = 100.milliseconds
         val WATCH_INTERVAL = 100.milliseconds
--- a/version/src/main/kotlin/redwingcross/version/fleet/ServingGroups.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/ServingGroups.kt
@@ -1,11 +1,9 @@
 package redwingcross.version.fleet
 
-import redwingcross.request.AvailabilityZone
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.ModelName
 import redwingcross.request.ServiceName
-import redwingcross.version.bundle.Endpoint
 import redwingcross.version.placement.LeaseEpoch
 
 /** A group that requests may be sent to. */
@@ -15,9 +13,6 @@
     val service: ServiceName,
     val model: ModelName,
     val head: BackendServer,
-    val headAddress: Endpoint,
-    val headZone: AvailabilityZone,
-    val members: List<BackendServer>,
 )
 
 /** Names of groups carry the model, so that a process that did not form a group knows what it serves. */
@@ -78,9 +73,6 @@
             service = service.name,
             model = model,
             head = head.id,
-            headAddress = head.status.address,
-            headZone = head.status.zone,
-            members = group.members.map { it.id },
         )
     }
 }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -52,16 +52,16 @@
         val slots = service.pool?.slots ?: return Choice.NoneServing
         val limit = slots * settings().groupLimit
         val serving = groups.filter { it.model == model && it.service == service.name }
-        val usable = serving.filter { group ->
+        val usable = serving.mapNotNull { group ->
             val head = scene.table.engines[group.head]
-            head != null && scene.table.takesWork(head) && isOpenTo(head, service, scene)
+            if (head != null && scene.table.takesWork(head) && isOpenTo(head, service, scene)) group to head else null
         }
         // All groups of a model may pause at once while they read long prompts.
-        val preferred = usable.filter { it.id !in scene.avoidedGroups }.ifEmpty { usable }
-        val best = preferred.filter { load.total(it.head) < limit }
-            .minByOrNull { score(it.head, model.value) }
+        val preferred = usable.filter { (group, _) -> group.id !in scene.avoidedGroups }.ifEmpty { usable }
+        val (best, head) = preferred.filter { (group, _) -> load.total(group.head) < limit }
+            .minByOrNull { (group, _) -> score(group.head, model.value) }
             ?: return if (usable.isEmpty()) Choice.NoneServing else Choice.AllBusy
-        return Choice.Chosen(ChosenBackend(best.head, best.headAddress, best.id, model.value))
+        return Choice.Chosen(ChosenBackend(head.id, head.status.address, best.id, model.value))
     }
 
     /** Chooses among the back ends of a plain service. */
