Add a fault soak of real edge processes; give exchanges up safely on closed sockets

Giving up an exchange set the linger option of its socket first; on a socket that had just closed this raises, and the streams that came after it in the list of a lost group were not moved.

Ruled out: a second call of cancel, which returns at once.

Change: closeWithReset ends a connection also if its socket is closed. SoakTest starts four real edge processes between stand-ins that speak the platform's formats (store, engines, callers) and kills, stops and pauses them, disturbs their links by loopback proxies, and makes the store fail, lose answers, write late and forget its history. It checks at most once, true refusals, whole and ordered answers, whole groups, no engine in two groups, the configuration in force, service after recovery, and that no task ended with an exception.

HttpConnectionsTest fails before the change with the ChannelException and passes after.

--- a/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpContent
@@ -122,8 +121,7 @@
     /** Gives the exchange up and ends the connection, which cancels the work at the back end. */
     fun cancel() {
         listener = null
-        channel.config().setOption(ChannelOption.SO_LINGER, 0)
-        channel.close()
+        channel.closeWithReset()
     }
 
     /** Ends an idle connection. */
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -178,8 +178,7 @@
     /** Ends the connection with a reset, so that a partial answer can't look complete. */
     fun abort() {
         discarding = true
-        context.channel().config().setOption(io.netty.channel.ChannelOption.SO_LINGER, 0)
-        context.close()
+        context.channel().closeWithReset()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
--- a/connection/src/test/kotlin/redwingcross/connection/http/HttpConnectionsTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/HttpConnectionsTest.kt
@@ -1,6 +1,9 @@
 package redwingcross.connection.http
 
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import redwingcross.request.MonotonicClock
 import java.net.InetAddress
@@ -112,6 +115,21 @@
         assertEquals(-1, one.getInputStream().read(), "the connection beyond the limit is ended")
     }
 
+    @Test
+    fun `giving up an exchange whose socket has just closed does no harm`() {
+        val connected = Bootstrap().group(group).channel(NioSocketChannel::class.java)
+            .handler(object : ChannelInboundHandlerAdapter() {})
+            .connect(party.address)
+            .sync()
+        val failure = group.next().submit<Throwable?> {
+            runCatching {
+                connected.channel().close()
+                connected.channel().closeWithReset()
+            }.exceptionOrNull()
+        }.get()
+        assertNull(failure, "an exception here keeps the streams that come after it from being moved")
+    }
+
     @Test
     fun `an extra answer of an earlier request is dropped and the right one is awaited`() {
         val (recorded, _) = send("b")
--- /dev/null
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/EdgeNode.kt
@@ -0,0 +1,69 @@
+package redwingcross.systemtests.soak
+
+import redwingcross.systemtests.ProgramProcess
+import redwingcross.systemtests.platform.EngineStandin
+import redwingcross.systemtests.platform.LinkProxy
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** One edge VM: the settings of its process, its link to the store, and the process that runs now. */
+internal class EdgeNode(index: Int, subnet: Int, private val folder: Path, val storeLink: LinkProxy) : AutoCloseable {
+    val name = "edge-$index"
+    private val ip = "127.0.$subnet.${index + 1}"
+    private val settings = folder.resolve("$name.yaml")
+    private var starts = 0
+
+    /** Where callers connect. */
+    val callers = "$ip:8227"
+
+    /** Where callers ask for addresses. */
+    val directory = "$ip:8224"
+    var process: ProgramProcess? = null
+        private set
+
+    init {
+        Files.writeString(settings, settingsText(if (index % 2 == 0) "zone-a" else "zone-b"))
+    }
+
+    fun start() {
+        if (process?.isAlive == true) return
+        process = ProgramProcess(
+            "redwingcross.edge.EdgeMainKt",
+            "$name-${starts++}",
+            folder,
+            listOf("--settings", settings.toString()),
+        )
+    }
+
+    override fun close() {
+        process?.close()
+    }
+
+    private fun settingsText(zone: String) = """
+        node-name: "$name"
+        ip: "$ip"
+        zone: "$zone"
+        region: "north"
+        listen:
+          front: "$callers"
+          ready: "$ip:8220"
+          directory: "$directory"
+        internal-ports: [7340, 7355]
+        limits: { memory-mb: 430, max-fds: 4100 }
+        heartbeat-ms: 400
+        bounds:
+          stable-window-ms: 3000
+          drain-ms: 2000
+          grace-s: 5
+          config-apply-ms: 2000
+          retry-budget-ratio: 0.2
+          budget-window-s: 10
+          budget-extra: 107
+          cold-overrun: 1.5
+          cold-slack: 5
+          evacuation-ms: 5000
+          stall-ms: ${EngineStandin.STALL_MILLIS}
+          ttl_max_s: 5
+        platform: { addr: "127.0.0.1:${storeLink.address.port}", writes-per-s: 400, reads-per-s: 2000 }
+    """.trimIndent()
+}
