Count events, store calls and loop delay; show the state of an edge process

Cause: an engineer on call saw requests only. Orders, elections, lost groups, calls to the store and the age of each view had no figure, durations had no histogram, and no command read the state of an edge process.

Ruled out: a counter for each event type by hand, which drifts from the log.

The load of other gateways is summed by differences in place of anew for each beat.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -15,6 +15,7 @@
 import redwingcross.version.fleet.FormationSettings
 import redwingcross.version.fleet.FormationState
 import redwingcross.version.fleet.FormationView
+import redwingcross.version.fleet.FormedGroup
 import redwingcross.version.fleet.GroupEpoch
 import redwingcross.version.fleet.GroupStage
 import redwingcross.version.fleet.OrderCount
@@ -110,6 +111,9 @@
     val heldLease: DutyBeat?
         get() = lease.held?.takeIf { actingEpoch != null }?.let { DutyBeat(it.seen.version.value, it.seen.record) }
 
+    /** Groups that this process forms and watches. */
+    val groups: List<FormedGroup> get() = formations.values.flatMap { it.groups.values }
+
     /** Whether this process carries out the controller's duties. */
     val isActing: Boolean get() = actingEpoch != null
 
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -36,13 +36,13 @@
     val interruptedAt: Duration? = null,
     /** When the store answered again after an interruption. */
     val regainedAt: Duration? = null,
-    /** Sources whose state has been read at least once. */
-    val known: Set<NewsSource> = emptySet(),
+    /** When the view of each source was current; a source that was never read is missing. */
+    val confirmedAt: Map<NewsSource, Duration> = emptyMap(),
     /** Groups as this process derives them from the list of back ends. */
     val derived: List<ServingGroup> = emptyList(),
 ) {
     /** Whether callers can be served. */
-    val isUsable: Boolean get() = configuration != null && known.containsAll(NewsSource.entries)
+    val isUsable: Boolean get() = configuration != null && confirmedAt.keys.containsAll(NewsSource.entries)
 
     /** Groups of [service] that may get requests. Without a recent announcement, the list of back ends decides. */
     fun servingGroups(service: ServiceName, now: Duration): List<ServingGroup> {
@@ -128,13 +128,12 @@
     }
 
     private fun confirmed(state: FleetState, source: NewsSource, now: Duration): FleetState {
-        val known = if (source in state.known) state.known else state.known + source
         val regained = if (state.interruptedAt != null) now else state.regainedAt
-        return if (known === state.known && state.interruptedAt == null) {
-            state
-        } else {
-            state.copy(known = known, interruptedAt = null, regainedAt = regained)
-        }
+        return state.copy(
+            confirmedAt = state.confirmedAt + (source to now),
+            interruptedAt = null,
+            regainedAt = regained,
+        )
     }
 
     private fun returnColdTime(state: FleetState): Duration =
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -63,6 +63,9 @@
     /** This process among all that may be running. */
     val place: GatewayPlace get() = cachedPlace
 
+    /** Every process that may be running. */
+    fun known(): List<Peer> = table.peers.values.toList()
+
     fun alive(): List<Peer> = table.alive(clock.now())
 
     /** Where callers reach the others that take requests. */
--- a/process/src/main/kotlin/redwingcross/process/metrics/ProcessMetrics.kt
+++ b/process/src/main/kotlin/redwingcross/process/metrics/ProcessMetrics.kt
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Tag
+import io.micrometer.core.instrument.Timer
 import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
 import io.micrometer.core.instrument.binder.jvm.JvmThreadMetrics
@@ -10,6 +11,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
+import java.time.Duration as JavaDuration
 
 /** Counts an event by its labels. */
 typealias CountEvent = (name: String, labels: Map<String, String>) -> Unit
@@ -37,7 +39,8 @@
 
     /** Adds a duration to a timer. */
     val record: RecordDuration = { name, labels, duration ->
-        registry.timer(name, tags(name, labels)).record(duration.toJavaDuration())
+        Timer.builder(name).tags(tags(name, labels)).serviceLevelObjectives(*buckets).register(registry)
+            .record(duration.toJavaDuration())
     }
 
     /** Shows the value of [read] at each scrape. */
@@ -62,5 +65,10 @@
 
     private companion object {
         const val DEFAULT_MAXIMUM_SERIES = 500
+
+        /** Upper bounds of the histograms in milliseconds: around the usual objectives, and up to the longest timeout. */
+        val buckets = listOf(5L, 25, 50, 100, 200, 300, 500, 1000, 2000, 4000, 8000)
+            .map { JavaDuration.ofMillis(it) }
+            .toTypedArray()
     }
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeCommand.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeCommand.kt
@@ -10,8 +10,14 @@
 import redwingcross.request.Checked
 import redwingcross.request.Finding
 import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
 import java.nio.file.Files
 import java.nio.file.Path
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
 
 /** Command line of `redwingcross-edge`. */
 internal class EdgeCommand(private val environment: (String) -> String? = System::getenv) :
@@ -21,11 +27,18 @@
         help = "Path of the platform's settings file. Also ${SettingsFile.VARIABLE}.",
         metavar = "path",
     )
+    private val stateOf by option(
+        "--show-state",
+        help = "Print what the edge process at this address believes, and exit. The port is that of its metrics.",
+        metavar = "ip:port",
+    )
+    private val asJson by option("--json", help = "Print the state as JSON.").flag()
     private val checkOnly by option("--check-settings", help = "Check the settings file and exit.").flag()
 
     override fun help(context: Context): String = "Serves callers and forms serving groups on an entry VM."
 
     override fun run() {
+        stateOf?.let { return showState(it) }
         val path = settingsFile ?: environment(SettingsFile.VARIABLE)
             ?: reject(listOf(Finding("--settings", "is required; or set ${SettingsFile.VARIABLE}")))
         val readText = { Files.readString(Path.of(path)) }
@@ -41,8 +54,24 @@
         if (checkOnly) echo(settings.toString()) else EdgeProcess(settings, text, readText).run()
     }
 
+    private fun showState(address: String) {
+        val request = HttpRequest.newBuilder(URI("http://$address${EdgeMetrics.STATE_PATH}"))
+            .timeout(STATE_TIMEOUT.toJavaDuration()).build()
+        val text = try {
+            HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body()
+        } catch (error: IOException) {
+            reject(listOf(Finding("--show-state", "$address can't be reached: ${error.message}")))
+        }
+        echo(if (asJson) text else EdgeState.fromJson(text).toText())
+    }
+
     private fun reject(findings: List<Finding>): Nothing {
         findings.forEach { echo(it.toString(), err = true) }
         throw ProgramResult(EXIT_BAD_INPUT)
     }
+
+    private companion object {
+        /** An edge process answers within milliseconds unless it hangs. */
+        val STATE_TIMEOUT = 3.seconds
+    }
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMetrics.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMetrics.kt
@@ -2,15 +2,32 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import redwingcross.connection.http.CallerExchange
+import redwingcross.platform.CountStoreCall
+import redwingcross.process.edge.CountLoggedEvent
 import redwingcross.process.metrics.ProcessMetrics
 import redwingcross.version.forwarding.ForwardOutcome
+import kotlin.time.Duration
 
 /** Counters and latencies of an edge process in the Prometheus text format, served at `/metrics`. */
 internal class EdgeMetrics {
     private val metrics = ProcessMetrics()
 
     /** Shows [read] at each scrape. */
-    fun gauge(name: String, read: () -> Number): Unit = metrics.gauge(name, read = read)
+    fun gauge(name: String, labels: Map<String, String> = emptyMap(), read: () -> Number): Unit =
+        metrics.gauge(name, labels, read)
+
+    /** Counts an event that is logged. */
+    val countEvent: CountLoggedEvent = { event, outcome ->
+        metrics.count("redwingcross_events", mapOf("event" to event, "outcome" to outcome))
+    }
+
+    /** Counts a call to the store by what it was for and how it ended. */
+    val countStoreCall: CountStoreCall = { purpose, outcome ->
+        metrics.count("redwingcross_store_calls", mapOf("purpose" to purpose, "outcome" to outcome))
+    }
+
+    /** Records how late an action of the event loop ran. */
+    fun loopDelayed(delay: Duration): Unit = metrics.record("redwingcross_loop_delay", emptyMap(), delay)
 
     /** Counts a finished request by route and outcome, and records how long it took. */
     fun record(outcome: ForwardOutcome) {
@@ -22,18 +39,21 @@
         }
     }
 
-    fun serve(exchange: CallerExchange) {
-        val headers = DefaultHttpHeaders().add("Content-Type", "text/plain; version=0.0.4")
-        if (exchange.head.target == PATH) {
-            exchange.respond(OK, headers, metrics.scrape().encodeToByteArray())
-        } else {
-            exchange.respond(NOT_FOUND, DefaultHttpHeaders(), ByteArray(0))
+    /** Answers a scrape, or a question for the state of the process. */
+    fun serve(exchange: CallerExchange, state: () -> EdgeState) {
+        when (exchange.head.target) {
+            PATH -> exchange.respond(OK, headers("text/plain; version=0.0.4"), metrics.scrape().encodeToByteArray())
+            STATE_PATH -> exchange.respond(OK, headers("application/json"), state().toJson().encodeToByteArray())
+            else -> exchange.respond(NOT_FOUND, DefaultHttpHeaders(), ByteArray(0))
         }
     }
 
+    private fun headers(type: String) = DefaultHttpHeaders().add("Content-Type", type)
+
     companion object {
         /** The port that `deploy/system.toml` names. */
         const val PORT: Int = 9464
+        const val STATE_PATH: String = "/state"
         private const val PATH = "/metrics"
         private const val OK = 200
         private const val NOT_FOUND = 404
--- /dev/null
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
@@ -0,0 +1,59 @@
+package redwingcross.edge
+
+import redwingcross.connection.http.HttpConnections
+import redwingcross.process.edge.ControllerTask
+import redwingcross.process.edge.FleetState
+import redwingcross.process.edge.GatewayTask
+import redwingcross.process.edge.PeerTask
+import redwingcross.request.MonotonicClock
+import redwingcross.request.ProcessName
+import redwingcross.version.fleet.NewsSource
+import kotlin.time.DurationUnit
+
+/** Shows the state of the tasks of a process to those who watch it: as metrics, and whole on demand. */
+internal class EdgeObserver(
+    private val node: ProcessName,
+    private val clock: MonotonicClock,
+    private val fleet: () -> FleetState,
+    private val gateway: GatewayTask,
+    private val controller: ControllerTask,
+    private val peers: PeerTask,
+) {
+    /** Connects the gauges of [metrics] with the running state. */
+    fun register(metrics: EdgeMetrics, backends: HttpConnections) {
+        metrics.gauge("redwingcross_requests_running") { gateway.running }
+        metrics.gauge("redwingcross_groups_serving") { fleet().serviceStates(clock.now()).sumOf { it.serving.size } }
+        metrics.gauge("redwingcross_backend_connections_opened") { backends.opened }
+        metrics.gauge("redwingcross_configuration_version") { fleet().configuration?.version?.value ?: 0 }
+        metrics.gauge("redwingcross_peers_alive") { peers.alive().size }
+        metrics.gauge("redwingcross_duties_held") { if (controller.isActing) 1 else 0 }
+        metrics.gauge("redwingcross_back_ends_known") { fleet().table.engines.size }
+        metrics.gauge("redwingcross_engines_without_group") {
+            fleet().serviceStates(clock.now()).sumOf { it.withoutGroup }
+        }
+        for (source in NewsSource.entries) {
+            metrics.gauge("redwingcross_view_age_seconds", mapOf("source" to source.name.lowercase())) {
+                fleet().confirmedAt[source]?.let { (clock.now() - it).toDouble(DurationUnit.SECONDS) } ?: Double.NaN
+            }
+        }
+    }
+
+    /** What the process believes now. */
+    fun state(): EdgeState {
+        val now = clock.now()
+        val current = fleet()
+        return EdgeState(
+            node = node.value,
+            holdsDuties = controller.isActing,
+            configuration = current.configuration?.version?.value,
+            viewAgeMillis = current.confirmedAt.entries.associate { (source, at) ->
+                source.name.lowercase() to (now - at).inWholeMilliseconds
+            },
+            zonesOut = current.table.evacuatedZones.map { it.value },
+            requestsRunning = gateway.running,
+            peers = peers.known().map { it.toState(now) },
+            services = current.serviceStates(now),
+            formation = controller.groups.map { it.toState(now) },
+        )
+    }
+}
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -62,7 +62,9 @@
     private val clock = MonotonicClock.system
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
-    private val events = EventLog(KotlinLogging.logger("redwingcross"), clock, LOG_LINES_PER_SECOND)
+    private val metrics = EdgeMetrics()
+    private val events =
+        EventLog(KotlinLogging.logger("redwingcross"), clock, LOG_LINES_PER_SECOND, metrics.countEvent)
     private val random = Random(System.nanoTime())
     private val startMillis = System.currentTimeMillis()
     private val self = GatewayRecord(
@@ -81,15 +83,17 @@
     private val caller = HttpCaller(control, loop as io.netty.channel.EventLoop)
     private val storeParty = RemoteParty(settings.store.toSocketAddress(), settings.store.value)
     private val platform =
-        PlatformFleet(storeParty, caller::call, { delay, action -> runLater(delay, action) }) { event, pairs ->
-            events.warn(event, pairs.toTypedArray())
-        }
+        PlatformFleet(
+            storeParty,
+            caller::call,
+            { delay, action -> runLater(delay, action) },
+            metrics.countStoreCall,
+        ) { event, pairs -> events.warn(event, pairs.toTypedArray()) }
     private val peerSocket = DatagramSocket(
         group,
         onReceived = { peerPost(PeerTaskMessage.Received(it)) },
         onError = { events.warn("peer_socket_error", arrayOf("detail" to it.message)) },
     )
-    private val metrics = EdgeMetrics()
     private val peerPost: Post<PeerTaskMessage> = { peerTask.post(it) }
     private val controllerPost: Post<ControllerMessage> = { controllerTask.post(it) }
     private val postLease: Post<LeaseMessage> = { controllerPost(ControllerMessage.Lease(it)) }
@@ -99,6 +103,7 @@
         if (source == NewsSource.BACKEND_SERVERS) SERVER_LAG else CONFIGURATION_LAG
     }
     private var trafficHeard = false
+    private var watchedAt = clock.now()
     private var stopping = false
     private val stopped = CountDownLatch(1)
 
@@ -180,6 +185,7 @@
         LoopTask<ControllerMessage>(loop, MAILBOX, dropped, controller::handle)
     private val peerTask: LoopTask<PeerTaskMessage> = LoopTask<PeerTaskMessage>(loop, MAILBOX, dropped, peers::handle)
     private val fleetTask = LoopTask<FleetNews>(loop, MAILBOX, dropped, ::fleetNews)
+    private val observer = EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers)
     private var announcementSequence = 0L
 
     private val callers = CallerListener(
@@ -197,7 +203,7 @@
     )
     private val readiness = listener(controlEndpoint::serve)
     private val directory = listener(controlEndpoint::serve)
-    private val metricsListener = listener(metrics::serve)
+    private val metricsListener = listener { metrics.serve(it, observer::state) }
 
     /** Serves until the process is stopped. */
     fun run() {
@@ -215,11 +221,7 @@
 
     /** A port that is taken costs the metrics, not the service. */
     private fun startMetrics() {
-        metrics.gauge("redwingcross_requests_running") { gateway.running }
-        metrics.gauge("redwingcross_groups_serving") { servingGroups }
-        metrics.gauge("redwingcross_backend_connections_opened") { backends.opened }
-        metrics.gauge("redwingcross_configuration_version") { fleet.configuration?.version?.value ?: 0 }
-        metrics.gauge("redwingcross_peers_alive") { peers.alive().size }
+        observer.register(metrics, backends)
         try {
             metricsListener.start(InetSocketAddress(settings.ip, EdgeMetrics.PORT))
         } catch (error: IOException) {
@@ -227,9 +229,6 @@
         }
     }
 
-    private val servingGroups: Int
-        get() = fleet.configuration?.services?.keys.orEmpty().sumOf { fleet.servingGroups(it, clock.now()).size }
-
     private fun startTasks() {
         platform.follow(::watchPause, fleetTask.post)
         backends.startExpiry()
@@ -254,7 +253,10 @@
 
     private fun watch() {
         val before = fleet
-        fleet = FleetDecision.expired(fleet, clock.now())
+        val now = clock.now()
+        metrics.loopDelayed((now - watchedAt - WATCH_INTERVAL).coerceAtLeast(Duration.ZERO))
+        watchedAt = now
+        fleet = FleetDecision.expired(fleet, now)
         if (fleet !== before) gateway.forgetGone(fleet.table.engines.keys)
         gateway.watchStreams()
     }
--- a/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
@@ -106,6 +106,14 @@
     /** Whether new work may be sent to [engine]. */
     fun takesWork(engine: KnownEngine): Boolean = !engine.status.draining && engine.status.zone !in evacuatedZones
 
+    /** Model engines of [service] that take work and are in no group: spares, and those that find no partner. */
+    fun enginesWithoutGroup(service: ServiceTerms): Int {
+        if (service.pool == null) return 0
+        return engines.values.count {
+            it.status.service == service.name && it.status.membership == null && takesWork(it)
+        }
+    }
+
     private fun with(engine: KnownEngine): EngineTable = copy(engines = engines + (engine.id to engine))
 
     private fun KnownEngine.isNewerThan(other: EngineStatus): Boolean {
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendLoad.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendLoad.kt
@@ -10,7 +10,7 @@
 class BackendLoad {
     private val own = HashMap<BackendServer, Int>()
     private val others = HashMap<ProcessName, Map<BackendServer, Int>>()
-    private var sumOfOthers = HashMap<BackendServer, Int>()
+    private val sumOfOthers = HashMap<BackendServer, Int>()
 
     /** Requests of this gateway, for the other gateways. */
     val ownCounts: Map<BackendServer, Int> get() = own
@@ -26,12 +26,14 @@
 
     /** Takes the counts of another gateway; null when it is gone. */
     fun heard(gateway: ProcessName, counts: Map<BackendServer, Int>?) {
-        if (counts == null) others.remove(gateway) else others[gateway] = counts
-        val sum = HashMap<BackendServer, Int>()
-        for (each in others.values) {
-            for ((server, count) in each) sum.merge(server, count, Int::plus)
-        }
-        sumOfOthers = sum
+        val before = if (counts == null) others.remove(gateway) else others.put(gateway, counts)
+        before?.forEach { (server, count) -> addToOthers(server, -count) }
+        counts?.forEach { (server, count) -> addToOthers(server, count) }
+    }
+
+    private fun addToOthers(server: BackendServer, change: Int) {
+        val next = (sumOfOthers[server] ?: 0) + change
+        if (next > 0) sumOfOthers[server] = next else sumOfOthers.remove(server)
     }
 
     fun ofOwn(server: BackendServer): Int = own[server] ?: 0
--- /dev/null
+++ b/version/src/test/kotlin/redwingcross/version/forwarding/BackendLoadTest.kt
@@ -0,0 +1,36 @@
+package redwingcross.version.forwarding
+
+import redwingcross.request.BackendServer
+import redwingcross.request.ProcessName
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class BackendLoadTest {
+    private val servers = List(5) { BackendServer("s$it") }
+
+    @Test
+    fun `the load of a server is the sum of what every gateway said last`() {
+        val random = Random(7)
+        val load = BackendLoad()
+        val said = HashMap<ProcessName, Map<BackendServer, Int>>()
+        repeat(500) {
+            val gateway = ProcessName("g${random.nextInt(6)}")
+            val counts = servers.filter { random.nextBoolean() }.associateWith { random.nextInt(1, 9) }
+            val isGone = random.nextInt(5) == 0
+            load.heard(gateway, counts.takeUnless { isGone })
+            if (isGone) said.remove(gateway) else said[gateway] = counts
+            for (server in servers) assertEquals(said.values.sumOf { it[server] ?: 0 }, load.total(server))
+        }
+    }
+
+    @Test
+    fun `own requests count until each has ended`() {
+        val load = BackendLoad()
+        repeat(2) { load.began(servers[0]) }
+        load.ended(servers[0])
+        assertEquals(1, load.total(servers[0]))
+        load.ended(servers[0])
+        assertEquals(emptyMap(), load.ownCounts)
+    }
+}
