--- a/process/src/main/kotlin/redwingcross/process/metrics/ProcessMetrics.kt
+++ b/process/src/main/kotlin/redwingcross/process/metrics/ProcessMetrics.kt
@@ -37,7 +37,8 @@
     /** Adds one to a counter. */
     val count: CountEvent = { name, labels -> registry.counter(name, tags(name, labels)).increment() }
 
-    /** Adds a duration to a timer. */
+    /** Adds a duration to a timer with a histogram. */
+    @Suppress("SpreadOperator") // Timers take their dozen bounds as variable arguments only.
     val record: RecordDuration = { name, labels, duration ->
         Timer.builder(name).tags(tags(name, labels)).serviceLevelObjectives(*buckets).register(registry)
             .record(duration.toJavaDuration())
@@ -66,7 +67,7 @@
     private companion object {
         const val DEFAULT_MAXIMUM_SERIES = 500
 
-        /** Upper bounds of the histograms in milliseconds: around the usual objectives, and up to the longest timeout. */
+        /** Upper bounds of the histograms: around the usual objectives, and up to the longest timeout. */
         val buckets = listOf(5L, 25, 50, 100, 200, 300, 500, 1000, 2000, 4000, 8000)
             .map { JavaDuration.ofMillis(it) }
             .toTypedArray()
