Spread the groups of each model over the zones

Cause: the engines of a domain serve one model, and domains were chosen by free engines alone, so both domains of a zone could serve the same model; the loss of a zone then took most groups of one model.

Ruled out: mixing models within a domain, which leaves engines without a partner when some are lost.

Change: between domains that are otherwise equal, a group goes to the zone with the fewest engines of its model, and then to the one with the most engines of others.

--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
@@ -1,5 +1,6 @@
 package redwingcross.version.fleet
 
+import redwingcross.request.AvailabilityZone
 import redwingcross.version.bundle.FabricDomain
 import kotlin.time.Duration.Companion.seconds
 
@@ -52,6 +53,8 @@
             compareBy<Candidate> { if (view.trafficStarted) it.loads else 0 }
                 .thenBy { it.foreign }
                 .thenByDescending { it.related }
+                .thenBy { it.relatedInZone }
+                .thenByDescending { it.foreignInZone }
                 .thenBy { it.loads }
                 .thenByDescending { it.free },
         ) ?: return FormStep.NOTHING
@@ -73,11 +76,14 @@
         if (usable.size < model.groupSize + reserve) return null
         val members = usable.take(model.groupSize)
         val others = inDomain(domain)
+        val inZone = inZone(members.first().status.zone)
         return Candidate(
             members = members,
             loads = members.count { model.name !in it.status.staged },
             related = others.count { work.modelOf(it) == model.name },
             foreign = others.count { engine -> work.modelOf(engine)?.let { it != model.name } == true },
+            relatedInZone = inZone.count { work.modelOf(it) == model.name },
+            foreignInZone = inZone.count { engine -> work.modelOf(engine)?.let { it != model.name } == true },
             free = free.size,
         )
     }
@@ -88,6 +94,9 @@
     private fun inDomain(domain: FabricDomain?): List<KnownEngine> =
         view.table.engines.values.filter { it.status.service == view.service.name && it.status.domain == domain }
 
+    private fun inZone(zone: AvailabilityZone): List<KnownEngine> =
+        view.table.engines.values.filter { it.status.service == view.service.name && it.status.zone == zone }
+
     private fun stageSpares() {
         for ((domain, free) in freeByDomain()) {
             val unstaged = free.filter { engine -> models.none { it.name in engine.status.staged } }
@@ -126,6 +135,10 @@
         val related: Int,
         /** Engines of the domain that hold another model. */
         val foreign: Int,
+        /** Engines of the zone that hold the model; a zone without any is preferred, so that its loss costs less. */
+        val relatedInZone: Int,
+        /** Engines of the zone that hold another model; such zones come first, so that each has every model. */
+        val foreignInZone: Int,
         val free: Int,
     )
 
