--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -13,6 +13,7 @@
 import redwingcross.platform.PlatformFleet
 import redwingcross.platform.RequestFormat
 import redwingcross.platform.SettingsFile
+import redwingcross.platform.WatchPace
 import redwingcross.process.edge.Announcement
 import redwingcross.process.edge.Beat
 import redwingcross.process.edge.ControllerLinks
@@ -230,7 +231,7 @@
     }
 
     private fun startTasks() {
-        platform.follow(::watchPause, fleetTask.post)
+        platform.follow(::watchPace, fleetTask.post)
         backends.startExpiry()
         control.startExpiry()
         peerTask.post(PeerTaskMessage.Tick)
@@ -280,11 +281,14 @@
         }
     }
 
-    private fun watchPause(source: NewsSource): Duration = when {
-        source != NewsSource.BACKEND_SERVERS -> CONFIGURATION_PAUSE
-        controller.isActing -> CONTROLLER_LIST_PAUSE
-        else -> minOf(GATEWAY_LIST_PAUSE, bounds.drain / 2)
-    }
+    private fun watchPace(source: NewsSource) = WatchPace(
+        pause = when {
+            source != NewsSource.BACKEND_SERVERS -> CONFIGURATION_PAUSE
+            controller.isActing -> CONTROLLER_LIST_PAUSE
+            else -> bounds.drain * LIST_PAUSE_SHARE
+        },
+        wait = if (peers.place.count <= FEW_PROCESSES) SHORT_WAIT else LONG_WAIT,
+    )
 
     private fun beat() = Beat(
         sender = self,
@@ -408,7 +412,17 @@
         val CONFIGURATION_LAG = 500.milliseconds
         val SERVER_LAG = 1200.milliseconds
         val CONTROLLER_LIST_PAUSE = 250.milliseconds
-        val GATEWAY_LIST_PAUSE = 800.milliseconds
+
+        /** Part of the time within which a gateway must have heard that a back end leaves. */
+        const val LIST_PAUSE_SHARE = 0.4
+
+        /**
+         * A waiting question is answered at once when something changes, and every call is priced. A store that went
+         * silent is noticed when the wait is over, or sooner through the lease or the other processes.
+         */
+        val SHORT_WAIT = 8.seconds
+        val LONG_WAIT = 24.seconds
+        const val FEW_PROCESSES = 24
 
         /** Callers keep a list for this long, some of them three times as long. */
         val LIST_LIFETIME = 1.seconds
