Remove decoded fields that nothing reads

Cause: the settings, the configuration, reports and request heads were decoded into fields without a reader, and a settings file was refused for lacking some of them.

Ruled out: keeping them for a choice by expected work, which isn't built.

Change: fields of settings, services, models, routes, reports and generations that nothing reads are gone, with their decoding.

--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayTaskTest.kt
@@ -16,7 +16,6 @@
 import redwingcross.request.Customer
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ServiceName
-import redwingcross.request.forward.GenerationRequest
 import redwingcross.request.forward.InboundRequest
 import redwingcross.request.forward.Repeatability
 import redwingcross.request.forward.RetryBudgetTerms
@@ -70,14 +69,10 @@
     private fun bounds() = EdgeBounds(
         drain = 2.seconds,
         stopGrace = 8.seconds,
-        configurationApply = 2.seconds,
         retryBudget = RetryBudgetTerms(0.0, retryExtra, 10.seconds),
         coldOverrun = 1.5,
         coldSlack = 5.0,
-        evacuation = 5.seconds,
-        stall = 5.seconds,
         maximumListLifetime = 5.seconds,
-        stableWindow = 3.seconds,
     )
 
     private fun links() = GatewayLinks(
@@ -112,7 +107,7 @@
     private val callers = listen { gateway.serve(it) }
 
     private fun route(name: String, kind: Repeatability) = Route(
-        name, "h", "/$name/", kind, 5.seconds, 1.seconds, null, 2, priority = 3, anonymous = false,
+        name, "h", "/$name/", kind, 5.seconds, 2, priority = 3, anonymous = false,
         listOf(
             Destination(app, 1),
         ),
@@ -134,7 +129,7 @@
                 route("again", Repeatability.IDEMPOTENT),
                 route("stream", Repeatability.RESUMABLE_STREAM),
             ),
-            mapOf(app to ServiceTerms(app, "/health", 100, Duration.ZERO, 0.0, null)),
+            mapOf(app to ServiceTerms(app, 100, Duration.ZERO, 0.0, null)),
             CallerLimits(),
             listOf(Tenant(Customer("urgent"), listOf("k1"), 0), Tenant(Customer("usual"), listOf("k2"), null)),
         )
@@ -281,7 +276,7 @@
                     head.target,
                     null,
                     headers.get("Key"),
-                    generation = null as GenerationRequest?,
+                    generation = null,
                 )
             },
             encode = { original, request, send ->
--- a/process/src/test/kotlin/redwingcross/process/edge/SettingsReloadTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/SettingsReloadTest.kt
@@ -9,36 +9,26 @@
 import java.io.IOException
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 class SettingsReloadTest {
     private val bounds = EdgeBounds(
         drain = 2.seconds,
         stopGrace = 8.seconds,
-        configurationApply = 2.seconds,
         retryBudget = RetryBudgetTerms(0.2, 100.0, 10.seconds),
         coldOverrun = 1.5,
         coldSlack = 5.0,
-        evacuation = 5.seconds,
-        stall = 5.seconds,
         maximumListLifetime = 5.seconds,
-        stableWindow = 3.seconds,
     )
     private val settings = EdgeSettings(
         node = ProcessName("edge-1"),
         ip = "10.0.0.1",
         zone = AvailabilityZone("a"),
-        region = "r",
         callers = Endpoint("10.0.0.1:80"),
         readiness = Endpoint("10.0.0.1:81"),
         directory = null,
         internalPorts = 7340..7355,
         store = Endpoint("10.0.0.2:80"),
-        storeRates = StoreRates(400.0, 2000.0),
-        maximumDescriptors = 4100,
-        memoryMegabytes = 430,
-        heartbeat = Duration.ZERO,
         bounds = bounds,
     )
 
--- a/request/src/main/kotlin/redwingcross/request/forward/InboundRequest.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/InboundRequest.kt
@@ -25,11 +25,6 @@
 /** The part of a request that a model engine works on. */
 data class GenerationRequest(
     val model: ModelName,
-    val promptTokens: Int,
-    /** Upper bound of the generated tokens. */
-    val maximumOutputTokens: Int,
-    /** The caller's estimate of the generated tokens; right at the median, often far off. */
-    val expectedOutputTokens: Int?,
     /** Id of the last event that the caller has; null for a stream from its start. */
     val resumeAfter: Long?,
 )
--- a/version/src/main/kotlin/redwingcross/version/fleet/Engine.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/Engine.kt
@@ -60,12 +60,6 @@
 data class EngineReport(
     val start: EngineStart?,
     val orders: OrderCount,
-    /** Whether an order is being carried out. */
-    val busy: Boolean,
     val staged: List<ModelName>?,
     val membership: GroupMembership?,
-    /** Over 1 if the engine is slower than its kind. */
-    val pace: Double,
-    val running: Int,
-    val waiting: Int,
 )
--- a/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
@@ -44,10 +44,6 @@
     val repeatability: Repeatability,
     /** Longest time that the operator lets a request wait for its answer. */
     val timeout: Duration,
-    /** Time within which the answer, or the first event of a stream, is on time. */
-    val targetLatency: Duration,
-    /** Longest pause between events of a stream that is on time; null for plain answers. */
-    val targetGap: Duration?,
     /** Most back ends to which one attempt of a caller may be sent. */
     val maximumSends: Int,
     /** 0 is the most urgent. */
@@ -73,7 +69,6 @@
 /** A service that routes lead to. */
 data class ServiceTerms(
     val name: ServiceName,
-    val healthPath: String,
     /** Connections that one back end accepts from all gateways together. */
     val maximumConnections: Int,
     val coldFor: Duration,
@@ -92,15 +87,7 @@
 /** What the engines of a service have in common. Slots, memory and times are those of a whole serving group. */
 data class ModelPool(
     val slots: Int,
-    val memoryTokens: Long,
     val models: List<ModelTerms>,
-    /** Token steps in one pass of an engine, and so tokens in one event of a stream. */
-    val stepsPerPass: Int,
-    val step: Duration,
-    /** Added to a step for each request that generates. */
-    val stepPerRequest: Duration,
-    /** Prompt tokens read a second. */
-    val promptTokensPerSecond: Double,
     val loadsPerSecond: Double,
     /** Loads of weights that run at full speed at the same time. */
     val concurrentLoads: Int,
@@ -108,8 +95,6 @@
     val opening: Duration,
     /** Reports show the state of an engine as of this long ago. */
     val reportLag: Duration,
-    val usualPromptTokens: Double,
-    val usualOutputTokens: Double,
 )
 
 /** A model that groups of engines serve. */
@@ -117,8 +102,6 @@
     val name: ModelName,
     /** Engines in one serving group. */
     val groupSize: Int,
-    /** Factor on all times of the group. */
-    val pace: Double,
     /** Part of the work at the start. */
     val share: Double,
     /** Loading weights from the weight store. */
--- a/version/src/main/kotlin/redwingcross/version/fleet/ServingGroups.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/ServingGroups.kt
@@ -35,13 +35,6 @@
     /** Whether each rank from 0 to [size] is present once. */
     fun isComplete(size: Int): Boolean =
         members.size == size && members.withIndex().all { (rank, member) -> member.status.membership?.rank == rank }
-
-    /** Whether every member is ready or serves. */
-    val isReady: Boolean
-        get() = members.all {
-            val phase = it.status.membership?.phase
-            phase == MemberPhase.READY || phase == MemberPhase.OPEN
-        }
 }
 
 /** Every group that engines of [service] report to be in. */
--- a/version/src/test/kotlin/redwingcross/version/fleet/EngineTableTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/EngineTableTest.kt
@@ -15,7 +15,7 @@
     private val membership = GroupMembership(GroupId("small.7"), GroupEpoch(7), 0, MemberPhase.READY)
 
     private fun report(orders: Long, start: Long = 1, membership: GroupMembership? = null) =
-        EngineReport(EngineStart(start), OrderCount(orders), false, emptyList(), membership, 1.0, 0, 0)
+        EngineReport(EngineStart(start), OrderCount(orders), emptyList(), membership)
 
     @Test
     fun `an entry that lags behind a report does not undo it and has the engine asked again`() {
--- a/version/src/test/kotlin/redwingcross/version/fleet/FleetFixtures.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/FleetFixtures.kt
@@ -11,26 +11,19 @@
 import kotlin.time.Duration.Companion.seconds
 
 internal val service = ServiceName("pool")
-internal val large = ModelTerms(ModelName("large"), 4, 1.0, 0.5, 16.seconds, 1.6.seconds)
-internal val small = ModelTerms(ModelName("small"), 2, 0.6, 0.5, 12.seconds, 1.1.seconds)
+internal val large = ModelTerms(ModelName("large"), 4, 0.5, 16.seconds, 1.6.seconds)
+internal val small = ModelTerms(ModelName("small"), 2, 0.5, 12.seconds, 1.1.seconds)
 
 internal val pool = ModelPool(
     slots = 12,
-    memoryTokens = 1_000_000,
     models = listOf(large, small),
-    stepsPerPass = 5,
-    step = 8.milliseconds,
-    stepPerRequest = 0.1.milliseconds,
-    promptTokensPerSecond = 45_900.0,
     loadsPerSecond = 5.0,
     concurrentLoads = 7,
     opening = 300.milliseconds,
     reportLag = 200.milliseconds,
-    usualPromptTokens = 900.0,
-    usualOutputTokens = 150.0,
 )
 
-internal val serviceTerms = ServiceTerms(service, "/health", 300, 3.seconds, 26.0, pool)
+internal val serviceTerms = ServiceTerms(service, 300, 3.seconds, 26.0, pool)
 
 internal fun engineStatus(
     id: String,
--- a/version/src/test/kotlin/redwingcross/version/fleet/FormationPlacementTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/FormationPlacementTest.kt
@@ -20,7 +20,7 @@
         return statuses.fold(listed) { table, status ->
             table.reported(
                 status.id,
-                EngineReport(status.start, OrderCount(0), false, emptyList(), null, 1.0, 0, 0),
+                EngineReport(status.start, OrderCount(0), emptyList(), null),
                 Duration.ZERO,
             )
         }
@@ -34,7 +34,7 @@
                 val membership = GroupMembership(group.id, group.epoch, rank, phase)
                 val status = engines.engines.getValue(id).status
                 val report =
-                    EngineReport(status.start, OrderCount(2), false, listOf(group.model), membership, 1.0, 0, 0)
+                    EngineReport(status.start, OrderCount(2), listOf(group.model), membership)
                 engines.reported(id, report, now)
             }
         }
--- a/version/src/test/kotlin/redwingcross/version/fleet/FormationWorld.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/FormationWorld.kt
@@ -143,12 +143,8 @@
         val report = EngineReport(
             EngineStart(engine.start),
             OrderCount(engine.orders),
-            engine.staging != null,
             engine.staged,
             engine.membership,
-            1.0,
-            0,
-            0,
         )
         val answers = engine.alive
         at(now + if (answers) 5.milliseconds else 300.milliseconds) {
