--- a/systemtests/src/test/kotlin/redwingcross/systemtests/ProgramProcess.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/ProgramProcess.kt
@@ -23,6 +23,10 @@
 
     val isAlive: Boolean get() = process.isAlive
 
+    /** Processor time that the program has spent, in seconds. */
+    fun processorTime(): Double =
+        process.toHandle().info().totalCpuDuration().map { it.toNanos() / 1e9 }.orElse(Double.NaN)
+
     /** Waits for the end of the program and returns its exit code, or null when it still runs after the time. */
     fun awaitExit(seconds: Long): Int? = if (process.waitFor(seconds, TimeUnit.SECONDS)) process.exitValue() else null
 
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/platform/EngineStandin.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/platform/EngineStandin.kt
@@ -26,7 +26,7 @@
  */
 internal class EngineStandin(val id: String, private val place: EnginePlace, private val fabric: FabricStandin) {
     private val loop = fabric.loop
-    private val address = fabric.listen(::serve)
+    val address = fabric.listen(::serve)
 
     /** The link on which everybody reaches the engine. */
     val link = LinkProxy(loop, address)
@@ -35,6 +35,9 @@
     private var writes = 0L
     private var highestEpoch = 0L
     private var staged: String? = null
+
+    /** The model whose weights are on the host. */
+    val model: String? get() = staged
     private var membership: GroupList? = null
     private var phase = "joining"
     private var running = 0
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/platform/FabricStandin.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/platform/FabricStandin.kt
@@ -54,6 +54,10 @@
         loop.schedule({ add(replacement) }, RETURN_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    /** Engines that serve as heads of groups of [model], with the addresses where they listen. */
+    fun openHeads(model: String): List<Pair<String, InetSocketAddress>> =
+        engines.values.filter { it.isOpenHead && it.model == model }.map { it.id to it.address }
+
     companion object {
         const val SERVERS = "servers"
         private const val LAPSE_MILLIS = 1200L
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/EdgeNode.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/EdgeNode.kt
@@ -9,12 +9,12 @@
 /** One edge VM: the settings of its process, its link to the store, and the process that runs now. */
 internal class EdgeNode(index: Int, subnet: Int, private val folder: Path, val storeLink: LinkProxy) : AutoCloseable {
     val name = "edge-$index"
-    private val ip = "127.0.$subnet.${index + 1}"
+    val ip = "127.0.$subnet.${index + 1}"
     private val settings = folder.resolve("$name.yaml")
     private var starts = 0
 
     /** Where callers connect. */
-    val callers = "$ip:8227"
+    private val callers = "$ip:$CALLER_PORT"
 
     /** Where callers ask for addresses. */
     val directory = "$ip:8224"
@@ -66,4 +66,8 @@
           ttl_max_s: 5
         platform: { addr: "127.0.0.1:${storeLink.address.port}", writes-per-s: 400, reads-per-s: 2000 }
     """.trimIndent()
+
+    companion object {
+        const val CALLER_PORT = 8227
+    }
 }
--- /dev/null
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
@@ -0,0 +1,142 @@
+package redwingcross.systemtests.soak
+
+import io.netty.channel.nio.NioEventLoopGroup
+import kotlinx.serialization.json.Json
+import redwingcross.systemtests.platform.EnginePlace
+import redwingcross.systemtests.platform.EngineStandin
+import redwingcross.systemtests.platform.FabricStandin
+import redwingcross.systemtests.platform.LinkProxy
+import redwingcross.systemtests.platform.StoreStandin
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.nio.file.Files
+import java.nio.file.Path
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+
+/**
+ * Real edge processes before stand-ins of the platform's store and engines. Deployments at the same time use loopback
+ * addresses of their own, [subnet].
+ */
+internal class SoakDeployment(private val logs: Path, subnet: Int, nodeCount: Int) : AutoCloseable {
+    private val group = NioEventLoopGroup(1)
+    private val loop = group.next()
+    private val store = StoreStandin(loop)
+    private val directory = HttpClient.newBuilder().connectTimeout(Duration.ofMillis(500)).build()
+    private var version = 1L
+    val fabric = FabricStandin(loop, store)
+    private val storeAddress = fabric.listen(store::serve)
+    val nodes: List<EdgeNode>
+
+    init {
+        // Lines of an earlier run would be taken for those of this one.
+        logs.toFile().deleteRecursively()
+        Files.createDirectories(logs)
+        nodes = List(nodeCount) { EdgeNode(it, subnet, logs, LinkProxy(loop, storeAddress)) }
+    }
+
+    /** Where callers connect, as the edges last told. */
+    @Volatile
+    var addresses = emptyList<String>()
+        private set
+
+    /** Runs [action] where the state of the stand-ins may be touched. */
+    fun onLoop(action: () -> Unit) {
+        loop.submit(action).get()
+    }
+
+    fun start() {
+        val engines = engines()
+        onLoop {
+            configureNow("app-a", 1)
+            engines.forEach(fabric::add)
+        }
+        nodes.forEach(EdgeNode::start)
+    }
+
+    /** Writes a new configuration, [steps] versions later, that leads the route `status` to [statusService]. */
+    fun configure(statusService: String, steps: Int) = onLoop { configureNow(statusService, steps) }
+
+    private fun configureNow(statusService: String, steps: Int) {
+        version += steps
+        store.put("config", "main", Json.parseToJsonElement(configuration(version, statusService)))
+    }
+
+    /** Asks an edge for the addresses of all. */
+    fun refreshAddresses() {
+        addresses = nodes.firstNotNullOfOrNull(::resolve).orEmpty()
+    }
+
+    private fun resolve(node: EdgeNode): List<String>? = runCatching {
+        val request = HttpRequest.newBuilder(URI("http://${node.directory}/redwingcross/resolve?name=h"))
+            .timeout(Duration.ofMillis(300)).build()
+        val answer = directory.send(request, HttpResponse.BodyHandlers.ofString())
+        Regex("\"([0-9.]+:[0-9]+)\"").findAll(answer.body()).map { it.groupValues[1] }.toList().ifEmpty { null }
+    }.getOrNull()
+
+    /** Whether every edge is named and some groups serve. */
+    fun isServing(): Boolean {
+        var open = 0
+        onLoop { open = fabric.engines.values.count(EngineStandin::isOpenHead) }
+        return addresses.size == nodes.size && open >= GROUPS
+    }
+
+    /** A task that ends with an exception leaves what it was to do undone. */
+    fun exceptions(): List<String> = Files.list(logs).use { files ->
+        files.toList().filter { it.toString().endsWith(".log") }.flatMap { file ->
+            Files.readAllLines(file).filter { "raised an exception" in it }
+                .map { "EXCEPTION: ${file.fileName} ${it.take(LOGGED_CHARACTERS)}" }
+        }
+    }
+
+    override fun close() {
+        nodes.forEach(EdgeNode::close)
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
+    }
+
+    private fun engines(): List<EngineStandin> {
+        val models = List(ENGINES) { index ->
+            val zone = if (index % 2 == 0) "zone-a" else "zone-b"
+            val place = EnginePlace("pool", "domain-${index * DOMAINS / ENGINES}", zone, isModelEngine = true)
+            EngineStandin("engine-$index", place, fabric)
+        }
+        val plain = listOf("app-a", "app-b").flatMap { service ->
+            List(2) { EngineStandin("$service-$it", EnginePlace(service, "", "zone-a", false), fabric) }
+        }
+        return models + plain
+    }
+
+    private fun configuration(version: Long, statusService: String) = """
+        {"version":$version,"routes":[
+        ${route("book", "non_idempotent", "app-b", 1)},
+        ${route("status", "idempotent", statusService, 2)},
+        ${route("chat-small", "streaming", "pool", 2)},
+        ${route("chat-large", "streaming", "pool", 2)}],
+        "services":[
+        {"name":"app-a","health-path":"/health","max-conns":100,"cold-s":0,"cold-per-s":0},
+        {"name":"app-b","health-path":"/health","max-conns":100,"cold-s":0,"cold-per-s":0},
+        {"name":"pool","health-path":"/health","max-conns":200,"cold-s":0,"cold-per-s":0,"engine":{"slots":12,
+        "kv-capacity":100000,"stride":1,"models":[
+        {"name":"large","size":3,"share":0.5,"pace":1.0,"load-s":0.6,"warm-s":0.2},
+        {"name":"small","size":2,"share":0.5,"pace":1.0,"load-s":0.6,"warm-s":0.2}],
+        "step_ms":20,"per_seq_ms":0.1,"read_per_s":45900,"report_lag_ms":0,"loads-per-s":20,"loads_at_once":20,
+        "usual":{"prompt":100,"answer":15},"form-ms":100}}],
+        "limits":{"max-header-bytes":16384,"max-body-bytes":1000000,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+        "tenants":[{"name":"${EngineStandin.TENANT}","api-keys":["${SoakCallers.KEY}"],"priority":1}]}
+    """
+
+    private fun route(name: String, kind: String, service: String, sends: Int) =
+        """{"name":"$name","host":"${SoakCallers.HOST}","path-prefix":"/$name/","kind":"$kind","timeout-ms":3000,
+        "target-latency-ms":300,"priority":1,"service":"$service","max-attempts":$sends,"resumable":true}"""
+
+    private companion object {
+        const val ENGINES = 12
+        const val DOMAINS = 2
+
+        /** Twelve engines bear at least one group of each model and one more. */
+        const val GROUPS = 3
+        const val LOGGED_CHARACTERS = 160
+    }
+}
