Let no entry of the list undo what an engine reported

The store came back from an outage of 8 s and listed an engine as it was before it had joined its group. The controller took the entry, because the engine's own report was more than 1.5 s old, and kept the count of orders from the report; so the engine accepted an order to join a second group while it was a member of a serving one.

Ruled out: a longer time after which the list counts again, since an outage has no bound; comparing the entry's write counter, which doesn't change with each write.

Change: while a process asks engines itself, the group and the weights that an engine reported stand until it reports otherwise or starts anew; an entry that differs has it asked again. A process that gives up the duties forgets the reports and lists the back ends again.

Tests: EngineTableTest, an entry from before an outage; it fails before the change (the engine counts as idle) and passes after.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -71,6 +71,8 @@
     val applyReport: (BackendServer, EngineReport) -> Unit,
     /** An engine left its group and has accepted that many orders. */
     val applyLeave: (BackendServer, OrderCount) -> Unit,
+    /** The process no longer asks engines, so what they reported grows old. */
+    val forgetReports: () -> Unit,
     val readLease: (call: Long) -> Unit,
     val writeLease: (call: Long, expected: LeaseVersion?, record: LeaseRecord) -> Unit,
     val ask: (ServiceName, BackendServer, Endpoint) -> Unit,
@@ -192,6 +194,7 @@
         val next = if (mayAct) held.seen.record.epoch else null
         if (next == actingEpoch) return
         actingEpoch = next
+        if (next == null) links.forgetReports()
         formations = emptyMap()
         announcements = emptyMap()
         log("duties_state", arrayOf("acting" to (next != null), "epoch" to next?.value))
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -78,6 +78,9 @@
     fun left(state: FleetState, engine: BackendServer, orders: OrderCount, now: Duration): FleetState =
         state.withTable(state.table.left(engine, orders, now))
 
+    /** Forgets what engines reported, because this process no longer asks them. */
+    fun reportsForgotten(state: FleetState): FleetState = state.withTable(state.table.withoutReports())
+
     /** Takes an announcement unless a newer one is known. */
     fun announced(state: FleetState, groups: AnnouncedGroups): FleetState {
         val known = state.announced[groups.service]
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -154,6 +154,10 @@
                 fleet = FleetDecision.reported(fleet, engine, report, clock.now())
             },
             applyLeave = { engine, orders -> fleet = FleetDecision.left(fleet, engine, orders, clock.now()) },
+            forgetReports = {
+                fleet = FleetDecision.reportsForgotten(fleet)
+                platform.refresh(NewsSource.BACKEND_SERVERS)
+            },
             readLease = { call -> platform.readLease(call, postLease) },
             writeLease = { call, expected, record -> platform.writeLease(call, expected, record, postLease) },
             ask = engines::ask,
--- a/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
@@ -3,7 +3,6 @@
 import redwingcross.request.AvailabilityZone
 import redwingcross.request.BackendServer
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** A back end with the time of the last word about it. */
 data class KnownEngine(
@@ -32,18 +31,18 @@
     val returnedZones: Map<AvailabilityZone, Duration> = emptyMap(),
 ) {
     /**
-     * Takes an entry of the platform's list. The list lags behind reports, so shortly after a report its state of the
-     * group and of the staged weights stands, unless the engine has started anew.
+     * Takes an entry of the platform's list. The list lags behind reports, by any time after an outage of the store. So
+     * the group and the staged weights that an engine reported stand, unless it has started anew; an entry that says
+     * something else has the engine asked again.
      */
     fun listed(status: EngineStatus, now: Duration): EngineTable {
         val known = engines[status.id]
         val coldUntil = now + status.coldRemaining
         val hasRestarted = known?.status?.start != status.start
-        val reportedAt = known?.reportedAt
         if (known == null || hasRestarted && !known.isNewerThan(status)) {
             return with(KnownEngine(status, now, coldUntil))
         }
-        if (reportedAt == null || !hasRestarted && now - reportedAt > LIST_LAG) {
+        if (known.reportedAt == null) {
             return with(known.copy(status = status, observedAt = now, coldUntil = coldUntil))
         }
         val kept = status.copy(
@@ -77,6 +76,11 @@
         )
     }
 
+    /** Forgets what engines reported, because this process no longer asks them; the list counts alone from here on. */
+    fun withoutReports(): EngineTable = copy(
+        engines = engines.mapValues { it.value.copy(orders = null, reportedAt = null, isContested = false) },
+    )
+
     /** Takes that a back end says how long it stays cold. */
     fun coldReported(id: BackendServer, remaining: Duration, now: Duration): EngineTable {
         val known = engines[id] ?: return this
@@ -120,9 +124,4 @@
         val own = status.start ?: return false
         return other.start != null && own.unixMillis > other.start.unixMillis
     }
-
-    private companion object {
-        /** The list may show the state of an engine this long after it changed. */
-        val LIST_LAG = 1500.milliseconds
-    }
 }
--- a/version/src/test/kotlin/redwingcross/version/fleet/EngineTableTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/EngineTableTest.kt
@@ -27,6 +27,29 @@
         assertTrue(table.engines.getValue(id).isContested)
     }
 
+    @Test
+    fun `an entry from before an outage of the store does not undo what the engine reported`() {
+        val table = EngineTable()
+            .listed(engineStatus("e1"), Duration.ZERO)
+            .reported(id, report(3, membership = membership), 1.seconds)
+            .listed(engineStatus("e1"), 9.seconds)
+        val engine = table.engines.getValue(id)
+        assertEquals(membership, engine.status.membership, "an engine that counts as idle is joined to a second group")
+        assertTrue(engine.isContested)
+    }
+
+    @Test
+    fun `once the process no longer asks engines the list counts alone`() {
+        val table = EngineTable()
+            .listed(engineStatus("e1"), Duration.ZERO)
+            .reported(id, report(3, membership = membership), 1.seconds)
+            .withoutReports()
+            .listed(engineStatus("e1"), 9.seconds)
+        val engine = table.engines.getValue(id)
+        assertNull(engine.status.membership)
+        assertNull(engine.orders)
+    }
+
     @Test
     fun `the entry of a new start replaces what the earlier start reported`() {
         val table = EngineTable()
