--- a/connection/src/main/kotlin/redwingcross/connection/datagram/DatagramSocket.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/datagram/DatagramSocket.kt
@@ -13,9 +13,6 @@
 import io.netty.channel.socket.nio.NioDatagramChannel
 import java.net.InetSocketAddress
 
-/** Sends one datagram; it may be lost. */
-typealias SendDatagram = (InetSocketAddress, ByteArray) -> Unit
-
 /** The socket for messages between the system's own processes. Each message fits into one datagram. */
 class DatagramSocket(
     private val group: EventLoopGroup,
--- a/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
@@ -80,9 +80,6 @@
     /** Whether another exchange may be sent. */
     val isIdle: Boolean get() = channel.isActive && listener == null && requestWritten
 
-    /** Whether the connection is open. */
-    val isOpen: Boolean get() = channel.isActive
-
     internal val handler: ChannelInboundHandlerAdapter = Handler()
 
     /** Sends a request; [listener] receives the first answer for which [matches] holds. */
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -79,7 +79,7 @@
         state.withTable(state.table.left(engine, orders, now))
 
     /** Forgets what engines reported, because this process no longer asks them. */
-    fun reportsForgotten(state: FleetState): FleetState = state.withTable(state.table.withoutReports())
+    fun reportsForgotten(state: FleetState): FleetState = state.copy(table = state.table.withoutReports())
 
     /** Takes an announcement unless a newer one is known. */
     fun announced(state: FleetState, groups: AnnouncedGroups): FleetState {
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -85,7 +85,7 @@
         takeRepetition = ::takeRepetition,
         retryAfter = { refusalPause() },
         coldReported = links.coldReported,
-        faultReported = { backend, _ -> backend.group?.let(::suspect) },
+        faultReported = { backend, _ -> backend.group?.let(links.suspect) },
         finished = ::finished,
         log = { event, pairs -> links.log(event, pairs) },
     )
@@ -195,13 +195,13 @@
             null -> health.ended(backend.server, failed = false)
             OfferEnd.NotSent -> {
                 health.unreachable(backend.server, now)
-                backend.group?.let(::suspect)
+                backend.group?.let(links.suspect)
             }
             OfferEnd.Declined -> health.declined(backend.server, now)
             OfferEnd.Failed -> health.ended(backend.server, failed = true)
             OfferEnd.Lost -> {
                 health.ended(backend.server, failed = true)
-                backend.group?.let(::suspect)
+                backend.group?.let(links.suspect)
             }
             OfferEnd.Stalled -> Unit
         }
@@ -219,10 +219,6 @@
         links.recordOutcome(outcome)
     }
 
-    private fun suspect(group: GroupId) {
-        links.suspect(group)
-    }
-
     /** Moves the streams of groups that have lost a member. */
     fun groupsLost(groups: Set<GroupId>) {
         if (groups.isEmpty()) return
@@ -252,7 +248,7 @@
         val since = suspects.getOrPut(group) { now }
         if (stalledFor < SUSPECT_AFTER) return
         links.log("group_suspected", arrayOf("group" to group, "stalled" to stalledFor, "streams" to members.size))
-        suspect(group)
+        links.suspect(group)
         if (now - since > MOVE_AFTER) members.forEach(ForwardTask::giveUpStalled)
     }
 
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayTaskTest.kt
@@ -164,6 +164,14 @@
         respond(503, headers("Id" to "7", "Declined" to "1"), ByteArray(0))
     }
 
+    /** Lets the connection of a request be lost, and no other back end get it. */
+    private fun assertNotSentAgain(route: String) {
+        val caller = call(route)
+        next().let { onLoop(it::abort) }
+        assertTrue("502" in caller.answer())
+        assertNull(arrivals.poll(300, TimeUnit.MILLISECONDS))
+    }
+
     @AfterTest
     fun close() {
         listeners.forEach(CallerListener::stopAccepting)
@@ -184,10 +192,7 @@
     @Test
     fun `a request that may run once is not sent again after its connection is lost`() {
         serveWith(2)
-        val caller = call("once")
-        next().let { onLoop(it::abort) }
-        assertTrue("502" in caller.answer())
-        assertNull(arrivals.poll(300, TimeUnit.MILLISECONDS))
+        assertNotSentAgain("once")
     }
 
     @Test
@@ -213,10 +218,7 @@
     fun `nothing is sent twice once the retry budget is used up`() {
         retryExtra = 0.0
         serveWith(2)
-        val caller = call("again")
-        next().let { onLoop(it::abort) }
-        assertTrue("502" in caller.answer())
-        assertNull(arrivals.poll(300, TimeUnit.MILLISECONDS))
+        assertNotSentAgain("again")
     }
 
     @Test
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
@@ -8,6 +8,7 @@
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
 import redwingcross.version.fleet.NewsSource
+import redwingcross.version.fleet.ServiceTerms
 import kotlin.time.DurationUnit
 
 /** Shows the state of the tasks of a process to those who watch it: as metrics, and whole on demand. */
@@ -22,14 +23,16 @@
     /** Connects the gauges of [metrics] with the running state. */
     fun register(metrics: EdgeMetrics, backends: HttpConnections) {
         metrics.gauge("redwingcross_requests_running") { gateway.running }
-        metrics.gauge("redwingcross_groups_serving") { fleet().serviceStates(clock.now()).sumOf { it.serving.size } }
+        metrics.gauge("redwingcross_groups_serving") {
+            services().sumOf { fleet().servingGroups(it.name, clock.now()).size }
+        }
         metrics.gauge("redwingcross_backend_connections_opened") { backends.opened }
         metrics.gauge("redwingcross_configuration_version") { fleet().configuration?.version?.value ?: 0 }
         metrics.gauge("redwingcross_peers_alive") { peers.alive().size }
         metrics.gauge("redwingcross_duties_held") { if (controller.isActing) 1 else 0 }
         metrics.gauge("redwingcross_back_ends_known") { fleet().table.engines.size }
         metrics.gauge("redwingcross_engines_without_group") {
-            fleet().serviceStates(clock.now()).sumOf { it.withoutGroup }
+            services().sumOf { fleet().table.enginesWithoutGroup(it) }
         }
         for (source in NewsSource.entries) {
             metrics.gauge("redwingcross_view_age_seconds", mapOf("source" to source.name.lowercase())) {
@@ -38,6 +41,8 @@
         }
     }
 
+    private fun services(): Collection<ServiceTerms> = fleet().configuration?.services?.values.orEmpty()
+
     /** What the process believes now. */
     fun state(): EdgeState {
         val now = clock.now()
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/platform/EngineStandin.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/platform/EngineStandin.kt
@@ -34,10 +34,10 @@
     private var orders = 0L
     private var writes = 0L
     private var highestEpoch = 0L
-    private var staged: String? = null
 
     /** The model whose weights are on the host. */
-    val model: String? get() = staged
+    var staged: String? = null
+        private set
     private var membership: GroupList? = null
     private var phase = "joining"
     private var running = 0
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/platform/FabricStandin.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/platform/FabricStandin.kt
@@ -56,7 +56,7 @@
 
     /** Engines that serve as heads of groups of [model], with the addresses where they listen. */
     fun openHeads(model: String): List<Pair<String, InetSocketAddress>> =
-        engines.values.filter { it.isOpenHead && it.model == model }.map { it.id to it.address }
+        engines.values.filter { it.isOpenHead && it.staged == model }.map { it.id to it.address }
 
     companion object {
         const val SERVERS = "servers"
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakFaults.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakFaults.kt
@@ -44,13 +44,13 @@
         val ready = due.filter { it.atMillis <= now }
         due.removeAll(ready)
         ready.forEach { it.action() }
-        for (node in nodes) if (node.process?.isAlive != true) node.start()
+        nodes.forEach(EdgeNode::start)
     }
 
     fun healAll() {
         due.forEach { it.action() }
         due.clear()
-        for (node in nodes) if (node.process?.isAlive != true) node.start()
+        nodes.forEach(EdgeNode::start)
     }
 
     private fun later(now: Long, range: IntRange, action: () -> Unit) {
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
@@ -1,6 +1,5 @@
 package redwingcross.version.fleet
 
-import redwingcross.request.AvailabilityZone
 import redwingcross.version.bundle.FabricDomain
 import kotlin.time.Duration.Companion.seconds
 
@@ -48,13 +47,13 @@
     private fun formIn(model: ModelTerms, reserve: Int): FormStep {
         val isExtra = filled(model) >= 1.0
         val candidates = freeByDomain().mapNotNull { (domain, free) -> membersFor(model, domain, free, reserve) }
-            .filterNot { isExtra && it.foreign > 0 }
+            .filterNot { isExtra && it.domain.ofOthers > 0 }
         val best = candidates.minWithOrNull(
             compareBy<Candidate> { if (view.trafficStarted) it.loads else 0 }
-                .thenBy { it.foreign }
-                .thenByDescending { it.related }
-                .thenBy { it.relatedInZone }
-                .thenByDescending { it.foreignInZone }
+                .thenBy { it.domain.ofOthers }
+                .thenByDescending { it.domain.ofModel }
+                .thenBy { it.zone.ofModel }
+                .thenByDescending { it.zone.ofOthers }
                 .thenBy { it.loads }
                 .thenByDescending { it.free },
         ) ?: return FormStep.NOTHING
@@ -75,15 +74,12 @@
         val usable = if (view.trafficStarted) staged else staged + unstaged
         if (usable.size < model.groupSize + reserve) return null
         val members = usable.take(model.groupSize)
-        val others = inDomain(domain)
-        val inZone = inZone(members.first().status.zone)
+        val zone = members.first().status.zone
         return Candidate(
             members = members,
             loads = members.count { model.name !in it.status.staged },
-            related = others.count { work.modelOf(it) == model.name },
-            foreign = others.count { engine -> work.modelOf(engine)?.let { it != model.name } == true },
-            relatedInZone = inZone.count { work.modelOf(it) == model.name },
-            foreignInZone = inZone.count { engine -> work.modelOf(engine)?.let { it != model.name } == true },
+            domain = holders(model) { it.domain == domain },
+            zone = holders(model) { it.zone == zone },
             free = free.size,
         )
     }
@@ -91,11 +87,14 @@
     private fun freeByDomain(): Map<FabricDomain?, List<KnownEngine>> =
         view.table.engines.values.filter(work::isFree).groupBy { it.status.domain }
 
-    private fun inDomain(domain: FabricDomain?): List<KnownEngine> =
-        view.table.engines.values.filter { it.status.service == view.service.name && it.status.domain == domain }
-
-    private fun inZone(zone: AvailabilityZone): List<KnownEngine> =
-        view.table.engines.values.filter { it.status.service == view.service.name && it.status.zone == zone }
+    /** Engines of a place that hold [model] and those that hold another one. */
+    private fun holders(model: ModelTerms, isAtPlace: (EngineStatus) -> Boolean): Holders {
+        val held = view.table.engines.values
+            .filter { it.status.service == view.service.name && isAtPlace(it.status) }
+            .mapNotNull(work::modelOf)
+        val ofModel = held.count { it == model.name }
+        return Holders(ofModel, held.size - ofModel)
+    }
 
     private fun stageSpares() {
         for ((domain, free) in freeByDomain()) {
@@ -109,14 +108,11 @@
     }
 
     /** The model that most engines of the domain serve; in a domain without one, the model with too few groups. */
-    private fun modelToStage(domain: FabricDomain?): ModelTerms? {
-        val others = inDomain(domain)
-        return models.minWithOrNull(
-            compareByDescending<ModelTerms> { model -> others.count { work.modelOf(it) == model.name } }
-                .thenBy { filled(it) }
-                .thenByDescending { it.groupSize },
-        )
-    }
+    private fun modelToStage(domain: FabricDomain?): ModelTerms? = models.minWithOrNull(
+        compareByDescending<ModelTerms> { model -> holders(model) { it.domain == domain }.ofModel }
+            .thenBy { filled(it) }
+            .thenByDescending { it.groupSize },
+    )
 
     /** Whether the weight store's rate leaves room for [count] loads. */
     private fun mayStartLoads(count: Int): Boolean {
@@ -128,17 +124,15 @@
 
     private enum class FormStep { FORMED, WAITS_FOR_LOADS, NOTHING }
 
+    private data class Holders(val ofModel: Int, val ofOthers: Int)
+
     private data class Candidate(
         val members: List<KnownEngine>,
         val loads: Int,
-        /** Engines of the domain that hold the model. */
-        val related: Int,
-        /** Engines of the domain that hold another model. */
-        val foreign: Int,
-        /** Engines of the zone that hold the model; a zone without any is preferred, so that its loss costs less. */
-        val relatedInZone: Int,
-        /** Engines of the zone that hold another model; such zones come first, so that each has every model. */
-        val foreignInZone: Int,
+        /** Holders in the engines' domain, which serves one model as far as possible. */
+        val domain: Holders,
+        /** Holders in their zone; every zone is to have groups of every model, so that its loss costs each a part. */
+        val zone: Holders,
         val free: Int,
     )
 
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendLoad.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendLoad.kt
@@ -36,10 +36,8 @@
         if (next > 0) sumOfOthers[server] = next else sumOfOthers.remove(server)
     }
 
-    fun ofOwn(server: BackendServer): Int = own[server] ?: 0
-
     /** Requests of all gateways at [server]. */
-    fun total(server: BackendServer): Int = ofOwn(server) + (sumOfOthers[server] ?: 0)
+    fun total(server: BackendServer): Int = (own[server] ?: 0) + (sumOfOthers[server] ?: 0)
 }
 
 /** How a back end has served lately, as this gateway saw it. */
