--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -18,8 +18,10 @@
 import redwingcross.version.fleet.FormedGroup
 import redwingcross.version.fleet.GroupEpoch
 import redwingcross.version.fleet.GroupStage
+import redwingcross.version.fleet.ModelPool
 import redwingcross.version.fleet.OrderCount
 import redwingcross.version.fleet.OrderOutcome
+import redwingcross.version.fleet.ServiceRoutes
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
 import redwingcross.version.fleet.lostGroups
@@ -61,6 +63,15 @@
     /** A gateway sees no progress on the streams of [group]. */
     data class GroupSuspected(val group: GroupId) : ControllerMessage
 
+    /** The position of this process in the order in which processes take over the lease, from 0. */
+    data class RankChanged(val rank: Int) : ControllerMessage
+
+    /** The gateway [receiver] has missed changes of the routes of [service]. */
+    data class RoutesRequested(val service: ServiceName, val receiver: GatewayRecord) : ControllerMessage
+
+    /** Reports, orders or suspicions have changed the state of the groups since the last step of their formation. */
+    data object Step : ControllerMessage
+
     /** The process is stopping and releases the controller lease. */
     data object Release : ControllerMessage
 }
@@ -91,24 +102,12 @@
     val requestReport: (ServiceName, BackendServer, Endpoint) -> Unit,
     /** Sends an order to an engine; the outcome arrives as a [ControllerMessage.OrderCompleted]. */
     val sendOrder: (ServiceName, BackendServer, Endpoint, FormationOrder, OrderCount) -> Unit,
-    /** Sends the groups of a service to every gateway. */
-    val announce: (ServiceName, LeaseEpoch, Announcement) -> Unit,
-    /** Number of processes that receive announcements. */
-    val receiverCount: () -> Int,
-)
-
-/** The last announced groups of a service. */
-data class Announcement(
-    /** Groups that may get requests. */
-    val serving: List<ServingGroup>,
-    /** Groups that have lost a member; their streams have to move to another group. */
-    val lost: Set<GroupId>,
-    /** How long the announcement is valid if no newer one is received. */
-    val lifetime: Duration,
-    /** When the announcement was sent, on the process clock. */
-    val sentAt: Duration,
-    /** How many times the same groups were announced before; 0 after a change. */
-    val repetitions: Int,
+    /** Whether the view of the engines is the platform's complete list. */
+    val isListComplete: () -> Boolean,
+    /** Sends the routes of a service to every gateway, or to the one that requested them. */
+    val announce: (ServiceName, LeaseEpoch, RouteAnnouncement, GatewayRecord?) -> Unit,
+    /** Sends this task a [ControllerMessage.Step] after a delay. */
+    val stepLater: (Duration) -> Unit,
 )
 
 /** Owns the controller lease of this process and, while the process holds it, forms and watches the serving groups. */
@@ -123,7 +122,9 @@
     private var formations = emptyMap<ServiceName, FormationState>()
     private var activeEpoch: LeaseEpoch? = null
     private var lastGroupEpoch = GroupEpoch(0)
-    private var announcements = emptyMap<ServiceName, Announcement>()
+    private var isStepScheduled = false
+    private var lastStepAt = -Duration.INFINITE
+    private var announcers = emptyMap<ServiceName, AnnouncerState>()
 
     /** The controller lease for this process's heartbeats; null unless this process is the active controller. */
     val heldLease: HeldControllerLease?
@@ -145,11 +146,21 @@
                 stepFormations()
             }
             is ControllerMessage.Lease -> stepLease(message.message)
+            is ControllerMessage.RankChanged -> stepLease(LeaseMessage.RankChanged(message.rank))
             is ControllerMessage.ReportRequestCompleted -> reportRequestCompleted(message)
             is ControllerMessage.OrderCompleted -> orderCompleted(message)
             is ControllerMessage.GroupSuspected -> {
                 val now = clock.now()
                 formations = formations.mapValues { FormationDecision.groupSuspected(it.value, message.group, now) }
+                scheduleStep()
+            }
+            is ControllerMessage.RoutesRequested -> announcers[message.service]?.takeIf {
+                activeEpoch == it.epoch
+            }?.let {
+                dependencies.announce(message.service, it.epoch, RouteAnnouncer.complete(it), message.receiver)
+            }
+            ControllerMessage.Step -> {
+                isStepScheduled = false
                 stepFormations()
             }
             ControllerMessage.Release -> stepLease(LeaseMessage.Release)
@@ -184,7 +195,14 @@
     private fun updateFormation(service: ServiceName, next: (FormationState) -> FormationState) {
         val state = formations[service] ?: return
         formations = formations + (service to next(state))
-        stepFormations()
+        scheduleStep()
+    }
+
+    /** Schedules one step for all messages of a short time: a step looks at every engine of the fleet. */
+    private fun scheduleStep() {
+        if (isStepScheduled) return
+        isStepScheduled = true
+        dependencies.stepLater(maxOf(Duration.ZERO, lastStepAt + MINIMUM_STEP_INTERVAL - clock.now()))
     }
 
     private fun stepLease(message: LeaseMessage) {
@@ -219,27 +237,32 @@
         activeEpoch = next
         if (next == null) dependencies.discardReports()
         formations = emptyMap()
-        announcements = emptyMap()
+        announcers = emptyMap()
         log("duties_state", arrayOf("acting" to (next != null), "epoch" to next?.value))
     }
 
     private fun stepFormations() {
+        lastStepAt = clock.now()
         updateControllerRole()
         val epoch = activeEpoch ?: return
         val configuration = dependencies.configuration() ?: return
+        if (!dependencies.isListComplete()) return
         for (service in configuration.services.values) {
-            val pool = service.pool ?: continue
-            val start = formations[service.name] ?: FormationState(epoch, epoch = firstEpoch(epoch))
-            val view =
-                FormationView(dependencies.table(), service, pool, dependencies.trafficSeen(), FORMATION_SETTINGS)
-            val transition = FormationDecision.step(start, view, clock.now())
-            formations = formations + (service.name to transition.state)
-            lastGroupEpoch = maxOf(lastGroupEpoch, transition.state.epoch)
-            transition.effects.forEach { perform(service.name, it) }
-            announce(service, epoch, transition.state)
+            val formation = service.pool?.let { stepFormation(service, it, epoch) }
+            announce(service, epoch, formation)
         }
     }
 
+    private fun stepFormation(service: ServiceSpec, pool: ModelPool, epoch: LeaseEpoch): FormationState {
+        val start = formations[service.name] ?: FormationState(epoch, epoch = firstEpoch(epoch))
+        val view = FormationView(dependencies.table(), service, pool, dependencies.trafficSeen(), FORMATION_SETTINGS)
+        val transition = FormationDecision.step(start, view, clock.now())
+        formations = formations + (service.name to transition.state)
+        lastGroupEpoch = maxOf(lastGroupEpoch, transition.state.epoch)
+        transition.effects.forEach { perform(service.name, it) }
+        return transition.state
+    }
+
     /** First group epoch; never reuses one, also if this process loses the role and regains it under the same lease. */
     private fun firstEpoch(lease: LeaseEpoch) = maxOf(GroupEpoch(lease.value * EPOCHS_PER_LEASE), lastGroupEpoch)
 
@@ -252,22 +275,21 @@
         }
     }
 
-    private fun announce(service: ServiceSpec, epoch: LeaseEpoch, state: FormationState) {
+    private fun announce(service: ServiceSpec, epoch: LeaseEpoch, formation: FormationState?) {
         val now = clock.now()
         val table = dependencies.table()
-        val serving = state.groups.values.filter { it.stage == GroupStage.SERVING }.mapNotNull { group ->
+        val before = announcers[service.name] ?: AnnouncerState(epoch)
+        val serving = formation?.groups?.values.orEmpty().filter {
+            it.stage == GroupStage.SERVING
+        }.mapNotNull { group ->
             val head = group.members.first().takeIf { it in table.engines } ?: return@mapNotNull null
             ServingGroup(group.id, group.epoch, service.name, group.model, head)
         }
-        val lost = state.lostGroups()
-        val last = announcements[service.name]
-        val interval = if (dependencies.receiverCount() <= SMALL_FLEET_RECEIVERS) SHORT_INTERVAL else LONG_INTERVAL
-        val repetitions = if (last?.serving == serving && last.lost == lost) last.repetitions + 1 else 0
-        val minimumInterval = if (repetitions in 1..EARLY_REPETITIONS) SHORT_INTERVAL else interval
-        if (last != null && repetitions > 0 && now - last.sentAt < minimumInterval) return
-        val next = Announcement(serving, lost, interval * LIFETIME_INTERVALS, now, repetitions)
-        announcements = announcements + (service.name to next)
-        dependencies.announce(service.name, epoch, next)
+        val routes = ServiceRoutes.of(service, serving, table, before.routes, now)
+        val lost = formation?.lostGroups().orEmpty()
+        val (next, announcement) = RouteAnnouncer.publish(before, routes, lost, now)
+        announcers = announcers + (service.name to next)
+        announcement?.let { dependencies.announce(service.name, epoch, it, null) }
     }
 
     private companion object {
@@ -276,20 +298,8 @@
         /** Maximum number of groups that one holder of the lease can form; later holders use higher epochs. */
         const val EPOCHS_PER_LEASE = 100_000L
 
-        /** Interval of repeated announcements; they are repeated because datagrams can be lost. */
-        val SHORT_INTERVAL = 500.milliseconds
-
-        /** Interval in a large fleet, where [SHORT_INTERVAL] would take much of the bandwidth of a small VM. */
-        val LONG_INTERVAL = 2.seconds
-
-        /** Largest number of receivers for which [SHORT_INTERVAL] is used throughout. */
-        const val SMALL_FLEET_RECEIVERS = 24
-
-        /** Repetitions after a change that use [SHORT_INTERVAL] whatever the number of receivers. */
-        const val EARLY_REPETITIONS = 2
-
-        /** Lifetime of an announcement in intervals, so that the loss of a few in a row does not invalidate it. */
-        const val LIFETIME_INTERVALS = 4
+        /** Bounds the share of a small VM's processor that the formation of a large fleet takes. */
+        val MINIMUM_STEP_INTERVAL = 20.milliseconds
 
         /** Short times, because a group that loses a member is not replaced until there is a new holder. */
         val LEASE_SETTINGS = LeaseSettings(
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -1,5 +1,6 @@
 package redwingcross.process.edge
 
+import kotlinx.collections.immutable.persistentHashMapOf
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.ServiceName
@@ -8,14 +9,16 @@
 import redwingcross.version.fleet.FleetConfiguration
 import redwingcross.version.fleet.FleetUpdate
 import redwingcross.version.fleet.OrderCount
+import redwingcross.version.fleet.RouteChanges
+import redwingcross.version.fleet.ServiceRoutes
 import redwingcross.version.fleet.ServingGroup
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.fleet.servingGroups
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** The groups of one service, as announced by the active controller. */
-data class AnnouncedGroups(
+/** The routes of one service, as announced by the active controller. */
+data class AnnouncedRoutes(
     val service: ServiceName,
     /** Epoch of the lease under which the controller sent the announcement. */
     val leaseEpoch: Long,
@@ -23,10 +26,25 @@
     val sequence: Long,
     /** End of the announcement's validity on the process clock, unless a newer one is received. */
     val validUntil: Duration,
-    /** Groups that may get requests. */
-    val serving: List<ServingGroup>,
+    /** Groups that may get requests, and the back ends that requests are sent to. */
+    val routes: ServiceRoutes,
     /** Groups that have lost a member; they get no requests. */
     val lost: Set<GroupId>,
+    /** When an announcement last confirmed these routes, on the process clock. */
+    val confirmedAt: Duration = Duration.ZERO,
+) {
+    val serving: List<ServingGroup> = routes.groups.values.toList()
+}
+
+/** An announcement that was received: changes of the routes, or the complete routes if [base] is null. */
+data class RouteUpdate(
+    val service: ServiceName,
+    val leaseEpoch: Long,
+    val sequence: Long,
+    val base: Long?,
+    val changes: RouteChanges,
+    val lost: Set<GroupId>,
+    val validUntil: Duration,
 )
 
 /** A process's view of the configuration, the back ends and the groups. Times are readings of the process clock. */
@@ -35,16 +53,26 @@
     val table: EngineTable = EngineTable(),
     /** Back ends whose entry is missing but may be written again, with the time at which they are removed. */
     val pendingRemovals: Map<BackendServer, Duration> = emptyMap(),
-    val announced: Map<ServiceName, AnnouncedGroups> = emptyMap(),
+    val announced: Map<ServiceName, AnnouncedRoutes> = emptyMap(),
     /** When the store stopped answering; null while it answers. */
     val storeLostAt: Duration? = null,
     /** When the store last answered again after an interruption; null if it was never interrupted. */
     val storeRegainedAt: Duration? = null,
     /** When the view of each source was last known to be current; a source that was never read has no entry. */
     val confirmedAt: Map<UpdateSource, Duration> = emptyMap(),
-    /** Groups that this process derives from the list of back ends, without an announcement. */
-    val derivedGroups: List<ServingGroup> = emptyList(),
+    /** Whether [table] is made of the announced routes; otherwise it is the platform's complete list of back ends. */
+    val usesAnnouncedServers: Boolean = false,
+    /** Whether the platform's complete list was received since this process last used announced routes instead. */
+    val isListComplete: Boolean = false,
 ) {
+    /**
+     * Groups that this process derives from the list of back ends, without an announcement. Computed on first use,
+     * because the list changes far more often than a process is without a valid announcement.
+     */
+    val derivedGroups: List<ServingGroup> by lazy(LazyThreadSafetyMode.NONE) {
+        configuration?.services?.values.orEmpty().flatMap { table.servingGroups(it) }
+    }
+
     /** Whether callers can be served: there is a configuration, and every source was read at least once. */
     val isUsable: Boolean get() = configuration != null && confirmedAt.keys.containsAll(UpdateSource.entries)
 
@@ -86,17 +114,83 @@
     /** Discards the reports of engines, which become outdated when this process no longer requests them. */
     fun reportsDiscarded(state: FleetState): FleetState = state.copy(table = state.table.withoutReports())
 
-    /** Applies an announcement unless one that is as new or newer was applied before. */
-    fun announced(state: FleetState, groups: AnnouncedGroups): FleetState {
-        val known = state.announced[groups.service]
-        val outdated = known != null &&
+    /** Whether [update] can't be applied because earlier changes were missed, so that complete routes are needed. */
+    fun isIncomplete(state: FleetState, update: RouteUpdate): Boolean {
+        val known = state.announced[update.service]
+        return update.base != null &&
             (
-                groups.leaseEpoch < known.leaseEpoch ||
-                    (groups.leaseEpoch == known.leaseEpoch && groups.sequence <= known.sequence)
+                known == null ||
+                    known.leaseEpoch < update.leaseEpoch ||
+                    known.isAtEpoch(update) &&
+                    known.sequence < update.base
                 )
-        return if (outdated) state else state.copy(announced = state.announced + (groups.service to groups))
     }
 
+    /** Applies an announcement unless a newer one was applied before, or changes before it were missed. */
+    fun announced(state: FleetState, update: RouteUpdate, now: Duration): FleetState {
+        val known = state.announced[update.service]
+        val outdated = known != null &&
+            (update.leaseEpoch < known.leaseEpoch || known.isAtEpoch(update) && update.sequence < known.sequence)
+        if (outdated || isIncomplete(state, update)) return state
+        val start = known?.routes?.takeIf { update.base != null } ?: ServiceRoutes()
+        val routes = if (update.changes.isEmpty && update.base != null) start else start.after(update.changes)
+        val next = AnnouncedRoutes(
+            update.service,
+            update.leaseEpoch,
+            update.sequence,
+            update.validUntil,
+            routes,
+            update.lost,
+            now,
+        )
+        val result = state.copy(announced = state.announced + (update.service to next))
+        return if (state.usesAnnouncedServers) {
+            withAnnouncedServers(
+                result,
+                update.service,
+                known?.routes,
+                now,
+            )
+        } else {
+            result
+        }
+    }
+
+    private fun AnnouncedRoutes.isAtEpoch(update: RouteUpdate) = leaseEpoch == update.leaseEpoch
+
+    /** Replaces the back ends of [service] in the table by the announced ones. */
+    private fun withAnnouncedServers(
+        state: FleetState,
+        service: ServiceName,
+        before: ServiceRoutes?,
+        now: Duration,
+    ): FleetState {
+        val confirmed = state.copy(confirmedAt = state.confirmedAt + (UpdateSource.BACKEND_SERVERS to now))
+        val routes = state.announced[service]?.routes ?: return state
+        val changes = (before ?: ServiceRoutes()).changesTo(routes)
+        if (changes.servers.isEmpty() && changes.removedServers.isEmpty()) return confirmed
+        val removed = changes.removedServers.fold(state.table) { table, id -> table.without(id) }
+        val table = changes.servers.fold(removed) { table, server -> table.withRouted(server, now) }
+        return confirmed.withTable(table)
+    }
+
+    /**
+     * Uses the announced routes in place of the platform's list: the table then contains only the back ends that get
+     * requests, and following them costs no calls to the store.
+     */
+    fun announcedServersUsed(state: FleetState, now: Duration): FleetState {
+        val start = state.copy(
+            table = state.table.copy(engines = persistentHashMapOf()),
+            pendingRemovals = emptyMap(),
+            usesAnnouncedServers = true,
+            isListComplete = false,
+        )
+        return state.announced.keys.fold(start) { next, service -> withAnnouncedServers(next, service, null, now) }
+    }
+
+    /** Uses the platform's list again; the announced back ends stay until the list is received. */
+    fun listedServersUsed(state: FleetState): FleetState = state.copy(usesAnnouncedServers = false)
+
     /** Removes back ends whose entries were not written again within the grace period. */
     fun expired(state: FleetState, now: Duration): FleetState {
         val due = state.pendingRemovals.filterValues { now >= it }.keys
@@ -109,13 +203,13 @@
     private fun configured(state: FleetState, next: FleetConfiguration): FleetState {
         val current = state.configuration
         if (current != null && next.version < current.version) return state
-        return state.copy(configuration = next).withDerivedGroups()
+        return state.copy(configuration = next)
     }
 
     private fun listed(state: FleetState, update: FleetUpdate.ServersListed, now: Duration): FleetState {
         val listed = update.servers.mapTo(mutableSetOf()) { it.id }
         val table = update.servers.fold(state.table) { table, server -> table.withListed(server, now) }
-        val next = state.copy(pendingRemovals = state.pendingRemovals - listed).withTable(table)
+        val next = state.copy(pendingRemovals = state.pendingRemovals - listed, isListComplete = true).withTable(table)
         return removed(next, state.table.engines.keys - listed, now)
     }
 
@@ -147,12 +241,7 @@
     private fun coldTimeAfterEvacuation(state: FleetState): Duration =
         state.configuration?.services?.values?.maxOfOrNull { it.coldDuration } ?: Duration.ZERO
 
-    private fun FleetState.withTable(next: EngineTable): FleetState = copy(table = next).withDerivedGroups()
-
-    private fun FleetState.withDerivedGroups(): FleetState {
-        val services = configuration?.services?.values ?: return this
-        return copy(derivedGroups = services.flatMap { table.servingGroups(it) })
-    }
+    private fun FleetState.withTable(next: EngineTable): FleetState = copy(table = next)
 
     /** Entries are written again within about two seconds after the store recovers. */
     private val STORE_RECOVERY_GRACE = 2300.milliseconds
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -1,3 +1,5 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
 package redwingcross.process.edge
 
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -5,6 +7,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborArray
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import redwingcross.version.fleet.UpdateSource
@@ -83,37 +86,64 @@
 @Serializable
 data class HeldControllerLease(val version: Long, val record: LeaseRecord)
 
-/** The groups of a service that may get requests, sent by the active controller to all gateways. */
+/**
+ * The routes of a service, or changes of them, sent by the active controller to the gateways. The fields correspond to
+ * [RouteAnnouncement].
+ */
 @Serializable
-@SerialName("groups")
+@SerialName("routes")
 data class GroupAnnouncement(
     override val sender: GatewayRecord,
     /** Epoch of the lease under which the controller sent the announcement. */
     val leaseEpoch: Long,
     /** Orders the announcements of one epoch. */
     val sequence: Long,
+    /** Sequence of the oldest routes that the changes apply to; null if they are the complete routes. */
+    val base: Long? = null,
     val service: String,
     /** How long the announcement is valid if no newer one is received. */
     val lifetimeMillis: Long,
-    val serving: List<AnnouncedGroup>,
+    /** New or changed groups. */
+    val serving: List<AnnouncedGroup> = emptyList(),
+    val removedGroups: List<String> = emptyList(),
+    /** New or changed back ends. */
+    val servers: List<AnnouncedServer> = emptyList(),
+    val removedServers: List<String> = emptyList(),
     /** Groups that have lost a member; their streams have to move to another group. */
-    val lost: List<String>,
+    val lost: List<String> = emptyList(),
 ) : PeerMessage
 
-/**
- * One serving group of a [GroupAnnouncement]. The receiver derives the model from [id], and looks up the address of the
- * back end [head] in the list of back ends.
- */
+/** One serving group of a [GroupAnnouncement]. The receiver derives the model from [id]. */
 @Serializable
+@CborArray
 data class AnnouncedGroup(val id: String, val epoch: Long, val head: String)
 
+/** One back end of a [GroupAnnouncement]. */
+@Serializable
+@CborArray
+data class AnnouncedServer(
+    val id: String,
+    val address: String,
+    val zone: String,
+    val slots: Int,
+    val draining: Boolean,
+    /** Time for which the back end stays cold. */
+    val coldMillis: Long,
+    /** Start of the back end in Unix milliseconds; null if it is not known. */
+    val start: Long?,
+)
+
+/** Request of a gateway to the active controller for the complete routes of a service. */
+@Serializable
+@SerialName("routes-request")
+data class RoutesRequest(override val sender: GatewayRecord, val service: String) : PeerMessage
+
 /** Report of a gateway to the active controller that streams of a group make no progress. */
 @Serializable
 @SerialName("suspicion")
 data class GroupSuspicion(override val sender: GatewayRecord, val group: String) : PeerMessage
 
 /** Encodes and decodes messages between processes. */
-@OptIn(ExperimentalSerializationApi::class)
 object PeerCodec {
     private val cbor = Cbor { ignoreUnknownKeys = true }
 
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -10,6 +10,7 @@
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.lease.LeaseVersion
 import redwingcross.version.lease.StoredLease
+import redwingcross.version.routing.stableHash
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -46,6 +47,10 @@
     /** Called with the progress of another process's watches of the store. */
     val onWatchProgress: (Map<UpdateSource, WatchProgress>) -> Unit,
     val onGroupAnnouncement: (GroupAnnouncement) -> Unit,
+    /** Called when a gateway has missed changes of the routes of a service. */
+    val onRoutesRequest: (RoutesRequest) -> Unit,
+    /** Called with this process's position in the order in which processes take over the controller lease. */
+    val onRank: (Int) -> Unit,
     /** Called when a gateway reports that streams of a group make no progress. */
     val onSuspicion: (GroupId) -> Unit,
     /** Called when a heartbeat contains the controller lease. */
@@ -73,6 +78,13 @@
     /** All other processes that may be running, including those that currently send no heartbeats. */
     fun knownPeers(): List<Peer> = table.peers.values.toList()
 
+    /**
+     * Position of this process, from 0, in the order in which processes take over the controller lease. The order
+     * follows from the hashes of the names, so that the first processes are spread over the zones.
+     */
+    var rank = 0
+        private set
+
     /** Other processes that sent a heartbeat recently. */
     fun alivePeers(): List<Peer> = table.alive(clock.now())
 
@@ -109,6 +121,15 @@
         }
         sendHeartbeat(toAll = false)
         updateGatewayShare(before)
+        updateRank(now)
+    }
+
+    private fun updateRank(now: Duration) {
+        val own = stableHash(self.node)
+        val current = table.alive(now).count { it.heartbeat?.leaving == false && stableHash(it.record.node) < own }
+        if (current == rank) return
+        rank = current
+        dependencies.onRank(current)
     }
 
     private fun callRegistry(now: Duration, isAlone: Boolean) {
@@ -159,6 +180,11 @@
         table.peers.values.forEach { dependencies.send(InetSocketAddress(it.record.ip, it.record.peerPort), bytes) }
     }
 
+    /** Sends [message] to one other process. */
+    fun send(receiver: GatewayRecord, message: PeerMessage) {
+        dependencies.send(InetSocketAddress(receiver.ip, receiver.peerPort), PeerCodec.encode(message))
+    }
+
     /** Sends [message] to the active controller; returns false if none is known. */
     fun sendToController(message: PeerMessage): Boolean {
         val holder = table.alive(clock.now())
@@ -178,6 +204,7 @@
         when (message) {
             is Heartbeat -> heartbeatReceived(message)
             is GroupAnnouncement -> dependencies.onGroupAnnouncement(message)
+            is RoutesRequest -> dependencies.onRoutesRequest(message)
             is GroupSuspicion -> dependencies.onSuspicion(GroupId(message.group))
         }
     }
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
@@ -13,6 +13,7 @@
 import redwingcross.version.fleet.FleetConfiguration
 import redwingcross.version.fleet.FleetUpdate
 import redwingcross.version.fleet.GroupEpoch
+import redwingcross.version.fleet.RouteChanges
 import redwingcross.version.fleet.ServingGroup
 import redwingcross.version.fleet.UpdateSource
 import kotlin.test.Test
@@ -77,10 +78,10 @@
     @Test
     fun `an announcement of groups under an older lease epoch is ignored`() {
         val app = ServiceName("app")
-        val newer = AnnouncedGroups(app, 2, 5, 1.seconds, emptyList(), setOf(GroupId("g")))
-        val state = FleetDecision.announced(FleetState(), newer)
-        val older = AnnouncedGroups(app, 1, 9, 2.seconds, emptyList(), emptySet())
-        assertEquals(newer, FleetDecision.announced(state, older).announced.values.single())
+        val newer = RouteUpdate(app, 2, 5, null, RouteChanges(), setOf(GroupId("g")), 1.seconds)
+        val state = FleetDecision.announced(FleetState(), newer, Duration.ZERO)
+        val older = RouteUpdate(app, 1, 9, null, RouteChanges(), emptySet(), 2.seconds)
+        assertEquals(state, FleetDecision.announced(state, older, 1.seconds))
     }
 
     @Test
@@ -88,7 +89,12 @@
         val services = listOf("chat", "search").map(::ServiceName)
         val groups = services.map { ServingGroup(GroupId("m.1-1"), GroupEpoch(1), it, ModelName("m"), id) }
         val state = groups.fold(FleetState()) { state, group ->
-            FleetDecision.announced(state, AnnouncedGroups(group.service, 1, 1, 9.seconds, listOf(group), emptySet()))
+            val changes = RouteChanges(groups = listOf(group))
+            FleetDecision.announced(
+                state,
+                RouteUpdate(group.service, 1, 1, null, changes, emptySet(), 9.seconds),
+                Duration.ZERO,
+            )
         }
         for (group in groups) assertEquals(listOf(group), state.servingGroups(group.service, 2.seconds))
         assertTrue(state.servingGroups(services.first(), 10.seconds).isEmpty(), "the announcement has expired")
--- a/process/src/test/kotlin/redwingcross/process/edge/PeerTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/PeerTaskTest.kt
@@ -32,6 +32,8 @@
             onTrafficSeen = {},
             onWatchProgress = {},
             onGroupAnnouncement = {},
+            onRoutesRequest = {},
+            onRank = {},
             onSuspicion = {},
             onLease = {},
         ),
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMain.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMain.kt
@@ -3,4 +3,14 @@
 import com.github.ajalt.clikt.core.main
 
 /** Runs an edge process until it is stopped. */
-fun main(arguments: Array<String>): Unit = EdgeCommand().main(arguments)
+fun main(arguments: Array<String>) {
+    setDefault("logback.configurationFile", "logback-edge.xml")
+    // Netty otherwise looks for a hardware address and logs a warning if there is none; the id identifies channels only.
+    setDefault("io.netty.machineId", "02:00:00:00:00:01")
+    EdgeCommand().main(arguments)
+}
+
+/** Sets a system property of a library unless the command line sets it; must run before the library is loaded. */
+private fun setDefault(property: String, value: String) {
+    if (System.getProperty(property) == null) System.setProperty(property, value)
+}
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -14,7 +14,6 @@
 import redwingcross.platform.RequestFormat
 import redwingcross.platform.SettingsFile
 import redwingcross.platform.WatchIntervals
-import redwingcross.process.edge.Announcement
 import redwingcross.process.edge.ControllerDependencies
 import redwingcross.process.edge.ControllerMessage
 import redwingcross.process.edge.ControllerTask
@@ -26,7 +25,6 @@
 import redwingcross.process.edge.GatewayDependencies
 import redwingcross.process.edge.GatewayRecord
 import redwingcross.process.edge.GatewayTask
-import redwingcross.process.edge.GroupAnnouncement
 import redwingcross.process.edge.GroupSuspicion
 import redwingcross.process.edge.Heartbeat
 import redwingcross.process.edge.PeerDependencies
@@ -42,12 +40,10 @@
 import redwingcross.request.ServiceName
 import redwingcross.version.fleet.CallerLimits
 import redwingcross.version.fleet.FleetUpdate
-import redwingcross.version.fleet.ServingGroup
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.forwarding.SendToBackend
 import redwingcross.version.lease.LeaseMessage
-import redwingcross.version.placement.LeaseEpoch
 import sun.misc.Signal
 import java.io.IOException
 import java.net.InetSocketAddress
@@ -101,7 +97,7 @@
     private val onMessageDropped: () -> Unit = { events.warn("mailbox_full", emptyArray()) }
     private var fleet = FleetState()
     private val watchLag = WatchLagDetector { source ->
-        if (source == UpdateSource.BACKEND_SERVERS) MAXIMUM_SERVER_LAG else MAXIMUM_CONFIGURATION_LAG
+        MAXIMUM_WATCH_LAG + if (source == UpdateSource.BACKEND_SERVERS) listPause else CONFIGURATION_PAUSE
     }
     private var peersReportedTraffic = false
     private var lastCheckAt = clock.now()
@@ -140,6 +136,23 @@
         { bounds },
         random,
     )
+    private val relay: RouteRelay = RouteRelay(
+        self,
+        RouteRelayDependencies(
+            fleet = { fleet },
+            updateFleet = { fleet = it },
+            broadcast = { peers.broadcast(it) },
+            send = { receiver, message -> peers.send(receiver, message) },
+            runLater = { delay, action -> runLater(delay, action) },
+            drain = { bounds.drain },
+            fleetSize = { peers.gatewayShare.count },
+            groupsLost = gateway::groupsLost,
+            watchServers = { platform.watchServers(it) },
+        ),
+        clock,
+        random,
+        events.info,
+    )
     private val engines = EngineControl(controlClient::call, clock, controllerPost, events.info)
     private val controller = ControllerTask(
         settings.node,
@@ -162,8 +175,9 @@
             writeLease = { call, expected, record -> platform.writeLease(call, expected, record, postLease) },
             requestReport = engines::requestReport,
             sendOrder = engines::sendOrder,
-            announce = ::announce,
-            receiverCount = { peers.gatewayShare.count },
+            isListComplete = { fleet.isListComplete },
+            announce = relay::announce,
+            stepLater = { delay -> runLater(delay) { controllerPost(ControllerMessage.Step) } },
         ),
         clock,
         events.info,
@@ -180,7 +194,11 @@
             onLoad = gateway::peerLoadReceived,
             onTrafficSeen = { peersReportedTraffic = true },
             onWatchProgress = ::restartLaggingWatches,
-            onGroupAnnouncement = ::onGroupsAnnounced,
+            onGroupAnnouncement = relay::onAnnounced,
+            onRoutesRequest = {
+                controllerPost(ControllerMessage.RoutesRequested(ServiceName(it.service), it.sender))
+            },
+            onRank = { controllerPost(ControllerMessage.RankChanged(it)) },
             onSuspicion = { controllerPost(ControllerMessage.GroupSuspected(it)) },
             onLease = postLease,
         ),
@@ -194,7 +212,6 @@
         EventLoopTask<PeerTaskMessage>(loop, MAILBOX_CAPACITY, onMessageDropped, peers::handle)
     private val fleetTask = EventLoopTask<FleetUpdate>(loop, MAILBOX_CAPACITY, onMessageDropped, ::onFleetUpdate)
     private val observer = EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers)
-    private var announcementSequence = 0L
 
     private val callerListener = CallerListener(
         group,
@@ -265,6 +282,7 @@
         metrics.recordLoopDelay((now - lastCheckAt - CHECK_INTERVAL).coerceAtLeast(Duration.ZERO))
         lastCheckAt = now
         fleet = FleetDecision.expired(fleet, now)
+        relay.updateServerSource(peers.rank, controller.isActiveController)
         if (fleet !== before) gateway.retainServers(fleet.table.engines.keys)
         gateway.checkStreamProgress()
     }
@@ -288,11 +306,13 @@
         }
     }
 
+    private val listPause: Duration get() = bounds.drain * LIST_PAUSE_FRACTION
+
     private fun watchIntervals(source: UpdateSource) = WatchIntervals(
         pause = when {
             source != UpdateSource.BACKEND_SERVERS -> CONFIGURATION_PAUSE
             controller.isActiveController -> CONTROLLER_LIST_PAUSE
-            else -> bounds.drain * LIST_PAUSE_FRACTION
+            else -> listPause
         },
         wait = if (peers.gatewayShare.count <= MAXIMUM_PROCESSES_FOR_SHORT_WAIT) SHORT_WAIT else LONG_WAIT,
     )
@@ -309,7 +329,8 @@
     )
 
     private fun restartLaggingWatches(other: Map<UpdateSource, WatchProgress>) {
-        for (source in watchLag.compare(other, platform.progress(), clock.now())) {
+        val own = platform.progress()
+        for (source in watchLag.compare(other.filterKeys { it in own }, own, clock.now())) {
             events.info("follow_restarted", arrayOf("source" to source))
             platform.refresh(source)
         }
@@ -325,27 +346,6 @@
         }
     }
 
-    private fun announce(service: ServiceName, epoch: LeaseEpoch, announcement: Announcement) {
-        announcementSequence++
-        val message = GroupAnnouncement(
-            self,
-            epoch.value,
-            announcementSequence,
-            service.value,
-            announcement.lifetime.inWholeMilliseconds,
-            announcement.serving.map(ServingGroup::toMessage),
-            announcement.lost.map { it.value },
-        )
-        peers.broadcast(message)
-        onGroupsAnnounced(message)
-    }
-
-    private fun onGroupsAnnounced(message: GroupAnnouncement) {
-        val groups = message.toGroups(clock.now())
-        fleet = FleetDecision.announced(fleet, groups)
-        gateway.groupsLost(groups.lost)
-    }
-
     private fun sendToBackend(): SendToBackend = { backend, head, body, repeatability, matches, listener ->
         val maximumIdle = if (repeatability.isRepeatable) Duration.INFINITE else MAXIMUM_IDLE_FOR_UNREPEATABLE
         backendConnections.exchange(
@@ -415,9 +415,8 @@
         val RELOAD_INTERVAL = 2.seconds
         val CONFIGURATION_PAUSE = 200.milliseconds
 
-        /** Other processes may be ahead by the pause between two watch requests plus the heartbeat interval. */
-        val MAXIMUM_CONFIGURATION_LAG = 500.milliseconds
-        val MAXIMUM_SERVER_LAG = 1200.milliseconds
+        /** Time that a process may be behind others beyond the pause between two of its watch requests. */
+        val MAXIMUM_WATCH_LAG = 300.milliseconds
         val CONTROLLER_LIST_PAUSE = 250.milliseconds
 
         /**
--- a/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
@@ -1,5 +1,8 @@
 package redwingcross.version.fleet
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.mutate
+import kotlinx.collections.immutable.persistentHashMapOf
 import redwingcross.request.AvailabilityZone
 import redwingcross.request.BackendServer
 import kotlin.time.Duration
@@ -23,9 +26,12 @@
     fun isCold(now: Duration): Boolean = now < coldUntil
 }
 
-/** The back ends of all services, from the platform's list and the engines' own reports. */
+/**
+ * The back ends of all services, from the platform's list and the engines' own reports. The map is persistent, so that
+ * the cost of one change does not grow with the number of back ends.
+ */
 data class EngineTable(
-    val engines: Map<BackendServer, TrackedEngine> = emptyMap(),
+    val engines: PersistentMap<BackendServer, TrackedEngine> = persistentHashMapOf(),
     val evacuatedZones: Set<AvailabilityZone> = emptySet(),
     /** Zones that returned to service, with the time until which their back ends count as cold. */
     val returnedZones: Map<AvailabilityZone, Duration> = emptyMap(),
@@ -62,6 +68,12 @@
         )
     }
 
+    /** Applies the announced state of a back end; a cold time that it stated itself is never shortened. */
+    fun withRouted(server: RoutedServer, now: Duration): EngineTable {
+        val known = engines[server.status.id]?.takeIf { it.status.start == server.status.start }
+        return with(TrackedEngine(server.status, now, maxOf(server.coldUntil, known?.coldUntil ?: server.coldUntil)))
+    }
+
     /** Applies an engine's report; a report older than the one already applied is ignored. */
     fun withReport(id: BackendServer, report: EngineReport, now: Duration): EngineTable {
         val known = engines[id] ?: return this
@@ -86,7 +98,11 @@
 
     /** Discards all reports, because this process no longer requests them; from here on only the list is used. */
     fun withoutReports(): EngineTable = copy(
-        engines = engines.mapValues { it.value.copy(orders = null, reportedAt = null, conflictsWithListing = false) },
+        engines = engines.mutate { table ->
+            table.replaceAll { _, engine ->
+                engine.copy(orders = null, reportedAt = null, conflictsWithListing = false)
+            }
+        },
     )
 
     /** Applies a back end's own statement that it stays cold for [remaining]; never shortens the cold time. */
@@ -103,7 +119,7 @@
     }
 
     /** Removes a back end whose entry was deleted from the platform's list. */
-    fun without(id: BackendServer): EngineTable = copy(engines = engines - id)
+    fun without(id: BackendServer): EngineTable = copy(engines = engines.remove(id))
 
     /** Sets the evacuated zones; the engines of a zone that returns to service count as cold for [coldDuration]. */
     fun withEvacuatedZones(zones: Set<AvailabilityZone>, now: Duration, coldDuration: Duration): EngineTable {
@@ -126,7 +142,7 @@
         }
     }
 
-    private fun with(engine: TrackedEngine): EngineTable = copy(engines = engines + (engine.id to engine))
+    private fun with(engine: TrackedEngine): EngineTable = copy(engines = engines.put(engine.id, engine))
 
     private fun TrackedEngine.isNewerThan(other: EngineStatus): Boolean {
         val own = status.start ?: return false
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
@@ -1,5 +1,7 @@
 package redwingcross.version.fleet
 
+import kotlinx.collections.immutable.minus
+import kotlinx.collections.immutable.plus
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.Transition
@@ -45,7 +47,7 @@
         val load = state.loads[engine]
         val finished = load != null && report.staged?.contains(load.model) == true
         return state.copy(
-            calls = state.calls.filterNot { it.key == engine && it.value.order == null },
+            calls = state.withoutReportRequest(engine),
             unresponsiveSince = state.unresponsiveSince - engine,
             lost = state.lost - engine,
             needsReport = if (state.isStale(engine, report.orders)) state.needsReport else state.needsReport - engine,
@@ -68,7 +70,7 @@
         val isSuspected = state.suspected[engine]?.let { now - it < SUSPICION_LIFETIME } == true
         val lost = refused || isSuspected || now - since >= settings.unresponsiveTimeout
         return state.copy(
-            calls = state.calls.filterNot { it.key == engine && it.value.order == null },
+            calls = state.withoutReportRequest(engine),
             unresponsiveSince = state.unresponsiveSince + (engine to since),
             lost = if (lost) state.lost + (engine to now) else state.lost,
             loads = if (lost) state.loads - engine else state.loads,
@@ -130,6 +132,10 @@
         )
     }
 
+    /** The unanswered calls without the report request to [engine]; an order that is pending stays. */
+    private fun FormationState.withoutReportRequest(engine: BackendServer) =
+        if (calls[engine]?.order == null) calls - engine else calls
+
     /** Time that a report request has already waited when it fails. */
     private val TIME_BEFORE_FIRST_FAILURE = 300.milliseconds
 
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
@@ -1,5 +1,7 @@
 package redwingcross.version.fleet
 
+import redwingcross.request.AvailabilityZone
+import redwingcross.request.ModelName
 import redwingcross.version.bundle.FabricDomain
 import kotlin.time.Duration.Companion.seconds
 
@@ -10,16 +12,27 @@
 internal class FormationPlanner(private val step: FormationStep) {
     private val view = step.view
     private val models = view.pool.models
+    private val engines = view.table.engines.values.filter { it.status.service == view.service.name }
     private val targetCounts = targetGroupCounts()
+    private val free = freeByDomain()
+    private val domainHolders = HashMap<FabricDomain?, HolderCount>()
+    private val zoneHolders = HashMap<AvailabilityZone, HolderCount>()
 
     /** Forms groups until none is possible; then stages weights on the remaining engines. */
     fun plan() {
+        if (free.isEmpty()) return
+        engines.forEach { engine -> step.modelOf(engine)?.let { countHolder(engine, it) } }
         var outcome = formNextGroup()
         while (outcome == FormOutcome.FORMED) outcome = formNextGroup()
         // Staging on spares must not use weight store capacity that a group waits for.
         if (outcome == FormOutcome.NOTHING) stageSpares()
     }
 
+    private fun countHolder(engine: TrackedEngine, model: ModelName) {
+        domainHolders.getOrPut(engine.status.domain, ::HolderCount).add(model)
+        zoneHolders.getOrPut(engine.status.zone, ::HolderCount).add(model)
+    }
+
     private fun formNextGroup(): FormOutcome {
         val byFillRatio = models.map { it to fillRatio(it) }.sortedBy { (_, fillRatio) -> fillRatio }
         for ((model, fillRatio) in byFillRatio) {
@@ -40,9 +53,7 @@
 
     /** Target number of groups of each model for the usable engines, less the fraction kept as spares; at least 1. */
     private fun targetGroupCounts(): Map<ModelSpec, Int> {
-        val usable = view.table.engines.values.count {
-            it.status.service == view.service.name && view.table.acceptsWork(it) && it.id !in step.state.lost
-        }
+        val usable = engines.count { view.table.acceptsWork(it) && it.id !in step.state.lost }
         val grouped = usable * (1 - view.settings.spareFraction)
         val shares = models.sumOf { it.share }.takeIf { it > 0 } ?: return models.associateWith { 0 }
         return models.associateWith { (grouped * it.share / shares / it.groupSize).toInt().coerceAtLeast(1) }
@@ -50,7 +61,7 @@
 
     private fun formGroup(model: ModelSpec, reserve: Int): FormOutcome {
         val exceedsTarget = fillRatio(model) >= 1.0
-        val candidates = freeByDomain().mapNotNull { (domain, free) -> membersFor(model, domain, free, reserve) }
+        val candidates = free.mapNotNull { (domain, idle) -> membersFor(model, domain, idle, reserve) }
             .filterNot { exceedsTarget && it.domain.ofOthers > 0 }
         val best = candidates.minWithOrNull(
             compareBy<Candidate> { if (view.trafficStarted) it.loads else 0 }
@@ -62,7 +73,10 @@
                 .thenByDescending { it.free },
         ) ?: return FormOutcome.NOTHING
         if (best.loads > 0 && !canStartLoads(best.loads)) return FormOutcome.WAITS_FOR_LOADS
+        val withoutModel = best.members.filter { step.modelOf(it) == null }
         step.form(model, best.members)
+        withoutModel.forEach { countHolder(it, model.name) }
+        free.getValue(best.members.first().status.domain).removeAll(best.members.toSet())
         return FormOutcome.FORMED
     }
 
@@ -82,38 +96,35 @@
         return Candidate(
             members = members,
             loads = members.count { model.name !in it.status.staged },
-            domain = holders(model) { it.domain == domain },
-            zone = holders(model) { it.zone == zone },
+            domain = domainHolders[domain].holders(model.name),
+            zone = zoneHolders[zone].holders(model.name),
             free = free.size,
         )
     }
 
-    private fun freeByDomain(): Map<FabricDomain?, List<TrackedEngine>> =
-        view.table.engines.values.filter(step::isFree).groupBy { it.status.domain }
+    private fun freeByDomain(): Map<FabricDomain?, MutableList<TrackedEngine>> =
+        engines.filter(step::isFree).groupByTo(LinkedHashMap()) { it.status.domain }
 
-    /** Counts the engines selected by [isAtPlace] that hold [model] and those that hold another model. */
-    private fun holders(model: ModelSpec, isAtPlace: (EngineStatus) -> Boolean): Holders {
-        val held = view.table.engines.values
-            .filter { it.status.service == view.service.name && isAtPlace(it.status) }
-            .mapNotNull(step::modelOf)
-        val ofModel = held.count { it == model.name }
-        return Holders(ofModel, held.size - ofModel)
+    private fun HolderCount?.holders(model: ModelName): Holders {
+        val ofModel = this?.of(model) ?: 0
+        return Holders(ofModel, (this?.total ?: 0) - ofModel)
     }
 
     private fun stageSpares() {
-        for ((domain, free) in freeByDomain()) {
-            val unstaged = free.filter { engine -> models.none { it.name in engine.status.staged } }
+        for ((domain, idle) in free) {
+            val unstaged = idle.filter { engine -> models.none { it.name in engine.status.staged } }
             for (engine in unstaged) {
                 if (!canStartLoads(1)) return
                 val model = modelToStage(domain) ?: return
                 step.stage(engine, model)
+                countHolder(engine, model.name)
             }
         }
     }
 
     /** The model that most engines of the domain hold; if they hold none, the model that lacks most groups. */
     private fun modelToStage(domain: FabricDomain?): ModelSpec? = models.minWithOrNull(
-        compareByDescending<ModelSpec> { model -> holders(model) { it.domain == domain }.ofModel }
+        compareByDescending<ModelSpec> { model -> domainHolders[domain].holders(model.name).ofModel }
             .thenBy { fillRatio(it) }
             .thenByDescending { it.groupSize },
     )
@@ -130,6 +141,20 @@
 
     private data class Holders(val ofModel: Int, val ofOthers: Int)
 
+    /** Counts the engines of a domain or zone by the model that they hold. */
+    private class HolderCount {
+        private val byModel = HashMap<ModelName, Int>()
+        var total = 0
+            private set
+
+        fun add(model: ModelName) {
+            byModel.merge(model, 1, Int::plus)
+            total++
+        }
+
+        fun of(model: ModelName): Int = byModel[model] ?: 0
+    }
+
     private data class Candidate(
         val members: List<TrackedEngine>,
         val loads: Int,
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
@@ -1,5 +1,9 @@
 package redwingcross.version.fleet
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentHashSetOf
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.ModelName
@@ -103,23 +107,26 @@
     val retireTimeout: Duration = 3.seconds,
 )
 
-/** State of group formation for one service. */
+/**
+ * State of group formation for one service. Its collections are persistent, so that the cost of one change does not grow
+ * with the number of engines.
+ */
 data class FormationState(
     /** The lease under which groups are formed. */
     val lease: LeaseEpoch,
-    val groups: Map<GroupId, FormedGroup> = emptyMap(),
+    val groups: PersistentMap<GroupId, FormedGroup> = persistentHashMapOf(),
     /** The unanswered call to each engine; at most one at a time. */
-    val calls: Map<BackendServer, PendingCall> = emptyMap(),
+    val calls: PersistentMap<BackendServer, PendingCall> = persistentHashMapOf(),
     /** When the report of each engine was last requested. */
-    val reportRequestedAt: Map<BackendServer, Duration> = emptyMap(),
+    val reportRequestedAt: PersistentMap<BackendServer, Duration> = persistentHashMapOf(),
     /** Earliest time at which a report can show the effect of the last order. */
-    val earliestReportAt: Map<BackendServer, Duration> = emptyMap(),
+    val earliestReportAt: PersistentMap<BackendServer, Duration> = persistentHashMapOf(),
     /** Start of each engine to which its other state applies; that state is discarded when the engine restarts. */
-    val starts: Map<BackendServer, EngineStart?> = emptyMap(),
+    val starts: PersistentMap<BackendServer, EngineStart?> = persistentHashMapOf(),
     /** Number of orders that each engine has accepted according to its order responses; reports may lag behind it. */
-    val acceptedOrders: Map<BackendServer, OrderCount> = emptyMap(),
+    val acceptedOrders: PersistentMap<BackendServer, OrderCount> = persistentHashMapOf(),
     /** Model of the last group that each engine joined; joining a group of the same model again is fast. */
-    val lastModel: Map<BackendServer, ModelName> = emptyMap(),
+    val lastModel: PersistentMap<BackendServer, ModelName> = persistentHashMapOf(),
     /** Time of the first failed report request since the engine last responded. */
     val unresponsiveSince: Map<BackendServer, Duration> = emptyMap(),
     /** Engines that do not respond, with the time of the last failed request. */
@@ -127,8 +134,8 @@
     /** Members of groups without progress, with the time of the suspicion; one failed request makes them lost. */
     val suspected: Map<BackendServer, Duration> = emptyMap(),
     /** Engines whose report is needed before the next order, for example because an order's outcome is unknown. */
-    val needsReport: Set<BackendServer> = emptySet(),
-    val loads: Map<BackendServer, WeightLoad> = emptyMap(),
+    val needsReport: PersistentSet<BackendServer> = persistentHashSetOf(),
+    val loads: PersistentMap<BackendServer, WeightLoad> = persistentHashMapOf(),
     /** Start times of recent loads, for the rate limit of the weight store. */
     val loadStarts: List<Duration> = emptyList(),
     /** Highest epoch in use; later groups, including those of later leases, get higher ones. */
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationStep.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationStep.kt
@@ -1,5 +1,10 @@
 package redwingcross.version.fleet
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.minus
+import kotlinx.collections.immutable.mutate
+import kotlinx.collections.immutable.plus
+import kotlinx.collections.immutable.toPersistentHashMap
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.ModelName
@@ -15,22 +20,55 @@
 
     private val specs = view.pool.models.associateBy { it.name }
 
+    /** The group of each member, without lost groups, whose members may already be in another group. */
+    private val groupOf = HashMap<BackendServer, FormedGroup>()
+
+    /** Number of weight loads in progress. */
+    var runningLoads = 0
+        private set
+
     init {
-        val starts = view.table.engines.mapValues { it.value.status.start }
-        val listed = starts.filter { (id, start) -> id !in state.starts || state.starts[id] == start }.keys
+        if (haveEnginesChanged()) discardUnlisted()
         state = state.copy(
-            starts = starts,
-            calls = state.calls.filterKeys { it in listed },
-            reportRequestedAt = state.reportRequestedAt.filterKeys { it in listed },
-            earliestReportAt = state.earliestReportAt.filterKeys { it in listed },
-            acceptedOrders = state.acceptedOrders.filterKeys { it in listed },
-            lastModel = state.lastModel.filterKeys { it in listed },
-            unresponsiveSince = state.unresponsiveSince.filterKeys { it in listed },
             lost = state.lost.filter { (id, at) -> view.table.engines[id]?.let { it.observedAt <= at } == true },
-            needsReport = state.needsReport.filterTo(mutableSetOf()) { it in listed },
-            loads = state.loads.filter { (id, load) -> id in listed && now < load.dueAt + LOAD_GRACE },
+            loads = state.loads.mutate { loads -> loads.values.removeAll { now >= it.dueAt + LOAD_GRACE } },
             loadStarts = state.loadStarts.filter { now - it < LOAD_WINDOW },
         )
+        state.groups.values.forEach(::index)
+        runningLoads = state.loads.values.count { now < it.dueAt }
+    }
+
+    private fun haveEnginesChanged(): Boolean = state.starts.size != view.table.engines.size ||
+        view.table.engines.values.any { it.id !in state.starts || state.starts[it.id] != it.status.start }
+
+    /** Discards what is known of engines that are no longer listed or have restarted. */
+    private fun discardUnlisted() {
+        val starts = view.table.engines.values.associate { it.id to it.status.start }
+        val listed = starts.filter { (id, start) -> id !in state.starts || state.starts[id] == start }.keys
+        state = state.copy(
+            starts = starts.toPersistentHashMap(),
+            calls = state.calls.retain(listed),
+            reportRequestedAt = state.reportRequestedAt.retain(listed),
+            earliestReportAt = state.earliestReportAt.retain(listed),
+            acceptedOrders = state.acceptedOrders.retain(listed),
+            lastModel = state.lastModel.retain(listed),
+            unresponsiveSince = state.unresponsiveSince.filterKeys { it in listed },
+            needsReport = state.needsReport.mutate { it.retainAll(listed) },
+            loads = state.loads.retain(listed),
+        )
+    }
+
+    private fun <T> PersistentMap<BackendServer, T>.retain(listed: Set<BackendServer>) =
+        mutate { it.keys.retainAll(listed) }
+
+    private fun index(group: FormedGroup) {
+        for (member in group.members) {
+            if (group.stage != GroupStage.LOST) {
+                groupOf[member] = group
+            } else if (groupOf[member]?.id == group.id) {
+                groupOf.remove(member)
+            }
+        }
     }
 
     fun result(): Transition<FormationState, FormationEffect> = Transition(state, effects)
@@ -120,6 +158,7 @@
             loads = state.loads + (id to WeightLoad(model.name, now, now + expectedLoad(model))),
             loadStarts = state.loadStarts + now,
         )
+        runningLoads++
     }
 
     /** Expected duration of a load; it grows with the number of loads beyond those that run at full speed. */
@@ -130,7 +169,7 @@
 
     /** The model that an engine loads, serves, is about to serve or has staged; null if there is none. */
     fun modelOf(engine: TrackedEngine): ModelName? = state.loads[engine.id]?.model
-        ?: state.groups.values.firstOrNull { engine.id in it.members && it.stage != GroupStage.LOST }?.model
+        ?: groupOf[engine.id]?.model
         ?: engine.status.staged.firstOrNull { it in specs }
 
     /** Whether an engine is idle, so that it can join a group or load weights. */
@@ -141,10 +180,7 @@
         engine.id !in state.calls &&
         engine.id !in state.needsReport &&
         engine.id !in state.loads &&
-        state.groups.values.none { engine.id in it.members && it.stage != GroupStage.LOST }
-
-    /** Number of weight loads in progress. */
-    val runningLoads: Int get() = state.loads.count { now < it.value.dueAt }
+        engine.id !in groupOf
 
     /** Whether an engine is unlisted or lost. */
     fun isUnavailable(id: BackendServer): Boolean = id !in view.table.engines || id in state.lost
@@ -152,11 +188,13 @@
     /** Stops managing a group. */
     fun remove(group: FormedGroup) {
         state = state.copy(groups = state.groups - group.id)
+        group.members.forEach { if (groupOf[it]?.id == group.id) groupOf.remove(it) }
     }
 
     /** Adds or replaces a group. */
     fun put(group: FormedGroup) {
         state = state.copy(groups = state.groups + (group.id to group))
+        index(group)
     }
 
     /** Moves a group to [stage] and logs it with [pairs]. */
--- a/version/src/main/kotlin/redwingcross/version/routing/StableHash.kt
+++ b/version/src/main/kotlin/redwingcross/version/routing/StableHash.kt
@@ -11,7 +11,7 @@
 private const val LAST_SHIFT = 31
 
 /** 64-bit FNV-1a hash. All gateways must compute the same order, so it does not depend on the JVM. */
-internal fun stableHash(text: String): Long =
+fun stableHash(text: String): Long =
     text.encodeToByteArray().fold(FNV_OFFSET) { hash, byte -> (hash xor (byte.toLong() and BYTE_MASK)) * FNV_PRIME }
 
 /** Combines two hashes with the finalizer of SplitMix64, so that every input bit affects all output bits. */
--- a/version/src/test/kotlin/redwingcross/version/fleet/FormationPlacementTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/FormationPlacementTest.kt
@@ -1,5 +1,6 @@
 package redwingcross.version.fleet
 
+import kotlinx.collections.immutable.persistentHashMapOf
 import redwingcross.request.AvailabilityZone
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.random.Random
@@ -46,7 +47,7 @@
         var now = Duration.ZERO
         while (now < 19.seconds) {
             val view = FormationView(table, serviceTerms, pool, trafficStarted = false)
-            state = FormationDecision.step(state, view, now).state.copy(calls = emptyMap())
+            state = FormationDecision.step(state, view, now).state.copy(calls = persistentHashMapOf())
             table = joined(table, state.groups.values, now)
             now += 250.milliseconds
         }
