Take over the controller role without a storm, and bound responses without end

A controller cut off from the store went on acting beside successors with higher epochs, and the processes next in line were all of one zone, because the order of plain hashes keeps similar names together. From second 24 on six processes took the role in turn and no group was formed.

Change: a new controller starts its announcements from the last ones of the former, so that gateways apply its changes directly; complete routes are encoded once for all that request them; a process that hears a higher epoch no longer acts; the order of processes mixes the hash. Reads of the list after lost announcements are spread by rank. The announced list and digests are used from 13 processes on.

Also: bytes that are no answer may come without end.

--- a/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
@@ -69,6 +69,9 @@
     private var matches: ResponseMatcher = { true }
     private var answer: HttpResponse? = null
     private var discarding = false
+
+    /** Size of the responses that were discarded during the current exchange; an estimate for their heads. */
+    private var discardedBytes = 0
     private var requestWritten = true
     private var wasReset = false
 
@@ -91,6 +94,7 @@
         this.matches = matches
         answer = null
         discarding = false
+        discardedBytes = 0
         requestWritten = false
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -140,16 +144,24 @@
     private fun onHead(response: HttpResponse) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             discarding = true
+            discard(ASSUMED_HEAD_BYTES)
             return
         }
         answer = response
         val head = ResponseHead(response.status().code(), response.headers())
         discarding = !matches(head)
-        if (!discarding) listener?.onHead(head)
+        if (discarding) discard(ASSUMED_HEAD_BYTES) else listener?.onHead(head)
+    }
+
+    /** Gives up a connection on which a faulty server sends responses without end that belong to no exchange. */
+    private fun discard(bytes: Int) {
+        discardedBytes += bytes
+        if (discardedBytes > MAXIMUM_DISCARDED_BYTES) fail(ExchangeFailure.MALFORMED)
     }
 
     private fun onContent(content: ByteBuf) {
-        if (discarding || !content.isReadable) return
+        if (!content.isReadable) return
+        if (discarding) return discard(content.readableBytes())
         listener?.onData(ByteBufUtil.getBytes(content))
     }
 
@@ -214,6 +226,10 @@
     private companion object {
         /** Assumed for remote ends whose responses state no keep-alive timeout. */
         val DEFAULT_KEEP_ALIVE = 2.seconds
+
+        /** A late or extra response is seldom longer; reading more of it costs more than a new connection. */
+        const val MAXIMUM_DISCARDED_BYTES = 1_048_576
+        const val ASSUMED_HEAD_BYTES = 4096
         val methodsWithoutBody = setOf("GET", "HEAD", "DELETE")
         val lost = ExchangeFailure.CONNECTION_LOST
     }
--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpCall.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpCall.kt
@@ -22,8 +22,15 @@
 /** Makes one call with a timeout and passes its result to the function on the event loop. */
 typealias HttpCall = (RemoteEndpoint, RequestHead, ByteArray, Duration, (CallResult) -> Unit) -> PendingExchange
 
-/** Makes calls over [connections], each with a timeout of its own, and collects their responses. */
-class BufferedHttpClient(private val connections: HttpConnections, private val eventLoop: EventLoop) {
+/**
+ * Makes calls over [connections], each with a timeout of its own, and collects their responses. A response whose body is
+ * longer than [maximumBodyBytes] ends the call, because a faulty server may send bytes without end.
+ */
+class BufferedHttpClient(
+    private val connections: HttpConnections,
+    private val eventLoop: EventLoop,
+    private val maximumBodyBytes: Int = MAXIMUM_BODY_BYTES,
+) {
     /** Makes a call that is cancelled after [timeout]; its connection is then closed and not reused. */
     fun call(
         endpoint: RemoteEndpoint,
@@ -32,8 +39,9 @@
         timeout: Duration,
         onResult: (CallResult) -> Unit,
     ): PendingExchange {
-        val collector = ResponseCollector(onResult)
+        val collector = ResponseCollector(maximumBodyBytes, onResult)
         val pending = connections.exchange(endpoint, head, body, { true }, collector)
+        collector.onTooLong = pending::cancel
         val timer = eventLoop.schedule(
             {
                 if (!collector.isDone) {
@@ -51,10 +59,12 @@
         return pending
     }
 
-    private class ResponseCollector(private val onResult: (CallResult) -> Unit) : ResponseListener {
+    private class ResponseCollector(private val maximumBodyBytes: Int, private val onResult: (CallResult) -> Unit) :
+        ResponseListener {
         var isDone = false
             private set
         var onDone: () -> Unit = {}
+        var onTooLong: () -> Unit = {}
         private var status = 0
         private val body = ByteArrayOutputStream()
 
@@ -63,7 +73,13 @@
         }
 
         override fun onData(bytes: ByteArray) {
-            body.write(bytes)
+            if (isDone) return
+            if (body.size() + bytes.size <= maximumBodyBytes) {
+                body.write(bytes)
+            } else {
+                onTooLong()
+                finish(CallResult.NoAnswer(ExchangeFailure.MALFORMED))
+            }
         }
 
         override fun onEnd(): Unit = finish(CallResult.Answered(status, body.toByteArray()))
@@ -80,4 +96,9 @@
             onResult(result)
         }
     }
+
+    private companion object {
+        /** Several times the longest page of objects that the store returns. */
+        const val MAXIMUM_BODY_BYTES = 8_388_608
+    }
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -104,6 +104,8 @@
     val sendOrder: (ServiceName, BackendServer, Endpoint, FormationOrder, OrderCount) -> Unit,
     /** Whether the view of the engines is the platform's complete list. */
     val isListComplete: () -> Boolean,
+    /** The routes of a service that were announced last. */
+    val announcedRoutes: (ServiceName) -> AnnouncedRoutes?,
     /** Sends the routes of a service to every gateway, or to the one that requested them. */
     val announce: (ServiceName, LeaseEpoch, RouteAnnouncement, GatewayRecord?) -> Unit,
     /** Sends this task a [ControllerMessage.Step] after a delay. */
@@ -122,6 +124,9 @@
     private var formations = emptyMap<ServiceName, FormationState>()
     private var activeEpoch: LeaseEpoch? = null
     private var lastGroupEpoch = GroupEpoch(0)
+
+    /** Highest lease epoch that a process announced as its own. */
+    private var newestEpoch = LeaseEpoch(0)
     private var isStepScheduled = false
     private var lastStepAt = -Duration.INFINITE
     private var announcers = emptyMap<ServiceName, AnnouncerState>()
@@ -145,7 +150,10 @@
                 stepLease(LeaseMessage.Tick)
                 stepFormations()
             }
-            is ControllerMessage.Lease -> stepLease(message.message)
+            is ControllerMessage.Lease -> {
+                (message.message as? LeaseMessage.HolderAnnounced)?.let { newestEpoch = maxOf(newestEpoch, it.epoch) }
+                stepLease(message.message)
+            }
             is ControllerMessage.RankChanged -> stepLease(LeaseMessage.RankChanged(message.rank))
             is ControllerMessage.ReportRequestCompleted -> reportRequestCompleted(message)
             is ControllerMessage.OrderCompleted -> orderCompleted(message)
@@ -221,13 +229,15 @@
     }
 
     /**
-     * Starts or ends the controller role of this process. While the store is unavailable, the holder keeps the role as
+     * Starts or ends the controller role of this process. A process that was overtaken by one with a higher epoch has lost
+     * the role, although it may not know so from the store. While the store is unavailable, the holder keeps the role as
      * long as it can reach a majority of the processes: no other process can acquire the lease then, and orders to
      * engines are safe without a valid lease.
      */
     private fun updateControllerRole() {
         val held = lease.held?.takeIf { !lease.releasing }
         val canAct = held != null &&
+            held.seen.record.epoch >= newestEpoch &&
             (
                 lease.validEpoch(clock.now()) != null ||
                     (!dependencies.isStoreAvailable() && dependencies.isMajorityReachable())
@@ -278,7 +288,8 @@
     private fun announce(service: ServiceSpec, epoch: LeaseEpoch, formation: FormationState?) {
         val now = clock.now()
         val table = dependencies.table()
-        val before = announcers[service.name] ?: AnnouncerState(epoch)
+        val before = announcers[service.name]
+            ?: RouteAnnouncer.start(epoch, dependencies.announcedRoutes(service.name))
         val serving = formation?.groups?.values.orEmpty().filter {
             it.stage == GroupStage.SERVING
         }.mapNotNull { group ->
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -45,6 +45,8 @@
     val changes: RouteChanges,
     val lost: Set<GroupId>,
     val validUntil: Duration,
+    /** The former controller's announcement that [changes] apply to as well. */
+    val former: AnnouncementId? = null,
 )
 
 /** A process's view of the configuration, the back ends and the groups. Times are readings of the process clock. */
@@ -117,13 +119,12 @@
     /** Whether [update] can't be applied because earlier changes were missed, so that complete routes are needed. */
     fun isIncomplete(state: FleetState, update: RouteUpdate): Boolean {
         val known = state.announced[update.service]
-        return update.base != null &&
-            (
-                known == null ||
-                    known.leaseEpoch < update.leaseEpoch ||
-                    known.isAtEpoch(update) &&
-                    known.sequence < update.base
-                )
+        if (update.base == null) return false
+        return when {
+            known == null -> true
+            known.leaseEpoch < update.leaseEpoch -> update.former != AnnouncementId(known.leaseEpoch, known.sequence)
+            else -> known.isAtEpoch(update) && known.sequence < update.base
+        }
     }
 
     /** Applies an announcement unless a newer one was applied before, or changes before it were missed. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -129,6 +129,9 @@
     val sequence: Long,
     /** Sequence of the oldest routes that the changes apply to; null if they are the complete routes. */
     val base: Long? = null,
+    /** Epoch and sequence of the former controller's announcement that the changes apply to as well. */
+    val formerEpoch: Long? = null,
+    val formerSequence: Long? = null,
     val service: String,
     /** How long the announcement is valid if no newer one is received. */
     val lifetimeMillis: Long,
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
@@ -1,6 +1,6 @@
 package redwingcross.process.edge
 
-import redwingcross.version.routing.stableHash
+import redwingcross.version.routing.orderHash
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -85,7 +85,7 @@
     fun observers(now: Duration): List<GatewayRecord> {
         val alive = alive(now)
         val holder = alive.filter { it.heartbeat?.controllerLease != null }
-        val next = alive.filter { it.heartbeat?.leaving == false }.sortedBy { stableHash(it.record.node) }
+        val next = alive.filter { it.heartbeat?.leaving == false }.sortedBy { orderHash(it.record.node) }
         return (holder + next.take(OBSERVERS)).map { it.record }.distinct()
     }
 
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -10,7 +10,7 @@
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.lease.LeaseVersion
 import redwingcross.version.lease.StoredLease
-import redwingcross.version.routing.stableHash
+import redwingcross.version.routing.orderHash
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -202,8 +202,8 @@
     }
 
     private fun updateRank(now: Duration) {
-        val own = stableHash(self.node)
-        val current = table.alive(now).count { it.heartbeat?.leaving == false && stableHash(it.record.node) < own }
+        val own = orderHash(self.node)
+        val current = table.alive(now).count { it.heartbeat?.leaving == false && orderHash(it.record.node) < own }
         if (current == rank) return
         rank = current
         dependencies.onRank(current)
@@ -264,9 +264,9 @@
         table.peers.values.forEach { dependencies.send(InetSocketAddress(it.record.ip, it.record.peerPort), bytes) }
     }
 
-    /** Sends [message] to one other process. */
-    fun send(receiver: GatewayRecord, message: PeerMessage) {
-        dependencies.send(InetSocketAddress(receiver.ip, receiver.peerPort), PeerCodec.encode(message))
+    /** Sends an encoded message to one other process. */
+    fun send(receiver: GatewayRecord, message: ByteArray) {
+        dependencies.send(InetSocketAddress(receiver.ip, receiver.peerPort), message)
     }
 
     /** Sends [message] to the active controller; returns false if none is known. */
--- a/process/src/main/kotlin/redwingcross/process/edge/RouteAnnouncer.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/RouteAnnouncer.kt
@@ -17,8 +17,13 @@
     val changes: RouteChanges,
     /** Groups that have lost a member; their streams have to move to another group. */
     val lost: Set<GroupId>,
+    /** The last announcement of the former controller that the changes apply to as well; null if there is none. */
+    val former: AnnouncementId? = null,
 )
 
+/** Identifies the routes of an announcement. */
+data class AnnouncementId(val leaseEpoch: Long, val sequence: Long)
+
 /** Routes that were announced before and replaced at [replacedAt]. */
 data class PastRoutes(val sequence: Long, val routes: ServiceRoutes, val replacedAt: Duration)
 
@@ -30,6 +35,8 @@
     val lost: Set<GroupId> = emptySet(),
     val past: List<PastRoutes> = emptyList(),
     val sentAt: Duration = -Duration.INFINITE,
+    /** The announcement of the former controller that [routes] of sequence 0 were taken from. */
+    val former: AnnouncementId? = null,
 )
 
 /**
@@ -38,9 +45,22 @@
  * a small VM, and datagrams that find a link full are lost.
  *
  * An announcement contains the changes of the last [REPETITION_WINDOW], so that each change is sent several times. A
- * gateway that has missed more requests the complete routes.
+ * gateway that has missed more requests the complete routes. A new controller starts from the last announcement of the
+ * former one, so that a takeover does not make every gateway of the fleet request the complete routes.
  */
 object RouteAnnouncer {
+    /** State of a controller that begins under [epoch]; [last] is what it received from the former controller. */
+    fun start(epoch: LeaseEpoch, last: AnnouncedRoutes?): AnnouncerState = if (last == null) {
+        AnnouncerState(epoch)
+    } else {
+        AnnouncerState(
+            epoch,
+            routes = last.routes,
+            lost = last.lost,
+            former = AnnouncementId(last.leaseEpoch, last.sequence),
+        )
+    }
+
     /** Records the current [routes]; returns an announcement for all gateways if one is due. */
     fun publish(
         state: AnnouncerState,
@@ -64,7 +84,12 @@
         // A gateway may have any of the past routes, so what has changed since any of them is part of the changes.
         val changes = past.fold(RouteChanges()) { all, routes -> all + routes.routes.changesTo(state.routes) }
         val base = past.firstOrNull()?.sequence ?: state.sequence
-        val announcement = RouteAnnouncement(state.sequence, base, changes, state.lost)
+        val announcement = when {
+            base > 0 -> RouteAnnouncement(state.sequence, base, changes, state.lost)
+            state.former != null -> RouteAnnouncement(state.sequence, base, changes, state.lost, state.former)
+            // Nothing was announced before, so the changes are the complete routes.
+            else -> RouteAnnouncement(state.sequence, null, changes, state.lost)
+        }
         return state.copy(past = past, sentAt = now) to announcement
     }
 
--- a/process/src/main/kotlin/redwingcross/process/edge/ServerSource.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ServerSource.kt
@@ -28,20 +28,25 @@
     /** Whether announced routes are used; [current] is the result of the last decision. */
     fun usesAnnouncements(current: Boolean, view: ServerSourceView): Boolean {
         if (view.fleetSize <= LARGEST_WATCHING_FLEET || view.isActiveController || view.rank < STANDBYS) return false
-        val maximumAge = minOf(MAXIMUM_AGE, view.drain * DRAIN_FRACTION)
+        val maximumAge =
+            minOf(MAXIMUM_AGE, view.drain * DRAIN_FRACTION) + SPREAD * minOf(view.rank, MAXIMUM_SPREAD_RANK)
         return view.announcementAge < if (current) maximumAge else MAXIMUM_AGE_TO_BEGIN
     }
 
     /** In a fleet of at most this size every process watches the list. */
-    const val LARGEST_WATCHING_FLEET = 24
+    const val LARGEST_WATCHING_FLEET = 12
 
     /** Number of processes next in line for the controller role that watch the list. */
     const val STANDBYS = 3
 
     /** Announcements come twice a second; a takeover of the controller role after a crash takes less than 2 s. */
-    private val MAXIMUM_AGE = 2200.milliseconds
+    private val MAXIMUM_AGE = 2600.milliseconds
     private val MAXIMUM_AGE_TO_BEGIN = 700.milliseconds
 
     /** Leaves the rest of the drain time for reading the list from the store. */
-    private const val DRAIN_FRACTION = 0.55
+    private const val DRAIN_FRACTION = 0.65
+
+    /** Spreads the reads of the list, so that a fleet without a controller does not read it at one moment. */
+    private val SPREAD = 3.milliseconds
+    private const val MAXIMUM_SPREAD_RANK = 100
 }
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDigestTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDigestTest.kt
@@ -7,7 +7,7 @@
 import redwingcross.request.ProcessName
 import redwingcross.version.lease.LeaseRecord
 import redwingcross.version.placement.LeaseEpoch
-import redwingcross.version.routing.stableHash
+import redwingcross.version.routing.orderHash
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.test.Test
@@ -75,7 +75,7 @@
 
     /** A process that has heard all others once and is not next in line for the controller role. */
     private fun reportedProcess(): PeerTask {
-        val self = names.drop(1).maxBy { stableHash(it) }
+        val self = names.drop(1).maxBy { orderHash(it) }
         val task = task(self)
         (names - self).forEach { task.receive(heartbeat(it, 1)) }
         task.handle(PeerTaskMessage.Tick)
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayTaskTest.kt
@@ -253,6 +253,38 @@
         assertEquals(1, Regex("id: 2").findAll(answer).count(), answer)
     }
 
+    @Test
+    fun `an event without end is given up and the stream goes on at another back end`() {
+        startBackends(2)
+        val caller = call("stream")
+        val first = nextArrival()
+        val aborted = LinkedBlockingQueue<Unit>()
+        onLoop {
+            first.onDisconnect = { aborted.put(Unit) }
+            first.beginStream(200, headers("Id" to "7", "Signed" to "1"))
+            repeat(64) { first.write(ByteArray(16_384) { 'x'.code.toByte() }) }
+        }
+        assertNotNull(aborted.poll(5, TimeUnit.SECONDS), "the connection of the faulty back end stays open")
+        nextArrival().respondSigned("id: 1\ndata: a\n\n")
+        val answer = caller.readAnswer()
+        assertTrue("data: a" in answer && "xx" !in answer, answer.take(200))
+    }
+
+    @Test
+    fun `an error without end is given up`() {
+        startBackends(1)
+        val caller = call("non-idempotent")
+        val first = nextArrival()
+        val aborted = LinkedBlockingQueue<Unit>()
+        onLoop {
+            first.onDisconnect = { aborted.put(Unit) }
+            first.beginStream(500, headers("Id" to "7", "Signed" to "1"))
+            repeat(64) { first.write(ByteArray(16_384) { 'x'.code.toByte() }) }
+        }
+        assertNotNull(aborted.poll(5, TimeUnit.SECONDS), "the connection of the faulty back end stays open")
+        assertTrue("502" in caller.readAnswer())
+    }
+
     @Test
     fun `a successful answer without the back end's signature is not passed to the caller`() {
         startBackends(2)
--- a/process/src/test/kotlin/redwingcross/process/edge/RouteAnnouncerTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/RouteAnnouncerTest.kt
@@ -114,6 +114,20 @@
         assertEquals(routes(current).groups.keys, gateway.announced[service]?.routes?.groups?.keys, "seed $seed")
     }
 
+    @Test
+    fun `a new controller announces only what has changed since the former one`() {
+        val complete = RouteUpdate(service, 1, 9, null, RouteChanges((1..3).map(::group)), emptySet(), 9.seconds)
+        val gateway = FleetDecision.announced(FleetState(), complete, 1.seconds)
+        val start = RouteAnnouncer.start(LeaseEpoch(2), gateway.announced[service])
+        val (_, announcement) = publishAt(start, listOf(2, 3, 4), 2.seconds)
+        assertEquals(listOf(group(4)), announcement?.changes?.groups)
+        val update = announcement!!.received(2, 2.seconds).copy(former = announcement.former)
+        val next = FleetDecision.announced(gateway, update, 2.seconds)
+        assertEquals(routes(2..4).groups.keys, next.announced[service]?.routes?.groups?.keys)
+        val behind = FleetDecision.announced(FleetState(), complete.copy(sequence = 8), 1.seconds)
+        assertTrue(FleetDecision.isIncomplete(behind, update))
+    }
+
     @Test
     fun `changes of a new controller are not applied to the routes of the former one`() {
         val complete = RouteUpdate(service, 1, 9, null, RouteChanges(listOf(group(1))), emptySet(), 9.seconds)
@@ -142,7 +156,7 @@
     @Test
     fun `a process without recent announcements watches the list well within the drain time`() {
         assertTrue(ServerSourceDecision.usesAnnouncements(true, view(age = 1.seconds)))
-        assertFalse(ServerSourceDecision.usesAnnouncements(true, view(age = 2.3.seconds)))
+        assertFalse(ServerSourceDecision.usesAnnouncements(true, view(age = 3.seconds)))
         assertFalse(ServerSourceDecision.usesAnnouncements(false, view(age = Duration.INFINITE)))
     }
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/GroupMessages.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/GroupMessages.kt
@@ -2,6 +2,7 @@
 
 import redwingcross.process.edge.AnnouncedGroup
 import redwingcross.process.edge.AnnouncedServer
+import redwingcross.process.edge.AnnouncementId
 import redwingcross.process.edge.GatewayRecord
 import redwingcross.process.edge.GroupAnnouncement
 import redwingcross.process.edge.RouteAnnouncement
@@ -34,6 +35,8 @@
     leaseEpoch = epoch.value,
     sequence = sequence,
     base = base,
+    formerEpoch = former?.leaseEpoch,
+    formerSequence = former?.sequence,
     service = service.value,
     lifetimeMillis = lifetime.inWholeMilliseconds,
     serving = changes.groups.map { AnnouncedGroup(it.id.value, it.epoch.value, it.head.value) },
@@ -61,8 +64,16 @@
         servers = servers.map { it.toRoutedServer(name, receivedAt) },
         removedServers = removedServers.mapTo(mutableSetOf(), ::BackendServer),
     )
-    val validUntil = receivedAt + lifetimeMillis.milliseconds
-    return RouteUpdate(name, leaseEpoch, sequence, base, changes, lost.mapTo(mutableSetOf(), ::GroupId), validUntil)
+    return RouteUpdate(
+        name,
+        leaseEpoch,
+        sequence,
+        base,
+        changes,
+        lost.mapTo(mutableSetOf(), ::GroupId),
+        validUntil = receivedAt + lifetimeMillis.milliseconds,
+        former = formerEpoch?.let { epoch -> formerSequence?.let { AnnouncementId(epoch, it) } },
+    )
 }
 
 private fun AnnouncedServer.toRoutedServer(service: ServiceName, receivedAt: Duration): RoutedServer {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/RouteRelay.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/RouteRelay.kt
@@ -1,10 +1,12 @@
 package redwingcross.edge
 
+import redwingcross.process.edge.AnnouncementId
 import redwingcross.process.edge.FleetDecision
 import redwingcross.process.edge.FleetState
 import redwingcross.process.edge.GatewayRecord
 import redwingcross.process.edge.GroupAnnouncement
 import redwingcross.process.edge.LogEvent
+import redwingcross.process.edge.PeerCodec
 import redwingcross.process.edge.PeerMessage
 import redwingcross.process.edge.RouteAnnouncement
 import redwingcross.process.edge.RoutesRequest
@@ -24,7 +26,8 @@
     val updateFleet: (FleetState) -> Unit,
     /** Sends a message to every other process. */
     val broadcast: (PeerMessage) -> Unit,
-    val send: (GatewayRecord, PeerMessage) -> Unit,
+    /** Sends an encoded message to one process. */
+    val send: (GatewayRecord, ByteArray) -> Unit,
     val runLater: (Duration, () -> Unit) -> Unit,
     /** Maximum time from the report that a back end is draining until no new request is sent to it. */
     val drain: () -> Duration,
@@ -45,18 +48,31 @@
     private val log: LogEvent,
 ) {
     private val requestedUntil = HashMap<ServiceName, Duration>()
+    private val encoded = HashMap<ServiceName, EncodedRoutes>()
 
     /** Sends [announcement] to [receiver], or to every process if that is null. */
     fun announce(service: ServiceName, epoch: LeaseEpoch, announcement: RouteAnnouncement, receiver: GatewayRecord?) {
-        val message = announcement.toMessage(self, epoch, service, ANNOUNCEMENT_LIFETIME, clock.now())
+        val now = clock.now()
         if (receiver != null) {
-            dependencies.send(receiver, message)
-        } else {
-            dependencies.broadcast(message)
-            onAnnounced(message)
+            dependencies.send(receiver, complete(service, epoch, announcement, now))
+            return
         }
+        val message = announcement.toMessage(self, epoch, service, ANNOUNCEMENT_LIFETIME, now)
+        dependencies.broadcast(message)
+        onAnnounced(message)
+    }
+
+    /** Encodes complete routes once for all processes that request them at about the same time. */
+    private fun complete(service: ServiceName, epoch: LeaseEpoch, routes: RouteAnnouncement, now: Duration): ByteArray {
+        val id = AnnouncementId(epoch.value, routes.sequence)
+        encoded[service]?.takeIf { it.id == id && now - it.at < ENCODED_LIFETIME }?.let { return it.bytes }
+        val bytes = PeerCodec.encode(routes.toMessage(self, epoch, service, ANNOUNCEMENT_LIFETIME, now))
+        encoded[service] = EncodedRoutes(id, now, bytes)
+        return bytes
     }
 
+    private class EncodedRoutes(val id: AnnouncementId, val at: Duration, val bytes: ByteArray)
+
     /** Applies an announcement; requests the complete routes if earlier changes were missed. */
     fun onAnnounced(message: GroupAnnouncement) {
         val now = clock.now()
@@ -71,7 +87,9 @@
         if (requestedUntil[service]?.let { now < it } == true) return
         val delay = SPREAD_PER_PROCESS * dependencies.fleetSize() * random.nextDouble()
         requestedUntil[service] = now + delay + REQUEST_TIMEOUT
-        dependencies.runLater(delay) { dependencies.send(controller, RoutesRequest(self, service.value)) }
+        dependencies.runLater(delay) {
+            dependencies.send(controller, PeerCodec.encode(RoutesRequest(self, service.value)))
+        }
     }
 
     /** Changes between the platform's list and the announced routes if the state of the fleet requires it. */
@@ -107,5 +125,8 @@
         /** Requests for complete routes after a change of the controller are spread over this time for each process. */
         val SPREAD_PER_PROCESS = 3.milliseconds
         val REQUEST_TIMEOUT = 200.milliseconds
+
+        /** Cold times in encoded routes are relative to their encoding, so they are encoded anew after this time. */
+        val ENCODED_LIFETIME = 300.milliseconds
     }
 }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -275,7 +275,10 @@
                 return
             }
             collectedBody.write(bytes)
-            if (collectedBody.size() > MAX_COLLECTED_BYTES && !isError) {
+            if (collectedBody.size() <= MAX_COLLECTED_BYTES) return
+            if (isError) {
+                reject(OfferResult.Lost, "error_too_long")
+            } else {
                 startResponse()
                 exchange.write(collectedBody.toByteArray())
                 collectedBody.reset()
@@ -283,7 +286,9 @@
         }
 
         private fun relayEvents(bytes: ByteArray) {
-            val batch = splitter.accept(bytes) ?: return
+            val batch = splitter.accept(bytes)
+            if (splitter.pendingBytes > MAX_COLLECTED_BYTES) return reject(OfferResult.Lost, "event_too_long")
+            if (batch == null) return
             val now = context.clock.now()
             val expected = lastEventId
             val first = batch.firstId
@@ -347,7 +352,10 @@
         const val GATEWAY_TIMEOUT = 504
         val SUCCESS = 200..299
 
-        /** A longer response is relayed while it arrives; after that the request can't be retried any more. */
+        /**
+         * A longer response is relayed while it arrives; after that the request can't be retried any more. A longer
+         * event or error comes from a faulty back end, which may send bytes without end.
+         */
         const val MAX_COLLECTED_BYTES = 262_144
     }
 }
