Refuse in time instead of queueing at the groups, prefer strong VMs for control

Change: a fresh request goes to a group only while it has a free slot, and waits until its objective less the measured response time of its route; a request that was sent before may take 1.3 times the slots. The order of takeover puts VMs with more processor time first. EdgeProcess is split: listeners and the log of updates have files of their own.

--- a/version/src/test/kotlin/redwingcross/version/forwarding/PlacementReplay.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/replay/PlacementReplay.kt
@@ -1,5 +1,7 @@
-package redwingcross.version.forwarding
+package redwingcross.bench.replay
 
+import redwingcross.version.forwarding.GroupCandidate
+import redwingcross.version.forwarding.GroupPlacement
 import java.util.PriorityQueue
 import kotlin.math.ln
 import kotlin.random.Random
--- a/version/src/test/kotlin/redwingcross/version/forwarding/GroupPlacementTest.kt
+++ b/bench/src/test/kotlin/redwingcross/bench/replay/GroupPlacementTest.kt
@@ -1,4 +1,4 @@
-package redwingcross.version.forwarding
+package redwingcross.bench.replay
 
 import kotlin.test.Test
 import kotlin.test.assertTrue
--- a/process/src/main/kotlin/redwingcross/process/edge/EdgeSettings.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/EdgeSettings.kt
@@ -23,6 +23,8 @@
     /** Endpoint of the platform's store. */
     val store: Endpoint,
     val bounds: EdgeBounds,
+    /** Processor time a second that the VM has, in cores; 0 if the settings don't state it. */
+    val processors: Double = 0.0,
 )
 
 /** Limits that the operator configures; they apply without a restart. The log contains its `toString`. */
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -8,7 +8,6 @@
 import redwingcross.connection.http.ResponseMatcher
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
-import redwingcross.request.ModelName
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
 import redwingcross.request.ServiceName
@@ -27,6 +26,7 @@
 import redwingcross.version.forwarding.BackendLoad
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.forwarding.ChoiceContext
+import redwingcross.version.forwarding.ChoiceRequest
 import redwingcross.version.forwarding.ChoiceSettings
 import redwingcross.version.forwarding.ChosenBackend
 import redwingcross.version.forwarding.EventRate
@@ -34,6 +34,7 @@
 import redwingcross.version.forwarding.ForwardJob
 import redwingcross.version.forwarding.ForwardOutcome
 import redwingcross.version.forwarding.ForwardTask
+import redwingcross.version.forwarding.MovingAverage
 import redwingcross.version.forwarding.RequestCodec
 import redwingcross.version.forwarding.SendToBackend
 import redwingcross.version.forwarding.WaitingLine
@@ -84,6 +85,7 @@
     private var line = WaitingLine<ForwardTask>()
     private val freedPlaces = HashMap<String, EventRate>()
     private val refusals = EventRate()
+    private val responseTimes = HashMap<String, MovingAverage>()
     private var isServingScheduled = false
     private val lastProgressAt = HashMap<GroupId, Duration>()
     private val stalledSince = HashMap<GroupId, Duration>()
@@ -197,13 +199,21 @@
         return null
     }
 
-    private fun choose(service: ServiceName, model: ModelName?, excluded: Set<BackendServer>): BackendChoice {
+    private fun choose(request: ChoiceRequest): BackendChoice {
         val now = dependencies.clock.now()
         val fleet = dependencies.fleet()
-        val terms = fleet.configuration?.services?.get(service) ?: return BackendChoice.NoneServing
-        val choiceContext = ChoiceContext(fleet.table, dependencies.gatewayShare(), excluded, stalledSince.keys, now)
+        val terms = fleet.configuration?.services?.get(request.service) ?: return BackendChoice.NoneServing
+        val choiceContext = ChoiceContext(
+            fleet.table,
+            dependencies.gatewayShare(),
+            request.excluded,
+            stalledSince.keys,
+            request.isResuming,
+            now,
+        )
+        val model = request.model
         return if (model != null && terms.pool != null) {
-            chooser.chooseGroup(terms, model, fleet.servingGroups(service, now), choiceContext)
+            chooser.chooseGroup(terms, model, fleet.servingGroups(request.service, now), choiceContext)
         } else {
             chooser.chooseServer(terms, choiceContext)
         }
@@ -266,12 +276,19 @@
     private fun awaitPlace(task: ForwardTask, isResuming: Boolean, deadline: Duration): Boolean {
         val now = dependencies.clock.now()
         val job = task.job
-        val until = WaitingLine.limit(now, job.arrivedAt, job.route.targetLatency, deadline, isResuming)
+        val objective = job.arrivedAt + timeBeforeSend(job.route)
+        val until = WaitingLine.limit(now, objective, deadline, isResuming)
         val request = WaitingRequest(task, kindOf(job), job.priority, isResuming, until)
         line = line.with(request, freedPlaces[request.kind]?.perSecond(now), now) ?: return false
         return true
     }
 
+    /** How long after its arrival a request of [route] can be sent and still be answered within its objective. */
+    private fun timeBeforeSend(route: Route): Duration {
+        val target = route.targetLatency ?: DEFAULT_TARGET
+        return target - (responseTimes[route.name]?.mean ?: (target * EXPECTED_RESPONSE_FRACTION))
+    }
+
     /** Sends waiting requests to back ends that have places, and refuses those whose time has ended. */
     fun serveWaiting() {
         val now = dependencies.clock.now()
@@ -282,8 +299,7 @@
         val busyKinds = HashSet<String>()
         for (request in line.waiting) {
             if (request.kind in busyKinds) continue
-            val job = request.task.job
-            if (choose(job.service, job.request.generation?.model, request.task.offered) !is BackendChoice.Chosen) {
+            if (choose(request.task.choiceRequest()) !is BackendChoice.Chosen) {
                 busyKinds += request.kind
                 continue
             }
@@ -294,6 +310,10 @@
 
     private fun finished(task: ForwardTask, outcome: ForwardOutcome) {
         forwardTasks -= task
+        val response = (outcome.firstEvent ?: outcome.total) - outcome.waited
+        if (outcome.outcome == ForwardTask.SERVED && outcome.sends == 1) {
+            responseTimes.getOrPut(outcome.job.route.name, ::MovingAverage).record(response)
+        }
         dependencies.recordOutcome(outcome)
     }
 
@@ -365,6 +385,12 @@
         /** Streams of a suspected group are moved after this time even if the controller reports no lost member. */
         val MOVE_AFTER = 1.2.seconds
 
+        /** Objective of routes for which the operator states none. */
+        val DEFAULT_TARGET = 300.milliseconds
+
+        /** Part of the objective that a back end is expected to need before its response times were measured. */
+        const val EXPECTED_RESPONSE_FRACTION = 0.5
+
         /** Added to the limits for a request that has no event yet. */
         val FIRST_EVENT_GRACE = 250.milliseconds
 
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -26,6 +26,8 @@
     /** Endpoint for requests from callers. */
     val callers: String,
     val zone: String,
+    /** Processor time a second that the VM has, in cores; 0 if it is not known. */
+    val processors: Double = 0.0,
 ) {
     /** Name of this start of the process. */
     val incarnation: String get() = "$node:$start"
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
@@ -85,10 +85,14 @@
     fun observers(now: Duration): List<GatewayRecord> {
         val alive = alive(now)
         val holder = alive.filter { it.heartbeat?.controllerLease != null }
-        val next = alive.filter { it.heartbeat?.leaving == false }.sortedBy { orderHash(it.record.node) }
-        return (holder + next.take(OBSERVERS)).map { it.record }.distinct()
+        val next = alive.filter { it.heartbeat?.leaving == false }.map { it.record }.sortedWith(takeoverOrder)
+        return (holder.map { it.record } + next.take(OBSERVERS)).distinct()
     }
 
+    /** Position of this process, from 0, among the processes that can take over the controller role. */
+    fun rank(now: Duration): Int =
+        alive(now).count { it.heartbeat?.leaving == false && takeoverOrder.compare(it.record, self) < 0 }
+
     /** Removes processes without a heartbeat for longer than [HeartbeatSettings.expireAfter]. */
     fun expired(now: Duration): PeerTable {
         val kept = peers.filterValues { now - it.lastSeenAt < settings.expireAfter }
@@ -126,6 +130,12 @@
     fun isMajorityReachable(now: Duration): Boolean = (alive(now).size + 1) * 2 > peers.size + 1
 
     private companion object {
+        /**
+         * VMs with more processor time first, because the controller of a large fleet needs it; among equal ones the
+         * hash spreads the first processes over the zones.
+         */
+        val takeoverOrder: Comparator<GatewayRecord> =
+            compareByDescending<GatewayRecord> { it.processors }.thenBy { orderHash(it.node) }
         const val MISSED_HEARTBEATS = 2.5
 
         /** One more than the processes that watch the platform's list, because two processes may order them differently. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -10,7 +10,6 @@
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.lease.LeaseVersion
 import redwingcross.version.lease.StoredLease
-import redwingcross.version.routing.orderHash
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -86,8 +85,8 @@
     fun knownPeers(): List<Peer> = table.peers.values.toList()
 
     /**
-     * Position of this process, from 0, in the order in which processes take over the controller lease. The order
-     * follows from the hashes of the names, so that the first processes are spread over the zones.
+     * Position of this process, from 0, in the order in which processes take over the controller lease, see
+     * [PeerTable.rank].
      */
     var rank = 0
         private set
@@ -202,8 +201,7 @@
     }
 
     private fun updateRank(now: Duration) {
-        val own = orderHash(self.node)
-        val current = table.alive(now).count { it.heartbeat?.leaving == false && orderHash(it.record.node) < own }
+        val current = table.rank(now)
         if (current == rank) return
         rank = current
         dependencies.onRank(current)
--- a/process/src/test/kotlin/redwingcross/process/edge/PeerTableTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/PeerTableTest.kt
@@ -85,4 +85,24 @@
         assertNull(PeerCodec.decode("not a message".toByteArray()))
         assertNull(PeerCodec.decode(ByteArray(0)))
     }
+
+    @Test
+    fun `VMs with more processor time are the first to take over the controller role`() {
+        val weak = (1..40).map { record("weak-$it") }
+        val strong = (1..3).map { record("strong-$it").copy(processors = 1.5) }
+        val known = (weak + strong).fold(table) { peers, record ->
+            peers.received(heartbeat("x", 1).copy(sender = record), 1.seconds)
+        }
+        assertTrue(known.rank(1.seconds) >= 3)
+        assertEquals(strong.map { it.node }.toSet(), known.observers(1.seconds).take(3).map { it.node }.toSet())
+    }
+
+    @Test
+    fun `the first processes to take over are not all of one zone`() {
+        val records = ('a'..'e').flatMap { zone -> (1..19).map { record("edge-$zone-$it").copy(zone = "$zone") } }
+        val known = records.fold(table) { peers, record ->
+            peers.received(heartbeat("x", 1).copy(sender = record), 1.seconds)
+        }
+        assertTrue(known.observers(1.seconds).map { it.zone }.distinct().size > 1)
+    }
 }
--- /dev/null
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
@@ -0,0 +1,66 @@
+package redwingcross.edge
+
+import io.netty.channel.EventLoopGroup
+import redwingcross.connection.http.CallerConnectionLimits
+import redwingcross.connection.http.CallerListener
+import redwingcross.connection.http.ServeExchange
+import redwingcross.process.edge.EdgeSettings
+import redwingcross.process.edge.LogEvent
+import redwingcross.request.MonotonicClock
+import redwingcross.version.fleet.CallerLimits
+import java.io.IOException
+import java.net.InetSocketAddress
+
+/** What the listeners of a process serve. */
+internal class EdgeServices(
+    val callers: ServeExchange,
+    /** Readiness checks of the platform and address lookups of callers. */
+    val control: ServeExchange,
+    val metrics: ServeExchange,
+)
+
+/** Owns the listening sockets of an edge process. */
+internal class EdgeListeners(
+    private val group: EventLoopGroup,
+    private val clock: MonotonicClock,
+    private val settings: EdgeSettings,
+    services: EdgeServices,
+    private val callerLimits: () -> CallerLimits,
+    private val info: LogEvent,
+    private val warn: LogEvent,
+) {
+    private val callers = CallerListener(
+        group,
+        clock,
+        maximumHeadBytes = { callerLimits().headerBytes },
+        limits = ::connectionLimits,
+        onRefused = { info("caller_refused", arrayOf("status" to it)) },
+        serve = services.callers,
+    )
+    private val readiness = listener(services.control)
+    private val directory = listener(services.control)
+    private val metrics = listener(services.metrics)
+
+    /** Starts all listeners. If the port for metrics is in use, the process serves callers without metrics. */
+    fun start() {
+        readiness.start(settings.readiness.toSocketAddress())
+        settings.directory?.let { directory.start(it.toSocketAddress()) }
+        callers.start(settings.callers.toSocketAddress())
+        try {
+            metrics.start(InetSocketAddress(settings.ip, EdgeMetrics.PORT))
+        } catch (error: IOException) {
+            warn("metrics_not_served", arrayOf("port" to EdgeMetrics.PORT, "detail" to error.message))
+        }
+    }
+
+    /** Ends each caller's connection with its next response. */
+    fun closeCallersGracefully(): Unit = callers.closeGracefully()
+
+    private fun listener(serve: ServeExchange) =
+        CallerListener(group, clock, { CallerLimits().headerBytes }, ::connectionLimits, {}, serve)
+
+    private fun connectionLimits(): CallerConnectionLimits {
+        val limits = callerLimits()
+        return CallerConnectionLimits(limits.bodyBytes, limits.headerTimeout, limits.idleTimeout)
+    }
+}
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -4,12 +4,9 @@
 import io.netty.channel.nio.NioEventLoopGroup
 import redwingcross.connection.datagram.DatagramSocket
 import redwingcross.connection.http.BufferedHttpClient
-import redwingcross.connection.http.CallerConnectionLimits
-import redwingcross.connection.http.CallerListener
 import redwingcross.connection.http.HttpConnections
 import redwingcross.connection.http.OutgoingConnectionLimits
 import redwingcross.connection.http.RemoteEndpoint
-import redwingcross.connection.http.ServeExchange
 import redwingcross.platform.PlatformFleet
 import redwingcross.platform.RequestFormat
 import redwingcross.platform.SettingsFile
@@ -45,7 +42,6 @@
 import redwingcross.version.forwarding.SendToBackend
 import redwingcross.version.lease.LeaseMessage
 import sun.misc.Signal
-import java.io.IOException
 import java.net.InetSocketAddress
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -71,6 +67,7 @@
         settings.internalPorts.first,
         settings.callers.value,
         settings.zone.value,
+        settings.processors,
     )
     private var bounds = settings.bounds
     private val reload =
@@ -217,22 +214,21 @@
     private val fleetTask = EventLoopTask<FleetUpdate>(loop, MAILBOX_CAPACITY, onMessageDropped, ::onFleetUpdate)
     private val observer = EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers)
 
-    private val callerListener = CallerListener(
-        group,
-        clock,
-        maximumHeadBytes = { callerLimits.headerBytes },
-        limits = ::callerConnectionLimits,
-        onRefused = { events.info("caller_refused", arrayOf("status" to it)) },
-        serve = gateway::serve,
-    )
     private val controlEndpoint = ControlEndpoint(
         ::isReady,
         { listOf(settings.callers).filter { isReady() } + peers.readyCallerEndpoints() },
         { minOf(ADDRESS_LIST_LIFETIME, bounds.maximumListLifetime) },
     )
-    private val readinessListener = listener(controlEndpoint::serve)
-    private val directoryListener = listener(controlEndpoint::serve)
-    private val metricsListener = listener { metrics.serve(it, observer::state) }
+    private val listeners = EdgeListeners(
+        group,
+        clock,
+        settings,
+        EdgeServices(gateway::serve, controlEndpoint::serve) { metrics.serve(it, observer::state) },
+        { fleet.configuration?.limits ?: CallerLimits() },
+        events.info,
+        events.warn,
+    )
+    private val updateLog = FleetUpdateLog(events)
 
     /** Starts the listeners and tasks and blocks until the process is stopped by a signal. */
     fun run() {
@@ -240,24 +236,12 @@
         for (name in listOf("TERM", "INT")) Signal.handle(Signal(name)) { loop.execute { stop(name) } }
         Signal.handle(Signal("HUP")) { loop.execute { reload.check(signalled = true) } }
         peerSocket.start(InetSocketAddress(settings.ip, settings.internalPorts.first))
-        readinessListener.start(settings.readiness.toSocketAddress())
-        settings.directory?.let { directoryListener.start(it.toSocketAddress()) }
-        callerListener.start(settings.callers.toSocketAddress())
-        startMetrics()
+        observer.register(metrics, backendConnections)
+        listeners.start()
         loop.execute(::startTasks)
         stopped.await()
     }
 
-    /** Starts the metrics listener. If its port is in use, the process serves callers without metrics. */
-    private fun startMetrics() {
-        observer.register(metrics, backendConnections)
-        try {
-            metricsListener.start(InetSocketAddress(settings.ip, EdgeMetrics.PORT))
-        } catch (error: IOException) {
-            events.warn("metrics_not_served", arrayOf("port" to EdgeMetrics.PORT, "detail" to error.message))
-        }
-    }
-
     private fun startTasks() {
         platform.startWatches(::watchIntervals, fleetTask.post)
         backendConnections.startExpiry()
@@ -265,19 +249,13 @@
         peerTask.post(PeerTaskMessage.Tick)
         peerTask.postPeriodically(HEARTBEAT_INTERVAL, PeerTaskMessage.Tick)
         controllerTask.postPeriodically(CONTROLLER_INTERVAL, ControllerMessage.Tick)
-        val reloadMillis = RELOAD_INTERVAL.inWholeMilliseconds
-        loop.scheduleWithFixedDelay(
-            { reload.check(signalled = false) },
-            reloadMillis,
-            reloadMillis,
-            TimeUnit.MILLISECONDS,
-        )
-        loop.scheduleWithFixedDelay(
-            ::runPeriodicChecks,
-            CHECK_INTERVAL.inWholeMilliseconds,
-            CHECK_INTERVAL.inWholeMilliseconds,
-            TimeUnit.MILLISECONDS,
-        )
+        runPeriodically(RELOAD_INTERVAL) { reload.check(signalled = false) }
+        runPeriodically(CHECK_INTERVAL, ::runPeriodicChecks)
+    }
+
+    private fun runPeriodically(period: Duration, action: () -> Unit) {
+        val millis = period.inWholeMilliseconds
+        loop.scheduleWithFixedDelay(action, millis, millis, TimeUnit.MILLISECONDS)
     }
 
     private fun runPeriodicChecks() {
@@ -293,21 +271,9 @@
 
     private fun onFleetUpdate(update: FleetUpdate) {
         val before = fleet
-        fleet = FleetDecision.onUpdate(fleet, update, clock.now())
-        when {
-            before.configuration !== fleet.configuration ->
-                events.info("configuration_adopted", arrayOf("version" to fleet.configuration?.version?.value))
-            before.table.evacuatedZones != fleet.table.evacuatedZones ->
-                events.info("zones_out", arrayOf("zones" to fleet.table.evacuatedZones.joinToString(",")))
-            before.storeLostAt == null && fleet.storeLostAt != null ->
-                events.warn("store_lost", arrayOf("news" to update))
-            before.storeLostAt != null && fleet.storeLostAt == null ->
-                events.info("store_regained", arrayOf("after" to (clock.now() - before.storeLostAt!!)))
-            update is FleetUpdate.ServerRemoved -> events.info("back_end_removed", arrayOf("server" to update.server))
-            update is FleetUpdate.ServerChanged && update.server.draining ->
-                events.info("back_end_draining", arrayOf("server" to update.server.id))
-            else -> Unit
-        }
+        val now = clock.now()
+        fleet = FleetDecision.onUpdate(fleet, update, now)
+        updateLog.record(update, before, fleet, now)
     }
 
     private val listPause: Duration get() = bounds.drain * LIST_PAUSE_FRACTION
@@ -368,16 +334,6 @@
         return spec?.idleConnections(peers.gatewayShare.count) ?: Int.MAX_VALUE
     }
 
-    private fun listener(serve: ServeExchange) =
-        CallerListener(group, clock, { CallerLimits().headerBytes }, ::callerConnectionLimits, {}, serve)
-
-    private val callerLimits: CallerLimits get() = fleet.configuration?.limits ?: CallerLimits()
-
-    private fun callerConnectionLimits(): CallerConnectionLimits {
-        val limits = callerLimits
-        return CallerConnectionLimits(limits.bodyBytes, limits.headerTimeout, limits.idleTimeout)
-    }
-
     private fun stop(signal: String) {
         if (stopping) return
         stopping = true
@@ -385,7 +341,7 @@
         controllerPost(ControllerMessage.Release)
         peerPost(PeerTaskMessage.StateChanged)
         StopSequence(bounds.stopGrace, ADDRESS_LIST_LIFETIME, clock, ::runLater, { gateway.runningRequests }).start(
-            closeGracefully = callerListener::closeGracefully,
+            closeGracefully = listeners::closeCallersGracefully,
             end = {
                 events.info("stopped", arrayOf("running" to gateway.runningRequests))
                 stopped.countDown()
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -33,8 +33,13 @@
 
 /** Limits that apply when a back end is chosen. */
 data class ChoiceSettings(
-    /** Maximum number of requests in flight at a group, as a multiple of its slots; beyond it requests are refused. */
-    val groupLimit: Double = 1.3,
+    /**
+     * Maximum number of requests in flight at a group, as a multiple of its slots; beyond it requests wait. A request
+     * that waits at the gateway can still go to whichever group has a place first, one in a group's queue can't.
+     */
+    val groupLimit: Double = 1.0,
+    /** The same for requests that were sent before and have to go on, such as streams that lost their group. */
+    val resumingGroupLimit: Double = 1.3,
     /** The same for back ends of plain services; higher, because their requests are short. */
     val serverLimit: Double = 3.0,
     /** The request rate of a cold back end is limited to its configured rate times [coldOverrun] plus [coldSlack]. */
@@ -61,7 +66,7 @@
         inputs: ChoiceContext,
     ): BackendChoice {
         val slots = spec.pool?.slots ?: return BackendChoice.NoneServing
-        val limit = slots * settings().groupLimit
+        val limit = slots * if (inputs.isResuming) settings().resumingGroupLimit else settings().groupLimit
         val serving = groups.filter { it.model == model && it.service == spec.name }
         val usable = serving.mapNotNull { group ->
             val head = inputs.table.engines[group.head]
@@ -117,8 +122,21 @@
     val excluded: Set<BackendServer>,
     /** Groups that currently make no progress; used only if there is no other. */
     val avoidedGroups: Set<GroupId>,
+    /** Whether the request was sent before, so that refusing it would lose work. */
+    val isResuming: Boolean,
     val now: Duration,
 )
 
-/** Chooses a back end of a service for a request; `model` is null for a plain service. */
-typealias ChooseBackend = (service: ServiceName, model: ModelName?, excluded: Set<BackendServer>) -> BackendChoice
+/** What a request needs from a back end. */
+data class ChoiceRequest(
+    val service: ServiceName,
+    /** Null for a plain service. */
+    val model: ModelName?,
+    /** Back ends to which the request has already been sent. */
+    val excluded: Set<BackendServer>,
+    /** Whether the request was sent before, so that refusing it would lose work. */
+    val isResuming: Boolean,
+)
+
+/** Chooses a back end for a request. */
+typealias ChooseBackend = (ChoiceRequest) -> BackendChoice
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -7,7 +7,6 @@
 import redwingcross.connection.http.ResponseHead
 import redwingcross.connection.http.ResponseListener
 import redwingcross.connection.http.copyEndToEndTo
-import redwingcross.request.BackendServer
 import redwingcross.request.Customer
 import redwingcross.request.GroupId
 import redwingcross.request.ServiceName
@@ -55,8 +54,11 @@
     private var waitingSince = Duration.ZERO
     private var waited = Duration.ZERO
 
-    /** Back ends that can't be chosen for this request, because it was offered to them. */
-    val offered: Set<BackendServer> get() = state.offered.toSet()
+    // A request that may have run can't be refused any more, so it counts like a stream that has begun.
+    private val isResuming: Boolean get() = state.answerStarted || state.mayHaveRun
+
+    /** What this request needs from the next back end that it is sent to. */
+    fun choiceRequest() = ChoiceRequest(job.service, job.request.generation?.model, state.offered.toSet(), isResuming)
 
     /** The group to which the request is currently sent; null for a plain service or without a current offer. */
     val group: GroupId? get() = offer?.backend?.group
@@ -78,7 +80,7 @@
 
     private fun offer() {
         val now = context.clock.now()
-        val choice = context.choose(job.service, job.request.generation?.model, offered)
+        val choice = context.choose(choiceRequest())
         if (choice !is BackendChoice.Chosen) {
             noBackendChosen(choice)
             return
@@ -114,8 +116,6 @@
     }
 
     private fun noBackendChosen(choice: BackendChoice) {
-        // A request that may have run can't be refused any more, so it waits like a stream that has begun.
-        val isResuming = state.answerStarted || state.mayHaveRun
         if (choice == BackendChoice.AllBusy || isResuming) {
             waitingSince = context.clock.now()
             if (context.awaitPlace(this, isResuming, deadline)) return
@@ -336,7 +336,7 @@
                 head?.headers?.copyEndToEndTo(headers)
                 exchange.respond(head?.status ?: OK, headers, collectedBody.toByteArray())
             }
-            finish("served", "complete")
+            finish(SERVED, "complete")
         }
 
         override fun onFailure(failure: ExchangeFailure) {
@@ -345,18 +345,20 @@
         }
     }
 
-    private companion object {
-        const val OK = 200
-        const val BAD_GATEWAY = 502
-        const val SERVICE_UNAVAILABLE = 503
-        const val GATEWAY_TIMEOUT = 504
-        val SUCCESS = 200..299
+    companion object {
+        /** Outcome of a request that was answered by a back end. */
+        const val SERVED = "served"
+        private const val OK = 200
+        private const val BAD_GATEWAY = 502
+        private const val SERVICE_UNAVAILABLE = 503
+        private const val GATEWAY_TIMEOUT = 504
+        private val SUCCESS = 200..299
 
         /**
          * A longer response is relayed while it arrives; after that the request can't be retried any more. A longer
          * event or error comes from a faulty back end, which may send bytes without end.
          */
-        const val MAX_COLLECTED_BYTES = 262_144
+        private const val MAX_COLLECTED_BYTES = 262_144
     }
 }
 
--- a/version/src/main/kotlin/redwingcross/version/forwarding/WaitingLine.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/WaitingLine.kt
@@ -56,23 +56,11 @@
         private const val PLACES_OF_OTHER_GATEWAYS = 4
 
         /**
-         * Time until which a request may wait. A request that arrived at [arrivedAt] has to reach its back end early
-         * enough for the objective [target]; one in the middle of a stream must go on before its caller gives up.
+         * Time until which a request may wait. It has to be sent before [objective] to be answered in time; one in the
+         * middle of a stream must go on before its caller gives up.
          */
-        fun limit(
-            now: Duration,
-            arrivedAt: Duration,
-            target: Duration?,
-            deadline: Duration,
-            isResuming: Boolean,
-        ): Duration {
-            val end = if (isResuming) now + RESUMING_LIMIT else arrivedAt + (target ?: DEFAULT_TARGET) * TARGET_FRACTION
-            return minOf(end, deadline)
-        }
-
-        /** The rest of the objective is left for the back end, which reads the prompt before the first event. */
-        private const val TARGET_FRACTION = 0.6
-        private val DEFAULT_TARGET = 300.milliseconds
+        fun limit(now: Duration, objective: Duration, deadline: Duration, isResuming: Boolean): Duration =
+            minOf(if (isResuming) now + RESUMING_LIMIT else objective, deadline)
 
         /** Callers abandon a stream after a pause of two seconds; the back end still has to read the prompt again. */
         private val RESUMING_LIMIT = 1200.milliseconds
@@ -104,6 +92,21 @@
     }
 }
 
+/** Moving average of durations, in which older ones count less and less. */
+class MovingAverage {
+    /** The average; null before the first value. */
+    var mean: Duration? = null
+        private set
+
+    fun record(value: Duration) {
+        mean = mean?.let { it + (value - it) * WEIGHT } ?: value
+    }
+
+    private companion object {
+        const val WEIGHT = 0.05
+    }
+}
+
 /**
  * Delay after which a refused caller may come back. Answers the refusals of an overload: callers that are all told the
  * same time come back together. The delays are spread over the time in which the [refused] requests of the last second
