--- a/bench/src/main/kotlin/redwingcross/bench/replay/PlacementReplayMain.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/replay/PlacementReplayCommand.kt
@@ -21,8 +21,8 @@
     private val seed by option(help = "Seed of the arrivals").int().default(1)
 
     override fun help(context: Context): String =
-        "Replays arrivals in virtual time for three ways to choose a group: one dispatcher that knows every load, the " +
-            "least loaded group of all, and the placement of the product."
+        "Replays arrivals in virtual time for three ways to choose a group: one dispatcher that knows every load, " +
+            "the least loaded group of all, and the placement of the product."
 
     override fun run() {
         echo("gateways;groups;offered;way;in time;rejected by groups;busiest over mean;goodput")
--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpCall.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpCall.kt
@@ -23,8 +23,8 @@
 typealias HttpCall = (RemoteEndpoint, RequestHead, ByteArray, Duration, (CallResult) -> Unit) -> PendingExchange
 
 /**
- * Makes calls over [connections], each with a timeout of its own, and collects their responses. A response whose body is
- * longer than [maximumBodyBytes] ends the call, because a faulty server may send bytes without end.
+ * Makes calls over [connections], each with a timeout of its own, and collects their responses. A response whose body
+ * is longer than [maximumBodyBytes] ends the call, because a faulty server may send bytes without end.
  */
 class BufferedHttpClient(
     private val connections: HttpConnections,
--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -229,10 +229,10 @@
     }
 
     /**
-     * Starts or ends the controller role of this process. A process that was overtaken by one with a higher epoch has lost
-     * the role, although it may not know so from the store. While the store is unavailable, the holder keeps the role as
-     * long as it can reach a majority of the processes: no other process can acquire the lease then, and orders to
-     * engines are safe without a valid lease.
+     * Starts or ends the controller role of this process. A process that was overtaken by one with a higher epoch has
+     * lost the role, although it may not know so from the store. While the store is unavailable, the holder keeps the
+     * role as long as it can reach a majority of the processes: no other process can acquire the lease then, and orders
+     * to engines are safe without a valid lease.
      */
     private fun updateControllerRole() {
         val held = lease.held?.takeIf { !lease.releasing }
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetDigest.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetDigest.kt
@@ -1,7 +1,9 @@
 package redwingcross.process.edge
 
+import redwingcross.request.BackendServer
 import redwingcross.version.routing.stableHash
 import java.nio.ByteBuffer
+import kotlin.time.Duration
 
 /** State of a process in a [FleetDigest]. */
 enum class PeerState {
@@ -60,3 +62,41 @@
         }
     }
 }
+
+/** The digest of the fleet from the active controller, whose own heartbeat is [own]. */
+fun PeerTable.digest(
+    own: Heartbeat,
+    lease: HeldControllerLease,
+    load: Map<BackendServer, Int>,
+    sequence: Long,
+    now: Duration,
+) = FleetDigest(
+    sender = self,
+    leaseEpoch = lease.record.epoch.value,
+    sequence = sequence,
+    states = CompactCounts.of(states(now) + (self.incarnation to own.state().ordinal)).toBytes(),
+    load = CompactCounts.of(load.mapKeys { it.key.value }).toBytes(),
+    trafficSeen = own.trafficSeen,
+    watchProgress = own.watchProgress,
+    controllerLease = lease,
+)
+
+private fun Heartbeat.state() = when {
+    leaving -> PeerState.LEAVING
+    ready -> PeerState.READY
+    else -> PeerState.RUNNING
+}
+
+/** Whether the fleet is so large that its state is spread by digests. */
+val PeerTable.isLarge: Boolean get() = allNodes.size > ServerSourceDecision.LARGEST_WATCHING_FLEET
+
+/** Heartbeat rounds from one digest to the next. */
+val PeerTable.roundsPerDigest: Int
+    get() = if (peers.size <= LARGEST_FLEET_WITH_FAST_DIGESTS) ROUNDS_PER_FAST_DIGEST else ROUNDS_PER_DIGEST
+
+/** The load of the groups that a digest reports changes within a second. */
+private const val ROUNDS_PER_FAST_DIGEST = 2
+
+/** In a larger fleet the digest is longer, and its rate is lower to stay within the bandwidth for control. */
+private const val LARGEST_FLEET_WITH_FAST_DIGESTS = 150
+private const val ROUNDS_PER_DIGEST = 4
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -29,21 +29,14 @@
 import redwingcross.version.forwarding.ChoiceRequest
 import redwingcross.version.forwarding.ChoiceSettings
 import redwingcross.version.forwarding.ChosenBackend
-import redwingcross.version.forwarding.EventRate
 import redwingcross.version.forwarding.ForwardContext
 import redwingcross.version.forwarding.ForwardJob
 import redwingcross.version.forwarding.ForwardOutcome
 import redwingcross.version.forwarding.ForwardTask
-import redwingcross.version.forwarding.MovingAverage
 import redwingcross.version.forwarding.RequestCodec
 import redwingcross.version.forwarding.SendToBackend
-import redwingcross.version.forwarding.WaitingLine
-import redwingcross.version.forwarding.WaitingRequest
-import redwingcross.version.forwarding.retryDelay
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Callbacks through which [GatewayTask] reads the process state and sends requests and messages. */
 class GatewayDependencies(
@@ -82,14 +75,9 @@
     )
     private val budgets = HashMap<ServiceName, RetryBudget>()
     private val forwardTasks = HashSet<ForwardTask>()
-    private var line = WaitingLine<ForwardTask>()
-    private val freedPlaces = HashMap<String, EventRate>()
-    private val refusals = EventRate()
-    private val responseTimes = HashMap<String, MovingAverage>()
-    private var isServingScheduled = false
-    private val lastProgressAt = HashMap<GroupId, Duration>()
-    private val stalledSince = HashMap<GroupId, Duration>()
-    private val suspectedAt = HashMap<GroupId, Duration>()
+    private val waiting = WaitingRequests(dependencies.clock, dependencies.runLater, ::choose, random)
+    private val progress =
+        StreamProgress(dependencies.clock, dependencies.reportSuspectedGroup, dependencies.log)
     private val context = ForwardContext(
         clock = dependencies.clock,
         codec = dependencies.codec,
@@ -98,12 +86,15 @@
         choose = ::choose,
         send = ::send,
         offerStarted = { backend, _ -> load.requestStarted(backend.server) },
-        offerReleased = { backend, _ -> placeFreed(backend) },
-        awaitPlace = ::awaitPlace,
-        waitEnded = { line = line.without(it) },
+        offerReleased = { backend, _ ->
+            load.requestEnded(backend.server)
+            waiting.placeFreed(backend.kind)
+        },
+        awaitPlace = waiting::add,
+        waitEnded = waiting::remove,
         offerEnded = ::offerEnded,
         tryAcquireRetry = ::tryAcquireRetry,
-        retryAfter = { retryDelay(kindOf(it)) },
+        retryAfter = { waiting.retryDelay(it) },
         coldReported = dependencies.coldReported,
         faultReported = { backend, _ -> backend.group?.let(dependencies.reportSuspectedGroup) },
         finished = ::finished,
@@ -118,7 +109,7 @@
     val runningRequests: Int get() = forwardTasks.size
 
     /** Number of requests that wait for a place. */
-    val waitingRequests: Int get() = line.waiting.size
+    val waitingRequests: Int get() = waiting.size
 
     /** Requests of this gateway in flight by back end, for the other gateways. */
     fun reportLoad(): Map<BackendServer, Int> = load.report()
@@ -129,7 +120,7 @@
     /** Sets the requests in flight of all gateways; null if only the reports of single gateways are known. */
     fun fleetLoadReceived(counts: CompactCounts?) {
         load.updateFleetTotal(counts?.let { known -> { server -> known[server.value] ?: 0 } })
-        serveWaiting()
+        waiting.serve()
     }
 
     /** Stores the requests in flight of another gateway by back end; null if that gateway is no longer reachable. */
@@ -173,7 +164,7 @@
         reason: String,
         configuration: FleetConfiguration? = null,
     ) {
-        val delay = if (status == SERVICE_UNAVAILABLE) retryDelay("") else null
+        val delay = if (status == SERVICE_UNAVAILABLE) waiting.retryDelay(null) else null
         dependencies.log(
             "request_refused",
             arrayOf(
@@ -207,7 +198,7 @@
             fleet.table,
             dependencies.gatewayShare(),
             request.excluded,
-            stalledSince.keys,
+            progress.stalledGroups,
             request.isResuming,
             now,
         )
@@ -254,66 +245,9 @@
 
     private fun budget(service: ServiceName) = budgets.getOrPut(service) { RetryBudget { bounds().retryBudget } }
 
-    private fun retryDelay(kind: String): Duration {
-        val now = dependencies.clock.now()
-        refusals.record(now)
-        return retryDelay(refusals.perSecond(now) ?: 0.0, freedPlaces[kind]?.perSecond(now), random.nextDouble())
-    }
-
-    private fun kindOf(job: ForwardJob): String = job.request.generation?.model?.value ?: job.service.value
-
-    private fun placeFreed(backend: ChosenBackend) {
-        load.requestEnded(backend.server)
-        freedPlaces.getOrPut(backend.kind, ::EventRate).record(dependencies.clock.now())
-        if (line.waiting.isEmpty() || isServingScheduled) return
-        isServingScheduled = true
-        dependencies.runLater(Duration.ZERO) {
-            isServingScheduled = false
-            serveWaiting()
-        }
-    }
-
-    private fun awaitPlace(task: ForwardTask, isResuming: Boolean, deadline: Duration): Boolean {
-        val now = dependencies.clock.now()
-        val job = task.job
-        val objective = job.arrivedAt + timeBeforeSend(job.route)
-        val until = WaitingLine.limit(now, objective, deadline, isResuming)
-        val request = WaitingRequest(task, kindOf(job), job.priority, isResuming, until)
-        line = line.with(request, freedPlaces[request.kind]?.perSecond(now), now) ?: return false
-        return true
-    }
-
-    /** How long after its arrival a request of [route] can be sent and still be answered within its objective. */
-    private fun timeBeforeSend(route: Route): Duration {
-        val target = route.targetLatency ?: DEFAULT_TARGET
-        return target - (responseTimes[route.name]?.mean ?: (target * EXPECTED_RESPONSE_FRACTION))
-    }
-
-    /** Sends waiting requests to back ends that have places, and refuses those whose time has ended. */
-    fun serveWaiting() {
-        val now = dependencies.clock.now()
-        for (request in line.expired(now)) {
-            line = line.without(request.task)
-            request.task.waitTimedOut()
-        }
-        val busyKinds = HashSet<String>()
-        for (request in line.waiting) {
-            if (request.kind in busyKinds) continue
-            if (choose(request.task.choiceRequest()) !is BackendChoice.Chosen) {
-                busyKinds += request.kind
-                continue
-            }
-            line = line.without(request.task)
-            request.task.placeFreed()
-        }
-    }
-
     private fun finished(task: ForwardTask, outcome: ForwardOutcome) {
         forwardTasks -= task
-        val response = (outcome.firstEvent ?: outcome.total) - outcome.waited
-        if (outcome.outcome == ForwardTask.SERVED && outcome.sends == 1) {
-            responseTimes.getOrPut(outcome.job.route.name, ::MovingAverage).record(response)
-        }
+        waiting.record(outcome)
         dependencies.recordOutcome(outcome)
     }
 
@@ -323,42 +257,10 @@
         forwardTasks.filter { it.group in groups }.forEach(ForwardTask::onGroupLost)
     }
 
-    /** Finds groups whose streams make no progress; called several times a second. */
-    fun checkStreamProgress() {
-        serveWaiting()
-        val now = dependencies.clock.now()
-        val byGroup = forwardTasks.filter { it.group != null }.groupBy { it.group!! }
-        lastProgressAt.keys.retainAll(byGroup.keys)
-        stalledSince.keys.retainAll(byGroup.keys)
-        suspectedAt.keys.retainAll(byGroup.keys)
-        for ((group, members) in byGroup) {
-            val latestProgress = members.filter { it.hasProgressed }.maxOfOrNull { it.progressAt }
-            val last = maxOf(lastProgressAt[group] ?: Duration.ZERO, latestProgress ?: Duration.ZERO)
-            lastProgressAt[group] = last
-            val stalledFor = members.maxOf { now - maxOf(it.progressAt, last) - it.firstEventGrace() }
-            handleStall(group, members, stalledFor, now)
-        }
-    }
-
-    /** A request without events may wait in a busy group's queue, so its silence says less than that of a stream. */
-    private fun ForwardTask.firstEventGrace() = if (hasProgressed) Duration.ZERO else FIRST_EVENT_GRACE
-
-    private fun handleStall(group: GroupId, members: List<ForwardTask>, stalledFor: Duration, now: Duration) {
-        if (stalledFor < AVOID_AFTER) {
-            stalledSince.remove(group)
-            return
-        }
-        val since = stalledSince.getOrPut(group) { now }
-        if (stalledFor < SUSPECT_AFTER) return
-        if (suspectedAt[group]?.let { now - it < SUSPICION_INTERVAL } != true) {
-            suspectedAt[group] = now
-            dependencies.log(
-                "group_suspected",
-                arrayOf("group" to group, "stalled" to stalledFor, "streams" to members.size),
-            )
-            dependencies.reportSuspectedGroup(group)
-        }
-        if (now - since > MOVE_AFTER) members.forEach(ForwardTask::abandonStalled)
+    /** Serves waiting requests and finds groups whose streams make no progress; called several times a second. */
+    fun checkProgress() {
+        waiting.serve()
+        progress.check(forwardTasks)
     }
 
     /** Discards the health and cold start state of all back ends that are not in [servers]. */
@@ -372,29 +274,5 @@
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
         const val SERVICE_UNAVAILABLE = 503
-
-        /** A group without progress for this long gets new requests only if no other group is available. */
-        val AVOID_AFTER = 250.milliseconds
-
-        /**
-         * A group without progress for this long is reported to the controller. Pauses of a working group are shorter,
-         * except while it reads many prompts at once.
-         */
-        val SUSPECT_AFTER = 350.milliseconds
-
-        /** Streams of a suspected group are moved after this time even if the controller reports no lost member. */
-        val MOVE_AFTER = 1.2.seconds
-
-        /** Objective of routes for which the operator states none. */
-        val DEFAULT_TARGET = 300.milliseconds
-
-        /** Part of the objective that a back end is expected to need before its response times were measured. */
-        const val EXPECTED_RESPONSE_FRACTION = 0.5
-
-        /** Added to the limits for a request that has no event yet. */
-        val FIRST_EVENT_GRACE = 250.milliseconds
-
-        /** The controller needs this long to find out whether a suspected group has lost a member. */
-        val SUSPICION_INTERVAL = 400.milliseconds
     }
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
@@ -138,7 +138,7 @@
             compareByDescending<GatewayRecord> { it.processors }.thenBy { orderHash(it.node) }
         const val MISSED_HEARTBEATS = 2.5
 
-        /** One more than the processes that watch the platform's list, because two processes may order them differently. */
+        /** One more than those that watch the platform's list, because two processes may order them differently. */
         const val OBSERVERS = ServerSourceDecision.STANDBYS + 1
     }
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -31,6 +31,7 @@
 }
 
 /** Callbacks through which [PeerTask] sends messages and passes received state to the other tasks. */
+@Suppress("LongParameterList")
 class PeerDependencies(
     val send: (InetSocketAddress, ByteArray) -> Unit,
     /** Builds this process's next heartbeat; its sequence number is filled in by [PeerTask]. */
@@ -134,37 +135,8 @@
         updateRank(now)
     }
 
-    /** Heartbeat rounds from one digest to the next. */
-    private fun roundsPerDigest() =
-        if (table.peers.size <= LARGEST_FLEET_WITH_FAST_DIGESTS) ROUNDS_PER_FAST_DIGEST else ROUNDS_PER_DIGEST
-
-    private fun isLargeFleet() = table.allNodes.size > ServerSourceDecision.LARGEST_WATCHING_FLEET
-
     /** Whether the controller hears this process and reports its state to the others. */
-    private fun isReported() = lastDigest != null && isLargeFleet() && rank >= ServerSourceDecision.STANDBYS
-
-    private fun sendDigest(own: Heartbeat, lease: HeldControllerLease) {
-        val states = table.states(clock.now()) + (self.incarnation to own.state().ordinal)
-        val load = dependencies.fleetLoad().mapKeys { it.key.value }
-        broadcast(
-            FleetDigest(
-                self,
-                lease.record.epoch.value,
-                ++digestsSent,
-                CompactCounts.of(states).toBytes(),
-                CompactCounts.of(load).toBytes(),
-                own.trafficSeen,
-                own.watchProgress,
-                lease,
-            ),
-        )
-    }
-
-    private fun Heartbeat.state() = when {
-        leaving -> PeerState.LEAVING
-        ready -> PeerState.READY
-        else -> PeerState.RUNNING
-    }
+    private fun isReported() = lastDigest != null && table.isLarge && rank >= ServerSourceDecision.STANDBYS
 
     private fun digestReceived(digest: FleetDigest) {
         val last = lastDigest
@@ -245,10 +217,12 @@
     private fun sendHeartbeat(toAll: Boolean) {
         val heartbeat = dependencies.nextHeartbeat().copy(sequence = ++sequence)
         val lease = heartbeat.controllerLease
-        if (lease != null && isLargeFleet() && sequence % roundsPerDigest() == 0L) sendDigest(heartbeat, lease)
+        if (lease != null && table.isLarge && sequence % table.roundsPerDigest == 0L) {
+            broadcast(table.digest(heartbeat, lease, dependencies.fleetLoad(), ++digestsSent, clock.now()))
+        }
         val targets = when {
             toAll -> table.peers.values.map { it.record }
-            lease != null && isLargeFleet() -> emptyList()
+            lease != null && table.isLarge -> emptyList()
             isReported() -> table.observers(clock.now())
             else -> table.heartbeatTargets(sequence)
         }
@@ -306,13 +280,6 @@
     }
 
     private companion object {
-        /** Heartbeat rounds from one digest to the next: the load of the groups that it reports changes in a second. */
-        const val ROUNDS_PER_FAST_DIGEST = 2
-
-        /** In a larger fleet the digest is longer, and its rate is lower to stay within the bandwidth for control. */
-        const val LARGEST_FLEET_WITH_FAST_DIGESTS = 150
-        const val ROUNDS_PER_DIGEST = 4
-
         /** Without a digest for this long, heartbeats go to every process again. */
         val DIGEST_TIMEOUT = 2.3.seconds
 
--- a/process/src/main/kotlin/redwingcross/process/edge/RouteAnnouncer.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/RouteAnnouncer.kt
@@ -97,7 +97,7 @@
     fun complete(state: AnnouncerState): RouteAnnouncement =
         RouteAnnouncement(state.sequence, null, ServiceRoutes().changesTo(state.routes), state.lost)
 
-    /** Announcements without changes are repeated after this time, so that gateways know that their routes are valid. */
+    /** Interval of announcements without changes, from which gateways know that their routes are valid. */
     val KEEPALIVE_INTERVAL = 500.milliseconds
 
     /** Collects the changes of a time in which many groups form. */
--- a/process/src/main/kotlin/redwingcross/process/edge/ServerSource.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ServerSource.kt
@@ -17,9 +17,9 @@
 )
 
 /**
- * Decides whether a process watches the platform's list of back ends or uses the announced routes. Answers the load that
- * a large fleet puts on the store: a list of hundreds of engines changes all the time, and each process that watches it
- * pays for calls and for the decoding of entries that no gateway needs.
+ * Decides whether a process watches the platform's list of back ends or uses the announced routes. Answers the load
+ * that a large fleet puts on the store: a list of hundreds of engines changes all the time, and each process that
+ * watches it pays for calls and for the decoding of entries that no gateway needs.
  *
  * The active controller and the processes next in line for its role watch the list, so that a takeover does not begin
  * with reading it, and so that they notice from each other's heartbeats when a watch is silently dead.
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMain.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMain.kt
@@ -5,7 +5,7 @@
 /** Runs an edge process until it is stopped. */
 fun main(arguments: Array<String>) {
     setDefault("logback.configurationFile", "logback-edge.xml")
-    // Netty otherwise looks for a hardware address and logs a warning if there is none; the id identifies channels only.
+    // Without it Netty looks for a hardware address and logs a warning if there is none; the id only names channels.
     setDefault("io.netty.machineId", "02:00:00:00:00:01")
     EdgeCommand().main(arguments)
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -266,7 +266,7 @@
         fleet = FleetDecision.expired(fleet, now)
         relay.updateServerSource(peers.rank, controller.isActiveController)
         if (fleet !== before) gateway.retainServers(fleet.table.engines.keys)
-        gateway.checkStreamProgress()
+        gateway.checkProgress()
     }
 
     private fun onFleetUpdate(update: FleetUpdate) {
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
@@ -108,8 +108,8 @@
 )
 
 /**
- * State of group formation for one service. Its collections are persistent, so that the cost of one change does not grow
- * with the number of engines.
+ * State of group formation for one service. Its collections are persistent, so that the cost of one change does not
+ * grow with the number of engines.
  */
 data class FormationState(
     /** The lease under which groups are formed. */
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationStep.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationStep.kt
@@ -28,7 +28,7 @@
         private set
 
     init {
-        if (haveEnginesChanged()) discardUnlisted()
+        if (state.haveEnginesChanged(view.table)) discardUnlisted()
         state = state.copy(
             lost = state.lost.filter { (id, at) -> view.table.engines[id]?.let { it.observedAt <= at } == true },
             loads = state.loads.mutate { loads -> loads.values.removeAll { now >= it.dueAt + LOAD_GRACE } },
@@ -38,9 +38,6 @@
         runningLoads = state.loads.values.count { now < it.dueAt }
     }
 
-    private fun haveEnginesChanged(): Boolean = state.starts.size != view.table.engines.size ||
-        view.table.engines.values.any { it.id !in state.starts || state.starts[it.id] != it.status.start }
-
     /** Discards what is known of engines that are no longer listed or have restarted. */
     private fun discardUnlisted() {
         val starts = view.table.engines.values.associate { it.id to it.status.start }
@@ -58,9 +55,6 @@
         )
     }
 
-    private fun <T> PersistentMap<BackendServer, T>.retain(listed: Set<BackendServer>) =
-        mutate { it.keys.retainAll(listed) }
-
     private fun index(group: FormedGroup) {
         for (member in group.members) {
             if (group.stage != GroupStage.LOST) {
@@ -81,7 +75,7 @@
             .flatMap { group ->
                 group.members.filter {
                     view.table.phaseIn(group, it) != MemberPhase.READY ||
-                        canBeOpen(group)
+                        group.canBeOpen
                 }
             }
         val loading = state.loads.filterValues { now >= it.dueAt }.keys
@@ -95,8 +89,6 @@
         }
     }
 
-    private fun canBeOpen(group: FormedGroup) = group.stage != GroupStage.JOINING
-
     private fun requestReport(id: BackendServer) {
         val engine = view.table.engines[id] ?: return
         if (id in state.calls) return
@@ -226,6 +218,15 @@
     }
 }
 
+/** Whether engines were listed, removed or restarted since the state was computed. */
+private fun FormationState.haveEnginesChanged(table: EngineTable): Boolean = starts.size != table.engines.size ||
+    table.engines.values.any { it.id !in starts || starts[it.id] != it.status.start }
+
+private fun <T> PersistentMap<BackendServer, T>.retain(listed: Set<BackendServer>) =
+    mutate { it.keys.retainAll(listed) }
+
+private val FormedGroup.canBeOpen: Boolean get() = stage != GroupStage.JOINING
+
 /** Number of groups of [model] that serve or are being formed. */
 internal fun FormationState.liveGroups(model: ModelName): Int =
     groups.values.count { it.model == model && it.stage != GroupStage.LOST && it.stage != GroupStage.RETIRING }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -363,8 +363,8 @@
 }
 
 /**
- * Outcome of a request for logs and metrics; [firstEvent] and [total] count from the arrival of the request, [waited] is
- * the time that it waited for a place.
+ * Outcome of a request for logs and metrics; [firstEvent] and [total] count from the arrival of the request, [waited]
+ * is the time that it waited for a place.
  */
 data class ForwardOutcome(
     val job: ForwardJob,
--- a/version/src/main/kotlin/redwingcross/version/forwarding/GroupPlacement.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/GroupPlacement.kt
@@ -17,8 +17,8 @@
  * is overrun until the next report, while the groups beside it stay idle.
  *
  * The choice is therefore random, in proportion to the free places. A small fleet has fresher reports and fewer others
- * that place requests meanwhile: there several groups are drawn and the least loaded one is taken. See Mitzenmacher, "How useful is old
- * information?", IEEE Transactions on Parallel and Distributed Systems 11 (2000), on load balancing with old information.
+ * that place requests meanwhile: there several groups are drawn and the least loaded one is taken. See Mitzenmacher,
+ * "How useful is old information?", IEEE Transactions on Parallel and Distributed Systems 11 (2000).
  */
 object GroupPlacement {
     /** Chooses among [candidates], each with [slots] places, for one of [gateways] gateways; null if there are none. */
--- a/version/src/main/kotlin/redwingcross/version/forwarding/WaitingLine.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/WaitingLine.kt
@@ -18,9 +18,9 @@
 )
 
 /**
- * The requests of one gateway that wait for a place. Answers bursts and the loss of groups, in which all places are taken
- * for a part of a second: a short wait then serves a caller sooner than a refusal and a second attempt. A request that
- * can't get a place in time is refused at once, so that its caller can go elsewhere.
+ * The requests of one gateway that wait for a place. Answers bursts and the loss of groups, in which all places are
+ * taken for a part of a second: a short wait then serves a caller sooner than a refusal and a second attempt. A request
+ * that can't get a place in time is refused at once, so that its caller can go elsewhere.
  *
  * Streams that lost their group come first, then the more urgent requests, then those whose time ends first.
  */
--- a/version/src/test/kotlin/redwingcross/version/fleet/FormationAtScaleTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/FormationAtScaleTest.kt
@@ -10,8 +10,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Guards against a fleet whose groups are not open when traffic starts. Engines load weights and report in virtual time;
- * the bound on the number of decisions stands for the processor of a small VM.
+ * Guards against a fleet whose groups are not open when traffic starts. Engines load weights and report in virtual
+ * time.
  */
 class FormationAtScaleTest {
     private val eight = ModelSpec(ModelName("eight"), 8, 0.5, 16.seconds, 1.6.seconds)
