Keep a process reachable for peers when its peer port is in use at its start

The test takes its ports from the range of outgoing connections, so a connection of another program can take one after the start-up check. PeerNode.run then threw in a task of a supervisor scope, and the gateway went on without a peer listener.

Ruled out: slow answers on a busy machine; gateway-1 and both listeners for callers answered in the same 5 s, and the operator command polled each 250 ms.

--- a/process/src/main/kotlin/redwingcross/process/node/PeerNode.kt
+++ b/process/src/main/kotlin/redwingcross/process/node/PeerNode.kt
@@ -1,7 +1,10 @@
 package redwingcross.process.node
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.io.IOException
 import redwingcross.connection.peer.BuildFrame
 import redwingcross.connection.peer.PeerAnswer
 import redwingcross.connection.peer.PeerEndpoint
@@ -15,12 +18,16 @@
 import redwingcross.process.membership.RandomSeed
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
+import redwingcross.request.eventLine
 import redwingcross.version.bundle.Endpoint
 import redwingcross.version.control.ControlState
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private val logger = KotlinLogging.logger {}
+
 private val controlTimeout = 2.seconds
 
 /** The control state of the peer [from], requested at [requestedAt] on the process clock. */
@@ -41,11 +48,23 @@
 
     private val answers = PeerResponder(self.name, membership, handlers, network::request, clock)
 
-    /** Runs until cancelled. Throws [kotlinx.io.IOException] when the listener's port can't be bound. */
+    /** Runs until cancelled. While the listener's port is in use, binding it is retried each [BIND_RETRY_INTERVAL]. */
     suspend fun run(): Unit = coroutineScope {
         launch { network.run() }
         launch { membership.run() }
-        network.listen(PeerEndpoint(self.peer.value), answers::answer)
+        while (true) {
+            listen()
+            delay(BIND_RETRY_INTERVAL)
+        }
+    }
+
+    /** Returns when the listener can't be bound or fails. */
+    private suspend fun listen() {
+        try {
+            network.listen(PeerEndpoint(self.peer.value), answers::answer)
+        } catch (failure: IOException) {
+            logger.warn { eventLine("peer_listener_failed", "endpoint" to self.peer, "detail" to failure.message) }
+        }
     }
 
     /** Requests the control state of the process at [endpoint]; null if it does not answer within the timeout. */
@@ -59,4 +78,9 @@
     /** Sends a frame to [endpoint] and waits for its answer. */
     suspend fun request(endpoint: Endpoint, timeout: Duration, build: BuildFrame): PeerAnswer =
         network.request(PeerEndpoint(endpoint.value), timeout, build)
+
+    private companion object {
+        /** A connection of another program that holds the port usually ends within seconds. */
+        val BIND_RETRY_INTERVAL = 500.milliseconds
+    }
 }
