Start a process of a large fleet without the platform's list, and cut what control costs each gateway

Each of the 95 processes read the list of 760 engines when it started, 16 pages of JSON that it dropped a second later for the announced routes. A profile of one process by part (trial, small twin) showed, beside the requests: decoding of peer messages 13 of 100, the periodic checks 9, the heartbeat round 9, announcements 5, one log line 0.7 ms on a small VM. Behind these: the Micrometer registry looked up a meter for each value, the order of takeover hashed each node's name in each comparison, each choice of a group hashed the name of every group, each repeated announcement was applied anew to all routes, and the names of all peers were compared after every heartbeat.

Change: a process that starts waits for the announced routes (0.8 s, at the first start of the system 5 s) unless it is next in line for the controller role or the fleet is small; the controller answers the first heartbeat of a new process with a digest, and the process requests its routes at once. Meters, takeover hashes and digest names are kept. Only changes that an announcement doesn't repeat are applied. RegistryCalls is split from PeerTask.

FleetDigestTest changes only by the type of a digest's names.

--- a/process/src/main/kotlin/redwingcross/process/edge/EdgeSettings.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/EdgeSettings.kt
@@ -25,6 +25,8 @@
     val bounds: EdgeBounds,
     /** Processor time a second that the VM has, in cores; 0 if the settings don't state it. */
     val processors: Double = 0.0,
+    /** Whether the whole system starts for the first time. */
+    val isFirstStart: Boolean = false,
 )
 
 /** Limits that the operator configures; they apply without a restart. The log contains its `toString`. */
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetDigest.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetDigest.kt
@@ -20,6 +20,16 @@
     LEAVING,
 }
 
+/** The 24 bits of a name's hash that stand for it in [CompactCounts]. */
+@JvmInline
+value class CompactName(val hash: Int) {
+    companion object {
+        private const val HASH_MASK = 0xffffff
+
+        fun of(name: String): CompactName = CompactName(stableHash(name).toInt() ushr Byte.SIZE_BITS and HASH_MASK)
+    }
+}
+
 /**
  * Small numbers by name, encoded in four bytes an entry: 24 bits of the name's hash and the number. A digest of a large
  * fleet has to fit into the bandwidth that a node may use for control. Two names with the same hash share an entry,
@@ -27,7 +37,7 @@
  */
 class CompactCounts private constructor(private val byHash: Map<Int, Int>) {
     /** The number stored for [name]; null if there is none. */
-    operator fun get(name: String): Int? = byHash[hash(name)]
+    operator fun get(name: CompactName): Int? = byHash[name.hash]
 
     fun toBytes(): ByteArray {
         val buffer = ByteBuffer.allocate(byHash.size * Int.SIZE_BYTES)
@@ -36,16 +46,13 @@
     }
 
     companion object {
-        private const val HASH_MASK = 0xffffff
         private const val MAXIMUM_COUNT = 0xff
 
-        private fun hash(name: String): Int = stableHash(name).toInt() ushr Byte.SIZE_BITS and HASH_MASK
-
         /** Encodes [counts]; a number above 255 is stored as 255. */
         fun of(counts: Map<String, Int>): CompactCounts {
             val byHash = HashMap<Int, Int>()
             counts.forEach { (name, count) ->
-                byHash.merge(hash(name), count.coerceIn(0, MAXIMUM_COUNT), ::maxOf)
+                byHash.merge(CompactName.of(name).hash, count.coerceIn(0, MAXIMUM_COUNT), ::maxOf)
             }
             return CompactCounts(byHash)
         }
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -33,7 +33,7 @@
     /** When an announcement last confirmed these routes, on the process clock. */
     val confirmedAt: Duration = Duration.ZERO,
 ) {
-    val serving: List<ServingGroup> = routes.groups.values.toList()
+    val serving: List<ServingGroup> get() = routes.serving
 }
 
 /** An announcement that was received: changes of the routes, or the complete routes if [base] is null. */
@@ -63,7 +63,7 @@
     /** When the view of each source was last known to be current; a source that was never read has no entry. */
     val confirmedAt: Map<UpdateSource, Duration> = emptyMap(),
     /** Whether [table] is made of the announced routes; otherwise it is the platform's complete list of back ends. */
-    val usesAnnouncedServers: Boolean = false,
+    val usesAnnouncedServers: Boolean = true,
     /** Whether the platform's complete list was received since this process last used announced routes instead. */
     val isListComplete: Boolean = false,
 ) {
@@ -75,6 +75,10 @@
         configuration?.services?.values.orEmpty().flatMap { table.servingGroups(it) }
     }
 
+    /** Whether the back ends of every service are known, from announcements or the platform's list. */
+    val knowsAllServices: Boolean
+        get() = isListComplete || configuration != null && announced.keys.containsAll(configuration.services.keys)
+
     /** Whether callers can be served: there is a configuration, and every source was read at least once. */
     val isUsable: Boolean get() = configuration != null && confirmedAt.keys.containsAll(UpdateSource.entries)
 
@@ -134,7 +138,9 @@
             (update.leaseEpoch < known.leaseEpoch || known.isAtEpoch(update) && update.sequence < known.sequence)
         if (outdated || isIncomplete(state, update)) return state
         val start = known?.routes?.takeIf { update.base != null } ?: ServiceRoutes()
-        val routes = if (update.changes.isEmpty && update.base != null) start else start.after(update.changes)
+        // Announcements repeat the changes of the last seconds, so most of them were applied before.
+        val changes = update.changes.without(start)
+        val routes = if (changes.isEmpty && update.base != null) start else start.after(changes)
         val next = AnnouncedRoutes(
             update.service,
             update.leaseEpoch,
@@ -145,30 +151,28 @@
             now,
         )
         val result = state.copy(announced = state.announced + (update.service to next))
-        return if (state.usesAnnouncedServers) {
-            withAnnouncedServers(
+        return when {
+            !state.usesAnnouncedServers -> result
+            update.base == null -> withAnnouncedServers(
                 result,
-                update.service,
-                known?.routes,
+                (known?.routes ?: ServiceRoutes()).changesTo(routes),
                 now,
             )
-        } else {
-            result
+            else -> withAnnouncedServers(result, changes, now)
         }
     }
 
     private fun AnnouncedRoutes.isAtEpoch(update: RouteUpdate) = leaseEpoch == update.leaseEpoch
 
-    /** Replaces the back ends of [service] in the table by the announced ones. */
-    private fun withAnnouncedServers(
-        state: FleetState,
-        service: ServiceName,
-        before: ServiceRoutes?,
-        now: Duration,
-    ): FleetState {
-        val confirmed = state.copy(confirmedAt = state.confirmedAt + (UpdateSource.BACKEND_SERVERS to now))
-        val routes = state.announced[service]?.routes ?: return state
-        val changes = (before ?: ServiceRoutes()).changesTo(routes)
+    /** Applies changes of the announced back ends to the table. */
+    private fun withAnnouncedServers(state: FleetState, changes: RouteChanges, now: Duration): FleetState {
+        val isConfirmed = UpdateSource.BACKEND_SERVERS in state.confirmedAt || state.knowsAllServices
+        val confirmed =
+            if (isConfirmed) {
+                state.copy(confirmedAt = state.confirmedAt + (UpdateSource.BACKEND_SERVERS to now))
+            } else {
+                state
+            }
         if (changes.servers.isEmpty() && changes.removedServers.isEmpty()) return confirmed
         val removed = changes.removedServers.fold(state.table) { table, id -> table.without(id) }
         val table = changes.servers.fold(removed) { table, server -> table.withRouted(server, now) }
@@ -186,7 +190,9 @@
             usesAnnouncedServers = true,
             isListComplete = false,
         )
-        return state.announced.keys.fold(start) { next, service -> withAnnouncedServers(next, service, null, now) }
+        return state.announced.values.fold(start) { next, announced ->
+            withAnnouncedServers(next, ServiceRoutes().changesTo(announced.routes), now)
+        }
     }
 
     /** Uses the platform's list again; the announced back ends stay until the list is received. */
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -73,6 +73,7 @@
         coldAllowance,
         random,
     )
+    private val digestNames = HashMap<BackendServer, CompactName>()
     private val budgets = HashMap<ServiceName, RetryBudget>()
     private val forwardTasks = HashSet<ForwardTask>()
     private val waiting = WaitingRequests(dependencies.clock, dependencies.runLater, ::choose, random)
@@ -119,10 +120,13 @@
 
     /** Sets the requests in flight of all gateways; null if only the reports of single gateways are known. */
     fun fleetLoadReceived(counts: CompactCounts?) {
-        load.updateFleetTotal(counts?.let { known -> { server -> known[server.value] ?: 0 } })
+        load.updateFleetTotal(counts?.let { known -> { server -> known[digestName(server)] ?: 0 } })
         waiting.serve()
     }
 
+    /** The name of [server] in digests; its hash is needed for each group at each choice. */
+    private fun digestName(server: BackendServer) = digestNames.getOrPut(server) { CompactName.of(server.value) }
+
     /** Stores the requests in flight of another gateway by back end; null if that gateway is no longer reachable. */
     fun peerLoadReceived(gateway: ProcessName, counts: Map<BackendServer, Int>?): Unit =
         load.updateReported(gateway, counts)
@@ -266,6 +270,7 @@
     /** Discards the health and cold start state of all back ends that are not in [servers]. */
     fun retainServers(servers: Set<BackendServer>) {
         health.retain(servers)
+        digestNames.keys.retainAll(servers)
         coldAllowance.retain(servers)
     }
 
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -13,6 +13,7 @@
 import kotlinx.serialization.encodeToByteArray
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.lease.LeaseRecord
+import redwingcross.version.routing.orderHash
 
 /** A process's entry in the platform's registry, which is also the sender of each message to other processes. */
 @Serializable
@@ -31,6 +32,12 @@
 ) {
     /** Name of this start of the process. */
     val incarnation: String get() = "$node:$start"
+
+    /** The [incarnation] in digests; kept, like [takeoverHash], because it is needed several times a second. */
+    internal val digestName: CompactName by lazy(LazyThreadSafetyMode.NONE) { CompactName.of(incarnation) }
+
+    /** Orders the takeover of the controller role among VMs with equal processors. */
+    internal val takeoverHash: Long by lazy(LazyThreadSafetyMode.NONE) { orderHash(node) }
 }
 
 /** Progress of a process's watch of one kind of objects in the store. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
@@ -1,6 +1,8 @@
 package redwingcross.process.edge
 
-import redwingcross.version.routing.orderHash
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.mutate
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -27,7 +29,7 @@
 data class PeerTable(
     val self: GatewayRecord,
     val settings: HeartbeatSettings = HeartbeatSettings(),
-    val peers: Map<String, Peer> = emptyMap(),
+    val peers: PersistentMap<String, Peer> = persistentHashMapOf(),
 ) {
     /** Applies a heartbeat. One from an earlier start of the sender, or one that arrives out of order, is ignored. */
     fun received(heartbeat: Heartbeat, now: Duration): PeerTable {
@@ -40,7 +42,9 @@
                     (heartbeat.sender.start == last.sender.start && heartbeat.sequence <= last.sequence)
                 )
         if (outdated) return this
-        return copy(peers = peers + (heartbeat.sender.node to Peer(heartbeat.sender, heartbeat, now)))
+        // Keeps the known record, with the hashes that were computed from it.
+        val record = known?.record?.takeIf { it == heartbeat.sender } ?: heartbeat.sender
+        return copy(peers = peers.put(record.node, Peer(record, heartbeat, now)))
     }
 
     /**
@@ -51,22 +55,28 @@
         val added = records
             .filter { it.node != self.node && (peers[it.node]?.record?.start ?: Long.MIN_VALUE) < it.start }
             .associate { it.node to Peer(it, null, now) }
-        return copy(peers = peers + added)
+        return copy(peers = peers.putAll(added))
     }
 
     /** Applies the states that the active controller reported; a process that it hears counts as heard here. */
     fun digested(states: CompactCounts, now: Duration): PeerTable {
-        val next = peers.mapValues { (_, peer) ->
-            val state = states[peer.record.incarnation]?.let(PeerState.entries::getOrNull) ?: return@mapValues peer
-            val last = peer.heartbeat ?: Heartbeat(peer.record, 0, ready = false, leaving = false)
-            // The process itself may have reported that it leaves before the controller knew.
-            val leaving = last.leaving || state == PeerState.LEAVING
-            val heartbeat = last.copy(ready = state == PeerState.READY, leaving = leaving)
-            if (state == PeerState.SILENT) peer.copy(heartbeat = heartbeat) else Peer(peer.record, heartbeat, now)
+        val next = peers.mutate { changed ->
+            for (peer in peers.values) {
+                val state = states[peer.record.digestName]?.let(PeerState.entries::getOrNull) ?: continue
+                changed[peer.record.node] = peer.withState(state, now)
+            }
         }
         return copy(peers = next)
     }
 
+    private fun Peer.withState(state: PeerState, now: Duration): Peer {
+        val last = heartbeat ?: Heartbeat(record, 0, ready = false, leaving = false)
+        // The process itself may have reported that it leaves before the controller knew.
+        val leaving = last.leaving || state == PeerState.LEAVING
+        val next = last.copy(ready = state == PeerState.READY, leaving = leaving)
+        return if (state == PeerState.SILENT) copy(heartbeat = next) else Peer(record, next, now)
+    }
+
     /** The state of every known process, this one excluded, by incarnation. */
     fun states(now: Duration): Map<String, Int> {
         val alive = alive(now).mapTo(mutableSetOf()) { it.record.node }
@@ -85,18 +95,24 @@
     fun observers(now: Duration): List<GatewayRecord> {
         val alive = alive(now)
         val holder = alive.filter { it.heartbeat?.controllerLease != null }
-        val next = alive.filter { it.heartbeat?.leaving == false }.map { it.record }.sortedWith(takeoverOrder)
-        return (holder.map { it.record } + next.take(OBSERVERS)).distinct()
+        val next = ArrayList<GatewayRecord>(OBSERVERS + 1)
+        for (peer in alive) {
+            if (peer.heartbeat?.leaving != false) continue
+            val index = next.indexOfFirst { peer.record.takesOverBefore(it) }
+            if (index >= 0) next.add(index, peer.record) else next.add(peer.record)
+            if (next.size > OBSERVERS) next.removeLast()
+        }
+        return (holder.map { it.record } + next).distinct()
     }
 
     /** Position of this process, from 0, among the processes that can take over the controller role. */
     fun rank(now: Duration): Int =
-        alive(now).count { it.heartbeat?.leaving == false && takeoverOrder.compare(it.record, self) < 0 }
+        alive(now).count { it.heartbeat?.leaving == false && it.record.takesOverBefore(self) }
 
     /** Removes processes without a heartbeat for longer than [HeartbeatSettings.expireAfter]. */
     fun expired(now: Duration): PeerTable {
-        val kept = peers.filterValues { now - it.lastSeenAt < settings.expireAfter }
-        return if (kept.size == peers.size) this else copy(peers = kept)
+        val expired = peers.filterValues { now - it.lastSeenAt >= settings.expireAfter }.keys
+        return if (expired.isEmpty()) this else copy(peers = peers.mutate { it -= expired })
     }
 
     /** Number of rounds after which every process has been sent a heartbeat. */
@@ -134,8 +150,9 @@
          * VMs with more processor time first, because the controller of a large fleet needs it; among equal ones the
          * hash spreads the first processes over the zones.
          */
-        val takeoverOrder: Comparator<GatewayRecord> =
-            compareByDescending<GatewayRecord> { it.processors }.thenBy { orderHash(it.node) }
+        fun GatewayRecord.takesOverBefore(other: GatewayRecord): Boolean =
+            if (processors != other.processors) processors > other.processors else takeoverHash < other.takeoverHash
+
         const val MISSED_HEARTBEATS = 2.5
 
         /** One more than those that watch the platform's list, because two processes may order them differently. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -71,9 +71,7 @@
 ) {
     private var table = PeerTable(self)
     private var sequence = 0L
-    private var isRegistered = false
-    private var nextRegistryCall = Duration.ZERO
-    private var lastRegistryCall = -Duration.INFINITE
+    private val registry = RegistryCalls(self, dependencies.register, dependencies.listRegistry, random)
     private var lastDigest: FleetDigest? = null
     private var lastDigestAt = -Duration.INFINITE
     private var digestsSent = 0L
@@ -92,6 +90,15 @@
     var rank = 0
         private set
 
+    /** Whether the registry was read since the start of this process. */
+    val isRegistryRead: Boolean get() = registry.isRead
+
+    /** The active controller of the newest lease epoch among the processes heard recently; null if none is known. */
+    fun activeController(): GatewayRecord? = table.alive(clock.now())
+        .filter { it.heartbeat?.controllerLease != null }
+        .maxByOrNull { it.heartbeat?.controllerLease?.record?.epoch?.value ?: 0 }
+        ?.record
+
     /** Other processes that sent a heartbeat recently. */
     fun alivePeers(): List<Peer> = table.alive(clock.now())
 
@@ -101,7 +108,7 @@
         .map { Endpoint(it.record.callers) }
 
     /** Whether more than half of the known processes, this one included, are alive. */
-    fun isMajorityReachable(): Boolean = table.isMajorityReachable(clock.now())
+    val isMajorityReachable: Boolean get() = table.isMajorityReachable(clock.now())
 
     /** Processes one message; called on the event loop only. */
     fun handle(message: PeerTaskMessage) {
@@ -120,12 +127,7 @@
         unreachable.forEach { dependencies.onLoad(ProcessName(it), null) }
         table = table.expired(now)
         (before.peers.keys - table.peers.keys).forEach { log("peer_forgotten", arrayOf("node" to it)) }
-        val isAlone = table.alive(now).isEmpty()
-        if (now >= nextRegistryCall ||
-            (isAlone && now - lastRegistryCall >= table.unreachableAfter)
-        ) {
-            callRegistry(now, isAlone)
-        }
+        registry.callIfDue(now, isAlone = table.alive(now).isEmpty(), retryAfter = table.unreachableAfter)
         if (lastDigest != null && now - lastDigestAt >= DIGEST_TIMEOUT) {
             lastDigest = null
             dependencies.onFleetLoad(null)
@@ -136,7 +138,7 @@
     }
 
     /** Whether the controller hears this process and reports its state to the others. */
-    private fun isReported() = lastDigest != null && table.isLarge && rank >= ServerSourceDecision.STANDBYS
+    private val isReported get() = lastDigest != null && table.isLarge && rank >= ServerSourceDecision.STANDBYS
 
     private fun digestReceived(digest: FleetDigest) {
         val last = lastDigest
@@ -149,6 +151,7 @@
         if (outdated) return
         val before = table
         val now = clock.now()
+        val isFirst = last == null
         lastDigest = digest
         lastDigestAt = now
         val heartbeat = Heartbeat(
@@ -158,9 +161,10 @@
             leaving = false,
             controllerLease = digest.controllerLease,
         )
-        table = table.copy(peers = table.peers + (digest.sender.node to Peer(digest.sender, heartbeat, now)))
+        table = table.copy(peers = table.peers.put(digest.sender.node, Peer(digest.sender, heartbeat, now)))
             .digested(CompactCounts.of(digest.states), now)
-        updateGatewayShare(before)
+        if (digest.sender.node !in before.peers) updateGatewayShare(before)
+        if (isFirst) updateRank(now)
         dependencies.onFleetLoad(CompactCounts.of(digest.load))
         if (digest.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(digest.watchProgress)
@@ -179,37 +183,17 @@
         dependencies.onRank(current)
     }
 
-    private fun callRegistry(now: Duration, isAlone: Boolean) {
-        lastRegistryCall = now
-        nextRegistryCall = now + REGISTRY_INTERVAL + REGISTRY_SPREAD * random.nextDouble()
-        if (isRegistered) {
-            dependencies.listRegistry(!isAlone)
-        } else {
-            nextRegistryCall = now + table.unreachableAfter
-            dependencies.register()
-        }
-    }
-
     private fun registryCallCompleted(result: RegistryResult) {
-        when (result) {
-            RegistryResult.Registered -> {
-                isRegistered = true
-                dependencies.listRegistry(false)
-            }
-            is RegistryResult.Listed -> {
-                if (result.isCurrent && result.records.none { it.node == self.node && it.start >= self.start }) {
-                    isRegistered = false
-                }
-                val before = table
-                table = table.registered(result.records, clock.now())
-                updateGatewayShare(before)
-                if (table.peers.keys != before.peers.keys) sendHeartbeat(toAll = true)
-            }
-            RegistryResult.Failed -> Unit
-        }
+        val records = registry.completed(result) ?: return
+        val before = table
+        table = table.registered(records, clock.now())
+        updateGatewayShare(before)
+        if (table.peers.keys != before.peers.keys) sendHeartbeat(toAll = true)
     }
 
     private fun updateGatewayShare(before: PeerTable) {
+        // Most changes replace the state of a known process, and comparing all names costs more than the change.
+        if (before.peers === table.peers) return
         if (before.peers.keys != table.peers.keys) cachedGatewayShare = GatewayShare(self.node, table.allNodes)
     }
 
@@ -218,18 +202,28 @@
         val heartbeat = dependencies.nextHeartbeat().copy(sequence = ++sequence)
         val lease = heartbeat.controllerLease
         if (lease != null && table.isLarge && sequence % table.roundsPerDigest == 0L) {
-            broadcast(table.digest(heartbeat, lease, dependencies.fleetLoad(), ++digestsSent, clock.now()))
+            broadcast(nextDigest(heartbeat, lease))
         }
         val targets = when {
             toAll -> table.peers.values.map { it.record }
             lease != null && table.isLarge -> emptyList()
-            isReported() -> table.observers(clock.now())
+            isReported -> table.observers(clock.now())
             else -> table.heartbeatTargets(sequence)
         }
         val bytes = PeerCodec.encode(heartbeat)
         targets.forEach { dependencies.send(InetSocketAddress(it.ip, it.peerPort), bytes) }
     }
 
+    private fun nextDigest(own: Heartbeat, lease: HeldControllerLease): FleetDigest =
+        table.digest(own, lease, dependencies.fleetLoad(), ++digestsSent, clock.now())
+
+    /** Tells a process that has just started who the active controller is, so that it can request its routes. */
+    private fun welcome(newcomer: GatewayRecord) {
+        val heartbeat = dependencies.nextHeartbeat()
+        val lease = heartbeat.controllerLease ?: return
+        if (table.isLarge) send(newcomer, PeerCodec.encode(nextDigest(heartbeat, lease)))
+    }
+
     /** Sends [message] to every other process. */
     fun broadcast(message: PeerMessage) {
         val bytes = PeerCodec.encode(message)
@@ -243,11 +237,8 @@
 
     /** Sends [message] to the active controller; returns false if none is known. */
     fun sendToController(message: PeerMessage): Boolean {
-        val holder = table.alive(clock.now())
-            .filter { it.heartbeat?.controllerLease != null }
-            .maxByOrNull { it.heartbeat?.controllerLease?.record?.epoch?.value ?: 0 }
-            ?: return false
-        dependencies.send(InetSocketAddress(holder.record.ip, holder.record.peerPort), PeerCodec.encode(message))
+        val controller = activeController() ?: return false
+        send(controller, PeerCodec.encode(message))
         return true
     }
 
@@ -270,9 +261,11 @@
         val before = table
         table = table.received(heartbeat, clock.now())
         if (table === before) return
-        val isNew = heartbeat.sender.node !in before.peers
+        val known = before.peers[heartbeat.sender.node]
+        val isNew = known == null
         if (isNew) log("peer_heard", arrayOf("node" to heartbeat.sender.node, "start" to heartbeat.sender.start))
-        updateGatewayShare(before)
+        if (isNew) updateGatewayShare(before)
+        if (isNew || known?.record?.start != heartbeat.sender.start) welcome(heartbeat.sender)
         dependencies.onLoad(ProcessName(heartbeat.sender.node), heartbeat.load.mapKeys { BackendServer(it.key) })
         if (heartbeat.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(heartbeat.watchProgress)
@@ -282,12 +275,5 @@
     private companion object {
         /** Without a digest for this long, heartbeats go to every process again. */
         val DIGEST_TIMEOUT = 2.3.seconds
-
-        /**
-         * Shortest interval between two reads of the registry. Processes that removed each other from their tables
-         * during a network partition find each other again through the registry.
-         */
-        val REGISTRY_INTERVAL = 15.seconds
-        val REGISTRY_SPREAD = 10.seconds
     }
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/ServerSource.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ServerSource.kt
@@ -14,8 +14,29 @@
     val announcementAge: Duration,
     /** Maximum time from the report that a back end is draining until no new request is sent to it. */
     val drain: Duration,
+    /** What this process knows of the fleet while it starts; null once it has started. */
+    val start: StartView? = null,
 )
 
+/** What a process knows of the fleet while it has neither announced routes nor the list, or not heard all others. */
+data class StartView(
+    /** Time since the start of the process. */
+    val age: Duration,
+    /** Whether the whole system starts for the first time, so that the processes don't know each other yet. */
+    val isFirstStart: Boolean,
+    /** Whether the registry was read. */
+    val isRegistryRead: Boolean,
+    /** Whether more than half of the known processes were heard, so that the rank is known. */
+    val isMajorityHeard: Boolean,
+) {
+    /** Whether processes that started together may not have registered yet. */
+    val isSettling: Boolean get() = isFirstStart && age < FIRST_START_SETTLING
+
+    private companion object {
+        val FIRST_START_SETTLING = 1500.milliseconds
+    }
+}
+
 /**
  * Decides whether a process watches the platform's list of back ends or uses the announced routes. Answers the load
  * that a large fleet puts on the store: a list of hundreds of engines changes all the time, and each process that
@@ -23,16 +44,26 @@
  *
  * The active controller and the processes next in line for its role watch the list, so that a takeover does not begin
  * with reading it, and so that they notice from each other's heartbeats when a watch is silently dead.
+ *
+ * A process that starts waits for announcements before it reads the list: reading hundreds of entries takes a small VM
+ * longer than to ask the active controller for its routes, and many processes may start at the same moment.
  */
 object ServerSourceDecision {
     /** Whether announced routes are used; [current] is the result of the last decision. */
     fun usesAnnouncements(current: Boolean, view: ServerSourceView): Boolean {
+        if (view.start != null && !view.isActiveController) return awaitsAnnouncements(view, view.start)
         if (view.fleetSize <= LARGEST_WATCHING_FLEET || view.isActiveController || view.rank < STANDBYS) return false
         val maximumAge =
             minOf(MAXIMUM_AGE, view.drain * DRAIN_FRACTION) + SPREAD * minOf(view.rank, MAXIMUM_SPREAD_RANK)
         return view.announcementAge < if (current) maximumAge else MAXIMUM_AGE_TO_BEGIN
     }
 
+    private fun awaitsAnnouncements(view: ServerSourceView, start: StartView): Boolean {
+        if (start.age >= if (start.isFirstStart) FIRST_START_PATIENCE else START_PATIENCE) return false
+        if (!start.isRegistryRead || start.isSettling) return true
+        return view.fleetSize > LARGEST_WATCHING_FLEET && (!start.isMajorityHeard || view.rank >= STANDBYS)
+    }
+
     /** In a fleet of at most this size every process watches the list. */
     const val LARGEST_WATCHING_FLEET = 12
 
@@ -49,4 +80,10 @@
     /** Spreads the reads of the list, so that a fleet without a controller does not read it at one moment. */
     private val SPREAD = 3.milliseconds
     private const val MAXIMUM_SPREAD_RANK = 100
+
+    /** A running controller answers within a round of heartbeats; without one, the list is read without delay. */
+    private val START_PATIENCE = 800.milliseconds
+
+    /** At the first start no caller waits, and the first controller has to read the list before it can announce. */
+    private val FIRST_START_PATIENCE = 5000.milliseconds
 }
--- a/process/src/main/kotlin/redwingcross/process/metrics/ProcessMetrics.kt
+++ b/process/src/main/kotlin/redwingcross/process/metrics/ProcessMetrics.kt
@@ -1,5 +1,6 @@
 package redwingcross.process.metrics
 
+import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Tag
 import io.micrometer.core.instrument.Timer
@@ -9,6 +10,7 @@
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 import java.time.Duration as JavaDuration
@@ -28,6 +30,12 @@
     private val gcMetrics = JvmGcMetrics().also { it.bindTo(registry) }
     private val seriesLimit = SeriesLimit(maximumSeries)
 
+    // Looking up a meter in the registry costs many times more than recording a value.
+    private val counters = ConcurrentHashMap<Series, Counter>()
+    private val timers = ConcurrentHashMap<Series, Timer>()
+
+    private data class Series(val name: String, val labels: Map<String, String>)
+
     init {
         JvmMemoryMetrics().bindTo(registry)
         JvmThreadMetrics().bindTo(registry)
@@ -35,13 +43,13 @@
     }
 
     /** Increments a counter by one. */
-    val count: CountEvent = { name, labels -> registry.counter(name, tags(name, labels)).increment() }
+    val count: CountEvent = { name, labels ->
+        meter(counters, name, labels) { registry.counter(name, it) }.increment()
+    }
 
     /** Records a duration in a timer with a histogram. */
-    @Suppress("SpreadOperator") // Timer.Builder accepts the bucket bounds only as variable arguments.
     val record: RecordDuration = { name, labels, duration ->
-        Timer.builder(name).tags(tags(name, labels)).serviceLevelObjectives(*buckets).register(registry)
-            .record(duration.toJavaDuration())
+        meter(timers, name, labels) { timer(name, it) }.record(duration.toJavaDuration())
     }
 
     /** Registers a gauge whose value is read with [read] at each scrape. */
@@ -59,11 +67,24 @@
         registry.close()
     }
 
-    private fun tags(name: String, labels: Map<String, String>): List<Tag> {
+    /** The meter of [name] and [labels]; [register] is called for label values that are seen for the first time. */
+    private fun <Meter : Any> meter(
+        known: ConcurrentHashMap<Series, Meter>,
+        name: String,
+        labels: Map<String, String>,
+        register: (List<Tag>) -> Meter,
+    ): Meter {
+        known[Series(name, labels)]?.let { return it }
         val admitted = seriesLimit.admit(name, labels)
-        return admitted.map { (key, value) -> Tag.of(key, value) }
+        val meter = register(admitted.map { (key, value) -> Tag.of(key, value) })
+        known[Series(name, admitted)] = meter
+        return meter
     }
 
+    @Suppress("SpreadOperator") // Timer.Builder accepts the bucket bounds only as variable arguments.
+    private fun timer(name: String, tags: List<Tag>): Timer =
+        Timer.builder(name).tags(tags).serviceLevelObjectives(*buckets).register(registry)
+
     private companion object {
         const val DEFAULT_MAXIMUM_SERIES = 500
 
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
@@ -14,11 +14,13 @@
 import redwingcross.version.fleet.FleetUpdate
 import redwingcross.version.fleet.GroupEpoch
 import redwingcross.version.fleet.RouteChanges
+import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
 import redwingcross.version.fleet.UpdateSource
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertSame
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -100,6 +102,35 @@
         assertTrue(state.servingGroups(services.first(), 10.seconds).isEmpty(), "the announcement has expired")
     }
 
+    @Test
+    fun `changes that an announcement repeats leave the routes as they are`() {
+        val app = ServiceName("app")
+        val group = ServingGroup(GroupId("m.1-1"), GroupEpoch(1), app, ModelName("m"), id)
+        val changes = RouteChanges(groups = listOf(group), removedGroups = setOf(GroupId("m.1-0")))
+        val complete = RouteUpdate(app, 1, 1, null, changes, emptySet(), 9.seconds)
+        val state = FleetDecision.announced(FleetState(), complete, Duration.ZERO)
+        val repeated = RouteUpdate(app, 1, 2, 1, changes, emptySet(), 9.seconds)
+        val next = FleetDecision.announced(state, repeated, 1.seconds)
+        assertSame(state.announced.getValue(app).routes, next.announced.getValue(app).routes)
+        assertEquals(2, next.announced.getValue(app).sequence)
+    }
+
+    @Test
+    fun `a process that starts is not usable until the routes of every service were announced`() {
+        val services = listOf("chat", "search").map(::ServiceName)
+        val specs = services.associateWith { ServiceSpec(it, 10, Duration.ZERO, 0.0, null) }
+        val configured = FleetConfiguration(ConfigurationVersion(7), emptyList(), specs, limits, emptyList())
+        val start = applyAll(
+            1.seconds to FleetUpdate.ConfigurationChanged(configured),
+            1.seconds to FleetUpdate.Confirmed(UpdateSource.CONFIGURATION),
+            1.seconds to FleetUpdate.Confirmed(UpdateSource.EVACUATIONS),
+        )
+        val updates = services.map { RouteUpdate(it, 1, 1, null, RouteChanges(), emptySet(), 9.seconds) }
+        val first = FleetDecision.announced(start, updates[0], 1.seconds)
+        assertFalse(first.isUsable)
+        assertTrue(FleetDecision.announced(first, updates[1], 1.seconds).isUsable)
+    }
+
     @Test
     fun `the view is not usable until configuration, zones and back ends were read once`() {
         val state = applyAll(
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDigestTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDigestTest.kt
@@ -89,7 +89,7 @@
         sent.clear()
         task.handle(PeerTaskMessage.Tick)
         assertTrue(sent.size in 1..5, "${sent.size} heartbeats")
-        assertEquals(9, loads.last()?.get("e1"))
+        assertEquals(9, loads.last()?.get(CompactName.of("e1")))
     }
 
     @Test
@@ -144,7 +144,12 @@
         val random = Random(seed)
         val counts = (1..50).associate { "engine-$seed-$it" to random.nextInt(300) }
         val decoded = CompactCounts.of(CompactCounts.of(counts).toBytes())
-        for ((name, count) in counts) assertTrue((decoded[name] ?: 0) >= count.coerceAtMost(255), "$name $count")
-        assertNull(CompactCounts.of(byteArrayOf(1, 2))["engine"])
+        for ((name, count) in counts) {
+            assertTrue(
+                (decoded[CompactName.of(name)] ?: 0) >= count.coerceAtMost(255),
+                "$name $count",
+            )
+        }
+        assertNull(CompactCounts.of(byteArrayOf(1, 2))[CompactName.of("engine")])
     }
 }
--- a/process/src/test/kotlin/redwingcross/process/edge/RouteAnnouncerTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/RouteAnnouncerTest.kt
@@ -160,6 +160,37 @@
         assertFalse(ServerSourceDecision.usesAnnouncements(false, view(age = Duration.INFINITE)))
     }
 
+    private fun starting(age: Duration, first: Boolean = false, registry: Boolean = true, heard: Boolean = true) =
+        StartView(age, first, registry, heard)
+
+    @Test
+    fun `a process that starts in a large fleet waits for the routes of a running controller only for a short time`() {
+        val unheard = view(age = Duration.INFINITE).copy(start = starting(300.milliseconds))
+        assertTrue(ServerSourceDecision.usesAnnouncements(true, unheard))
+        assertFalse(ServerSourceDecision.usesAnnouncements(true, unheard.copy(rank = 1)))
+        assertFalse(ServerSourceDecision.usesAnnouncements(true, unheard.copy(start = starting(900.milliseconds))))
+    }
+
+    @Test
+    fun `a process that starts in a small fleet reads the list as soon as it has read the registry`() {
+        val small = view(size = 8, age = Duration.INFINITE)
+        val before = small.copy(start = starting(50.milliseconds, registry = false))
+        assertTrue(ServerSourceDecision.usesAnnouncements(true, before))
+        assertFalse(ServerSourceDecision.usesAnnouncements(true, small.copy(start = starting(60.milliseconds))))
+    }
+
+    @Test
+    fun `at the first start only the controller and the processes next in line read the list`() {
+        val young = view(size = 3, rank = 0, age = Duration.INFINITE).copy(start = starting(1.seconds, first = true))
+        assertTrue(ServerSourceDecision.usesAnnouncements(true, young), "the others may not have registered yet")
+        assertFalse(ServerSourceDecision.usesAnnouncements(true, young.copy(isActiveController = true)))
+        val reading = (0 until 95).count {
+            val settled = view(rank = it, age = Duration.INFINITE).copy(start = starting(2.seconds, first = true))
+            !ServerSourceDecision.usesAnnouncements(true, settled)
+        }
+        assertEquals(3, reading)
+    }
+
     @Test
     fun `in a small fleet every process watches the list`() {
         assertFalse(ServerSourceDecision.usesAnnouncements(true, view(size = 8)))
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -29,6 +29,7 @@
 import redwingcross.process.edge.PeerTaskMessage
 import redwingcross.process.edge.PostMessage
 import redwingcross.process.edge.SettingsReload
+import redwingcross.process.edge.StartView
 import redwingcross.process.edge.WatchLagDetector
 import redwingcross.process.edge.WatchProgress
 import redwingcross.request.BackendServer
@@ -97,7 +98,8 @@
         MAXIMUM_WATCH_LAG + if (source == UpdateSource.BACKEND_SERVERS) listPause else CONFIGURATION_PAUSE
     }
     private var peersReportedTraffic = false
-    private var lastCheckAt = clock.now()
+    private val startedAt = clock.now()
+    private var lastCheckAt = startedAt
     private var stopping = false
     private val stopped = CountDownLatch(1)
 
@@ -144,6 +146,8 @@
             runLater = { delay, action -> runLater(delay, action) },
             drain = { bounds.drain },
             fleetSize = { peers.gatewayShare.count },
+            activeController = { peers.activeController() },
+            startView = ::startView,
             groupsLost = gateway::groupsLost,
             watchServers = { platform.watchServers(it) },
         ),
@@ -159,7 +163,7 @@
             configuration = { fleet.configuration },
             table = { fleet.table },
             trafficSeen = { peersReportedTraffic || gateway.hasSeenRequests },
-            isMajorityReachable = { peers.isMajorityReachable() },
+            isMajorityReachable = { peers.isMajorityReachable },
             isStoreAvailable = { fleet.storeLostAt == null },
             applyReport = { engine, report ->
                 fleet = FleetDecision.reported(fleet, engine, report, clock.now())
@@ -248,9 +252,14 @@
         controlConnections.startExpiry()
         peerTask.post(PeerTaskMessage.Tick)
         peerTask.postPeriodically(HEARTBEAT_INTERVAL, PeerTaskMessage.Tick)
-        controllerTask.postPeriodically(CONTROLLER_INTERVAL, ControllerMessage.Tick)
-        runPeriodically(RELOAD_INTERVAL) { reload.check(signalled = false) }
-        runPeriodically(CHECK_INTERVAL, ::runPeriodicChecks)
+        runPeriodically(RELOAD_INTERVAL) {
+            reload.check(signalled = false)
+            gateway.retainServers(fleet.table.engines.keys)
+        }
+        runPeriodically(CHECK_INTERVAL) {
+            controllerPost(ControllerMessage.Tick)
+            runPeriodicChecks()
+        }
     }
 
     private fun runPeriodically(period: Duration, action: () -> Unit) {
@@ -259,16 +268,21 @@
     }
 
     private fun runPeriodicChecks() {
-        val before = fleet
         val now = clock.now()
         metrics.recordLoopDelay((now - lastCheckAt - CHECK_INTERVAL).coerceAtLeast(Duration.ZERO))
         lastCheckAt = now
         fleet = FleetDecision.expired(fleet, now)
         relay.updateServerSource(peers.rank, controller.isActiveController)
-        if (fleet !== before) gateway.retainServers(fleet.table.engines.keys)
         gateway.checkProgress()
     }
 
+    private fun startView() = StartView(
+        clock.now() - startedAt,
+        settings.isFirstStart,
+        peers.isRegistryRead,
+        peers.isMajorityReachable,
+    )
+
     private fun onFleetUpdate(update: FleetUpdate) {
         val before = fleet
         val now = clock.now()
@@ -368,7 +382,8 @@
          */
         val MAXIMUM_IDLE_FOR_UNREPEATABLE = 250.milliseconds
         val HEARTBEAT_INTERVAL = 250.milliseconds
-        val CONTROLLER_INTERVAL = 100.milliseconds
+
+        /** Interval of the checks of the fleet, of the streams and of the controller lease; one wake-up serves all. */
         val CHECK_INTERVAL = 100.milliseconds
 
         /** The settings file may change without a signal; no bound is guaranteed to apply sooner than this. */
--- a/programs/edge/src/main/kotlin/redwingcross/edge/RouteRelay.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/RouteRelay.kt
@@ -12,6 +12,7 @@
 import redwingcross.process.edge.RoutesRequest
 import redwingcross.process.edge.ServerSourceDecision
 import redwingcross.process.edge.ServerSourceView
+import redwingcross.process.edge.StartView
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ServiceName
@@ -33,6 +34,9 @@
     val drain: () -> Duration,
     /** Number of processes that may be running. */
     val fleetSize: () -> Int,
+    val activeController: () -> GatewayRecord?,
+    /** What this process knows of the fleet while it has no routes. */
+    val startView: () -> StartView,
     /** Called with the groups that have lost a member. */
     val groupsLost: (Set<GroupId>) -> Unit,
     /** Starts or ends the watch of the platform's list of back ends. */
@@ -78,14 +82,16 @@
         val now = clock.now()
         val update = message.toUpdate(now)
         val fleet = dependencies.fleet()
-        if (FleetDecision.isIncomplete(fleet, update)) requestComplete(message.sender, update.service, now)
+        if (FleetDecision.isIncomplete(fleet, update)) {
+            requestComplete(message.sender, update.service, now, SPREAD_PER_PROCESS * dependencies.fleetSize())
+        }
         dependencies.updateFleet(FleetDecision.announced(fleet, update, now))
         dependencies.groupsLost(update.lost)
     }
 
-    private fun requestComplete(controller: GatewayRecord, service: ServiceName, now: Duration) {
+    private fun requestComplete(controller: GatewayRecord, service: ServiceName, now: Duration, spread: Duration) {
         if (requestedUntil[service]?.let { now < it } == true) return
-        val delay = SPREAD_PER_PROCESS * dependencies.fleetSize() * random.nextDouble()
+        val delay = spread * random.nextDouble()
         requestedUntil[service] = now + delay + REQUEST_TIMEOUT
         dependencies.runLater(delay) {
             dependencies.send(controller, PeerCodec.encode(RoutesRequest(self, service.value)))
@@ -108,8 +114,10 @@
                 isActiveController,
                 age ?: Duration.INFINITE,
                 dependencies.drain(),
+                dependencies.startView().takeIf { it.isSettling || !fleet.knowsAllServices },
             )
         val uses = ServerSourceDecision.usesAnnouncements(fleet.usesAnnouncedServers, view)
+        if (uses && !fleet.knowsAllServices) requestMissing(fleet, services, now)
         if (uses == fleet.usesAnnouncedServers) return
         log("server_source", arrayOf("announced" to uses, "age" to age, "rank" to rank, "fleet" to view.fleetSize))
         dependencies.updateFleet(
@@ -118,6 +126,12 @@
         dependencies.watchServers(!uses)
     }
 
+    /** Requests the routes that a process which has just started doesn't know yet, once it hears a controller. */
+    private fun requestMissing(fleet: FleetState, services: Set<ServiceName>, now: Duration) {
+        val controller = dependencies.activeController() ?: return
+        services.filter { it !in fleet.announced }.forEach { requestComplete(controller, it, now, Duration.ZERO) }
+    }
+
     private companion object {
         /** Long enough that the loss of a few announcements in a row does not invalidate the routes. */
         val ANNOUNCEMENT_LIFETIME = 3000.milliseconds
--- a/version/src/main/kotlin/redwingcross/version/fleet/ServiceRoutes.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/ServiceRoutes.kt
@@ -16,6 +16,8 @@
     val groups: Map<GroupId, ServingGroup> = emptyMap(),
     val servers: Map<BackendServer, RoutedServer> = emptyMap(),
 ) {
+    val serving: List<ServingGroup> by lazy(LazyThreadSafetyMode.NONE) { groups.values.toList() }
+
     /** The changes that lead from these routes to [next]. */
     fun changesTo(next: ServiceRoutes): RouteChanges = RouteChanges(
         groups = next.groups.values.filter { groups[it.id] != it },
@@ -78,6 +80,14 @@
     val isEmpty: Boolean
         get() = groups.isEmpty() && removedGroups.isEmpty() && servers.isEmpty() && removedServers.isEmpty()
 
+    /** The changes that [routes] don't contain yet. */
+    fun without(routes: ServiceRoutes): RouteChanges = RouteChanges(
+        groups.filter { routes.groups[it.id] != it },
+        removedGroups.filterTo(mutableSetOf()) { it in routes.groups },
+        servers.filter { routes.servers[it.status.id] != it },
+        removedServers.filterTo(mutableSetOf()) { it in routes.servers },
+    )
+
     /** Changes that lead to the same routes from the starting points of both. */
     operator fun plus(other: RouteChanges): RouteChanges = RouteChanges(
         (groups + other.groups).distinctBy { it.id },
