--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpCall.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpCall.kt
@@ -20,7 +20,10 @@
 }
 
 /** Makes one call with a timeout and passes its result to the function on the event loop. */
-typealias HttpCall = (RemoteEndpoint, RequestHead, ByteArray, Duration, (CallResult) -> Unit) -> PendingExchange
+typealias HttpCall = (RemoteEndpoint, RequestHead, ByteArray, Duration, (CallResult) -> Unit) -> CancelCall
+
+/** Cancels a call; its result is not passed on any more. Has no effect on a completed call. */
+typealias CancelCall = () -> Unit
 
 /**
  * Makes calls over [connections], each with a timeout of its own, and collects their responses. A response whose body
@@ -38,7 +41,7 @@
         body: ByteArray,
         timeout: Duration,
         onResult: (CallResult) -> Unit,
-    ): PendingExchange {
+    ): CancelCall {
         val collector = ResponseCollector(maximumBodyBytes, onResult)
         val pending = connections.exchange(endpoint, head, body, { true }, collector)
         collector.onTooLong = pending::cancel
@@ -56,7 +59,7 @@
         )
         collector.onDone = { timer.cancel(false) }
         if (collector.isDone) timer.cancel(false)
-        return pending
+        return pending::cancel
     }
 
     private class ResponseCollector(private val maximumBodyBytes: Int, private val onResult: (CallResult) -> Unit) :
--- a/process/src/main/kotlin/redwingcross/process/edge/EdgeSettings.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/EdgeSettings.kt
@@ -42,4 +42,6 @@
     val coldSlack: Double,
     /** Upper limit of the time for which callers may cache a list of addresses. */
     val maximumListLifetime: Duration,
+    /** Maximum time from the acknowledgement of a configuration until it is in force everywhere. */
+    val configurationApply: Duration,
 )
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
@@ -91,10 +91,23 @@
         }
     }
 
-    /** Processes that have to hear every other one: the lease holder and those next in line for the lease. */
-    fun observers(now: Duration): List<GatewayRecord> {
+    /**
+     * Processes that are sent the heartbeat of round [sequence] while digests are received: in each round the lease
+     * holder, which reports the load; those next in line for the lease as seldom as without digests.
+     */
+    fun observers(now: Duration, sequence: Long): List<GatewayRecord> {
         val alive = alive(now)
-        val holder = alive.filter { it.heartbeat?.controllerLease != null }
+        val holder = alive.filter { it.heartbeat?.controllerLease != null }.map { it.record }
+        return if (roundsPerCycle > 0 &&
+            sequence % roundsPerCycle != 0L
+        ) {
+            holder
+        } else {
+            (holder + nextInLine(alive)).distinct()
+        }
+    }
+
+    private fun nextInLine(alive: List<Peer>): List<GatewayRecord> {
         val next = ArrayList<GatewayRecord>(OBSERVERS + 1)
         for (peer in alive) {
             if (peer.heartbeat?.leaving != false) continue
@@ -102,7 +115,7 @@
             if (index >= 0) next.add(index, peer.record) else next.add(peer.record)
             if (next.size > OBSERVERS) next.removeLast()
         }
-        return (holder.map { it.record } + next).distinct()
+        return next
     }
 
     /** Position of this process, from 0, among the processes that can take over the controller role. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -207,7 +207,7 @@
         val targets = when {
             toAll -> table.peers.values.map { it.record }
             lease != null && table.isLarge -> emptyList()
-            isReported -> table.observers(clock.now())
+            isReported -> table.observers(clock.now(), sequence)
             else -> table.heartbeatTargets(sequence)
         }
         val bytes = PeerCodec.encode(heartbeat)
@@ -265,7 +265,7 @@
         val isNew = known == null
         if (isNew) log("peer_heard", arrayOf("node" to heartbeat.sender.node, "start" to heartbeat.sender.start))
         if (isNew) updateGatewayShare(before)
-        if (isNew || known?.record?.start != heartbeat.sender.start) welcome(heartbeat.sender)
+        if (known?.heartbeat == null || known.record.start != heartbeat.sender.start) welcome(heartbeat.sender)
         dependencies.onLoad(ProcessName(heartbeat.sender.node), heartbeat.load.mapKeys { BackendServer(it.key) })
         if (heartbeat.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(heartbeat.watchProgress)
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDigestTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDigestTest.kt
@@ -89,6 +89,9 @@
         sent.clear()
         task.handle(PeerTaskMessage.Tick)
         assertTrue(sent.size in 1..5, "${sent.size} heartbeats")
+        repeat(3) { task.handle(PeerTaskMessage.Tick) }
+        assertTrue(sent.size <= 8, "${sent.size} heartbeats a second")
+        assertEquals(4, sent.count { it.first.port == 7001 }, "the controller hears each round")
         assertEquals(9, loads.last()?.get(CompactName.of("e1")))
     }
 
@@ -121,6 +124,18 @@
         assertEquals(before, task.readyCallerEndpoints().size)
     }
 
+    @Test
+    fun `a process that starts again hears of the controller from the answer to its first heartbeat`() {
+        ownLease = lease
+        val task = task("node-1")
+        (2..95).forEach { task.receive(heartbeat("node-$it", 1)) }
+        sent.clear()
+        task.receive(heartbeat("node-5", 2))
+        assertTrue(sent.isEmpty(), "a known process gets its next digest with all others")
+        task.receive(Heartbeat(record("node-5", start = 2), 1, ready = false, leaving = false))
+        assertEquals(listOf(7005), sent.filter { it.second is FleetDigest }.map { it.first.port })
+    }
+
     @Test
     fun `the digest of a fleet of 350 processes and 75 groups stays within 3 KB a second`() {
         ownLease = lease
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayTaskTest.kt
@@ -80,6 +80,7 @@
         coldOverrun = 1.5,
         coldSlack = 5.0,
         maximumListLifetime = 5.seconds,
+        configurationApply = 2.seconds,
     )
 
     private fun dependencies() = GatewayDependencies(
--- a/process/src/test/kotlin/redwingcross/process/edge/PeerTableTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/PeerTableTest.kt
@@ -94,7 +94,7 @@
             peers.received(heartbeat("x", 1).copy(sender = record), 1.seconds)
         }
         assertTrue(known.rank(1.seconds) >= 3)
-        assertEquals(strong.map { it.node }.toSet(), known.observers(1.seconds).take(3).map { it.node }.toSet())
+        assertEquals(strong.map { it.node }.toSet(), known.observers(1.seconds, 0).take(3).map { it.node }.toSet())
     }
 
     @Test
@@ -103,6 +103,6 @@
         val known = records.fold(table) { peers, record ->
             peers.received(heartbeat("x", 1).copy(sender = record), 1.seconds)
         }
-        assertTrue(known.observers(1.seconds).map { it.zone }.distinct().size > 1)
+        assertTrue(known.observers(1.seconds, 0).map { it.zone }.distinct().size > 1)
     }
 }
--- a/process/src/test/kotlin/redwingcross/process/edge/SettingsReloadTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/SettingsReloadTest.kt
@@ -20,6 +20,7 @@
         coldOverrun = 1.5,
         coldSlack = 5.0,
         maximumListLifetime = 5.seconds,
+        configurationApply = 2.seconds,
     )
     private val settings = EdgeSettings(
         node = ProcessName("edge-1"),
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -32,6 +32,7 @@
 import redwingcross.process.edge.StartView
 import redwingcross.process.edge.WatchLagDetector
 import redwingcross.process.edge.WatchProgress
+import redwingcross.process.edge.configurationPause
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
@@ -95,7 +96,7 @@
     private val onMessageDropped: () -> Unit = { events.warn("mailbox_full", emptyArray()) }
     private var fleet = FleetState()
     private val watchLag = WatchLagDetector { source ->
-        MAXIMUM_WATCH_LAG + if (source == UpdateSource.BACKEND_SERVERS) listPause else CONFIGURATION_PAUSE
+        MAXIMUM_WATCH_LAG + if (source == UpdateSource.BACKEND_SERVERS) listPause else pauseOfConfiguration
     }
     private var peersReportedTraffic = false
     private val startedAt = clock.now()
@@ -290,11 +291,13 @@
         updateLog.record(update, before, fleet, now)
     }
 
+    private val pauseOfConfiguration: Duration get() = configurationPause(bounds.configurationApply)
+
     private val listPause: Duration get() = bounds.drain * LIST_PAUSE_FRACTION
 
     private fun watchIntervals(source: UpdateSource) = WatchIntervals(
         pause = when {
-            source != UpdateSource.BACKEND_SERVERS -> CONFIGURATION_PAUSE
+            source != UpdateSource.BACKEND_SERVERS -> pauseOfConfiguration
             controller.isActiveController -> CONTROLLER_LIST_PAUSE
             else -> listPause
         },
@@ -388,7 +391,6 @@
 
         /** The settings file may change without a signal; no bound is guaranteed to apply sooner than this. */
         val RELOAD_INTERVAL = 2.seconds
-        val CONFIGURATION_PAUSE = 200.milliseconds
 
         /** Time that a process may be behind others beyond the pause between two of its watch requests. */
         val MAXIMUM_WATCH_LAG = 300.milliseconds
