Configure the log of the edge process in code and wake an idle process for all timers at once

Interpreting the configuration file took logback 90 of the 270 ms of a start and made some 40 call sites. An idle process had seven timers with 26 wake-ups a second.

Change: EdgeLogging configures the appenders through logback's Configurator; logback.configurationFile still replaces it. Timers of one event loop are due at multiples of their periods, so that one wake-up serves several (10 checks and 2 rounds of heartbeats a second remain). Missed runs are not made up for, and an action that fails runs again, with its exception in the log; before, a failed one ended silently.

PeriodicActionsTest is new.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -12,8 +12,8 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import redwingcross.request.MonotonicClock
 import java.net.InetSocketAddress
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Accepts connections of callers at one address and passes each of their requests to [serve].
@@ -52,7 +52,7 @@
             .sync()
             .channel()
         channel = bound
-        bound.eventLoop().scheduleAtFixedRate(::checkTimeouts, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
+        bound.eventLoop().runEach(CHECK_INTERVAL, ::checkTimeouts)
     }
 
     private fun prepare(channel: SocketChannel) {
@@ -108,6 +108,6 @@
         const val BACKLOG = 1024
 
         /** Interval between two checks of the timeouts, and so their resolution. */
-        const val CHECK_MILLIS = 500L
+        val CHECK_INTERVAL = 500.milliseconds
     }
 }
--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 import redwingcross.request.MonotonicClock
 import java.net.InetSocketAddress
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -193,7 +192,7 @@
 
     /** Starts the periodic task that closes idle connections shortly before the remote end would. */
     fun startExpiry() {
-        group.next().scheduleAtFixedRate(::expire, EXPIRY_CHECK_MILLIS, EXPIRY_CHECK_MILLIS, TimeUnit.MILLISECONDS)
+        group.next().runEach(EXPIRY_CHECK_INTERVAL, ::expire)
     }
 
     private fun expire() {
@@ -208,6 +207,6 @@
     private companion object {
         /** Fraction of the keep-alive time of the remote end for which an idle connection is reused. */
         const val REUSE_FRACTION = 0.7
-        val EXPIRY_CHECK_MILLIS = 500.milliseconds.inWholeMilliseconds
+        val EXPIRY_CHECK_INTERVAL = 500.milliseconds
     }
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/EventLoopTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/EventLoopTask.kt
@@ -1,7 +1,7 @@
 package redwingcross.process.edge
 
 import io.netty.channel.EventLoop
-import java.util.concurrent.TimeUnit
+import redwingcross.connection.http.runEach
 import kotlin.time.Duration
 
 /** Puts a message into the mailbox of a task; does not wait. */
@@ -34,11 +34,8 @@
         }
     }
 
-    /** Puts [message] into the mailbox periodically; the first time after one [period]. */
-    fun postPeriodically(period: Duration, message: Message) {
-        val nanos = period.inWholeNanoseconds
-        loop.scheduleWithFixedDelay({ post(message) }, nanos, nanos, TimeUnit.NANOSECONDS)
-    }
+    /** Puts [message] into the mailbox periodically; the first time within one [period]. */
+    fun postPeriodically(period: Duration, message: Message): Unit = loop.runEach(period) { post(message) }
 
     private fun drain() {
         try {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMain.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMain.kt
@@ -7,7 +7,7 @@
 
 /** Sets the defaults of the libraries and runs the command line. */
 internal fun startEdge(arguments: Array<String>) {
-    setDefault("logback.configurationFile", "logback-edge.xml")
+    setDefault(EdgeLogging.ENABLED, "true")
     // Without it Netty looks for a hardware address and logs a warning if there is none; the id only names channels.
     setDefault("io.netty.machineId", "02:00:00:00:00:01")
     EdgeCommand().main(arguments)
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -7,6 +7,7 @@
 import redwingcross.connection.http.HttpConnections
 import redwingcross.connection.http.OutgoingConnectionLimits
 import redwingcross.connection.http.RemoteEndpoint
+import redwingcross.connection.http.runEach
 import redwingcross.platform.PlatformFleet
 import redwingcross.platform.RequestFormat
 import redwingcross.platform.SettingsFile
@@ -253,21 +254,16 @@
         controlConnections.startExpiry()
         peerTask.post(PeerTaskMessage.Tick)
         peerTask.postPeriodically(HEARTBEAT_INTERVAL, PeerTaskMessage.Tick)
-        runPeriodically(RELOAD_INTERVAL) {
+        loop.runEach(RELOAD_INTERVAL) {
             reload.check(signalled = false)
             gateway.retainServers(fleet.table.engines.keys)
         }
-        runPeriodically(CHECK_INTERVAL) {
+        loop.runEach(CHECK_INTERVAL) {
             controllerPost(ControllerMessage.Tick)
             runPeriodicChecks()
         }
     }
 
-    private fun runPeriodically(period: Duration, action: () -> Unit) {
-        val millis = period.inWholeMilliseconds
-        loop.scheduleWithFixedDelay(action, millis, millis, TimeUnit.MILLISECONDS)
-    }
-
     private fun runPeriodicChecks() {
         val now = clock.now()
         metrics.recordLoopDelay((now - lastCheckAt - CHECK_INTERVAL).coerceAtLeast(Duration.ZERO))
