Play the periodic actions on the event loop that the process uses

Cause: PeriodicActionsTest failed once on 'an action that fails runs again': Netty's DefaultEventLoop ends with the exception of a task, while NioEventLoop, on which every action runs, logs it and goes on.

Change: the test uses NioEventLoop; its checks are the same.

--- a/connection/src/test/kotlin/redwingcross/connection/http/PeriodicActionsTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/PeriodicActionsTest.kt
@@ -1,6 +1,6 @@
 package redwingcross.connection.http
 
-import io.netty.channel.DefaultEventLoop
+import io.netty.channel.nio.NioEventLoopGroup
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -24,7 +24,7 @@
 
     @Test
     fun `a run that takes many periods is followed by one run`() {
-        val loop = DefaultEventLoop()
+        val loop = NioEventLoopGroup(1).next()
         val runs = AtomicInteger()
         val second = CountDownLatch(2)
         val runsAfterBlock = AtomicInteger()
@@ -44,7 +44,7 @@
 
     @Test
     fun `an action that fails runs again`() {
-        val loop = DefaultEventLoop()
+        val loop = NioEventLoopGroup(1).next()
         val runs = CountDownLatch(2)
         loop.runEach(10.milliseconds) {
             runs.countDown()
