Let processes that restart together wait for the next controller before they read the list

Ruled out: a longer wait in small fleets; they read the list as soon as they have read the registry.

--- a/process/src/main/kotlin/redwingcross/process/edge/ServerSource.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ServerSource.kt
@@ -81,8 +81,8 @@
     private val SPREAD = 3.milliseconds
     private const val MAXIMUM_SPREAD_RANK = 100
 
-    /** A running controller answers within a round of heartbeats; without one, the list is read without delay. */
-    private val START_PATIENCE = 800.milliseconds
+    /** A running controller answers within a round of heartbeats; a new one takes over 1.2 to 1.8 s after a crash. */
+    private val START_PATIENCE = 1200.milliseconds
 
     /** At the first start no caller waits, and the first controller has to read the list before it can announce. */
     private val FIRST_START_PATIENCE = 5000.milliseconds
