Show that a planned stop loses bookings that came late

A machine that is the last one to know of keeps taking requests after SIGTERM until it ends itself 7.5 s later; what is at engines then has run and is never answered (LOST).

--- a/review/standin/Edge.java
+++ b/review/standin/Edge.java
@@ -147,6 +147,11 @@
         throw new IllegalStateException(name + " is not ready after " + LONGEST_START_S + " s");
     }
 
+    /** Sends SIGTERM. */
+    void terminate() {
+        process.destroy();
+    }
+
     void kill() throws InterruptedException {
         if (process == null) return;
         process.destroyForcibly();
