Show that a woken standby takes the lease from a live holder

Renewals of the lease don't change its revision, so a process that wakes from a freeze takes it over from a holder that renews it, and announces old routes to the fleet (DRAIN).

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Plays the case once; TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/review/review/Play.class ] || review/build.sh || exit 2
-exec java -cp target/review review.Play HolderTurnedAway review/3
+exec java -cp target/review review.Play WokenStandby review/3
--- a/review/standin/Edge.java
+++ b/review/standin/Edge.java
@@ -18,6 +18,7 @@
 final class Edge {
     private static final int LONGEST_START_S = 40;
 
+    final int number;
     final String name;
     final String front;
     final String ready;
@@ -29,6 +30,7 @@
 
     Edge(Path folder, int number, String zone, String store) throws IOException {
         this.folder = folder;
+        this.number = number;
         name = "edge-" + zone + "-" + number;
         String ip = "127.0.40." + (number + 10);
         front = ip + ":" + freePort(ip);
@@ -152,6 +154,11 @@
         process.destroy();
     }
 
+    /** Sends a signal by its name, such as STOP or CONT. */
+    void signal(String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    }
+
     void kill() throws InterruptedException {
         if (process == null) return;
         process.destroyForcibly();
--- a/review/standin/Load.java
+++ b/review/standin/Load.java
@@ -17,13 +17,18 @@
         return String.format("9c41d07b%08x", attempts.incrementAndGet());
     }
 
+    /** Beginning of the ids of all attempts that {@link #start} sends to a process. */
+    static String prefix(Edge edge) {
+        return String.format("9c41%04x", edge.number);
+    }
+
     /** Sends a GET request each [intervalMs]; records each answer that is not a 200. */
     static void start(Record record, Edge edge, String path, int intervalMs) {
         Http.start(() -> {
             Socket socket = null;
             InputStream in = null;
             while (true) {
-                String attempt = nextAttempt();
+                String attempt = prefix(edge) + String.format("%08x", attempts.incrementAndGet());
                 try {
                     if (socket == null) {
                         socket = Http.connect(edge.front, 1000);
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -26,7 +26,7 @@
     private final Map<String, TreeMap<String, Map<String, Object>>> kinds = new HashMap<>();
     private final List<Event> history = new ArrayList<>();
     private final Set<String> refused = new HashSet<>();
-    private final Set<Socket> waiting = new HashSet<>();
+    private final Map<Socket, String> waiting = new HashMap<>();
     private long revision = 100;
 
     private static final class Event {
@@ -57,7 +57,7 @@
 
     /** Cuts all watches that are waiting. */
     synchronized void cutWatches() {
-        for (Socket socket : waiting) {
+        for (Socket socket : waiting.keySet()) {
             try {
                 socket.close();
             } catch (IOException ignored) {
@@ -67,6 +67,15 @@
         waiting.clear();
     }
 
+    /** Machines that have a watch of the kind waiting. */
+    synchronized Set<String> watchers(String kind) {
+        Set<String> machines = new HashSet<>();
+        for (String watch : waiting.values()) {
+            if (watch.endsWith(" " + kind)) machines.add(watch.split(" ")[0]);
+        }
+        return machines;
+    }
+
     /** Writes an object; a write that changes nothing makes no event. Returns the store's revision. */
     synchronized long put(String kind, String name, Object spec) {
         Map<String, Object> old = objects(kind).get(name);
@@ -160,7 +169,7 @@
         List<Object> events = new ArrayList<>();
         long current;
         synchronized (this) {
-            waiting.add(socket);
+            waiting.put(socket, machine + " " + kind);
             while (true) {
                 for (Event event : history) {
                     if (event.revision > from && event.kind.equals(kind)) {
@@ -168,10 +177,10 @@
                     }
                 }
                 long left = (until - System.nanoTime()) / 1_000_000L;
-                if (!events.isEmpty() || left <= 0 || refused.contains(machine) || !waiting.contains(socket)) break;
+                if (!events.isEmpty() || left <= 0 || refused.contains(machine) || !waiting.containsKey(socket)) break;
                 wait(left);
             }
-            if (!waiting.remove(socket)) return false;
+            if (waiting.remove(socket) == null) return false;
             current = revision;
         }
         if (isRefused(machine)) return answer(out, 503, null);
