Make the case of the woken standby repeatable

An engine is added 2 s before each freeze, so that the watch of the frozen process doesn't end by its own timer at the wake, after which it reads the list anew; and there are three freezes.

--- a/review/3/WokenStandby.java
+++ b/review/3/WokenStandby.java
@@ -6,7 +6,7 @@
 /** A standby of the controller freezes and wakes again; meanwhile one engine is added and another one drains. */
 final class WokenStandby implements Play.Scenario {
     private static final int EDGES = 14;
-    private static final int ROUNDS = 2;
+    private static final int ROUNDS = 3;
     private static final double DRAIN_S = 2.0;
 
     @Override
@@ -18,7 +18,7 @@
         for (int edge = 0; edge < EDGES; edge++) deployment.addEdge(zones.get(edge % zones.size()));
         deployment.start();
         Thread.sleep(8000);
-        for (Edge edge : deployment.edges) Load.start(record, edge, "/cufi504/fi50/2f", 50);
+        for (Edge edge : deployment.edges) Load.start(record, edge, "/cufi504/fi50/2f", 100);
         Thread.sleep(3500);
         int late = 0;
         for (int round = 0; round < ROUNDS; round++) {
@@ -29,9 +29,14 @@
         return late == 0;
     }
 
-    /** Freezes a standby, replaces {@code leaving} by a new engine, and counts the requests that reach it too late. */
+    /**
+     * Adds an engine, freezes a standby, replaces {@code leaving} by a new engine, and counts the requests that reach it
+     * too late.
+     */
     private static int lateRuns(Deployment deployment, Engine leaving, boolean trouble) throws Exception {
         Record record = deployment.record;
+        deployment.addEngine(deployment.engines.size(), "ub-b");
+        Thread.sleep(2000);
         String holder = holder(deployment);
         Edge frozen = standby(deployment, holder);
         record.add("holder", holder);
@@ -50,8 +55,11 @@
             frozen.signal("CONT");
             record.add("wake", frozen.name);
         }
-        Thread.sleep(2500);
-        record.add("holder", holder(deployment));
+        for (double until = record.now() + 2.5; record.now() < until; Thread.sleep(10)) {
+            if (holder(deployment).equals(holder)) continue;
+            holder = holder(deployment);
+            record.add("lease_taken", "by", holder);
+        }
         deployment.store.remove("servers", leaving.id);
         int late = 0;
         for (Engine.Run run : leaving.runs()) {
