Refuse requests that a stopping edge process can't complete

Cause: StopSequence ended the process half a second before the end of the grace period, whatever was running, and until then nothing looked at whether a request could still be completed. New requests, waiting ones and those that were sent once more went to back ends to the last moment.

Change: ShutdownAdmission decides from the request's own time limit, or from the longest recent request of its route if it may be repeated, whether it can be completed. It is asked before each send and for waiting requests. What is refused gets 503, Retry-After and Connection: close. Deadlines for back ends end with the process. At the end each request gets the answer that its state allows, the port is closed, and the process waits for unsent bytes. This also covers answers that a slow caller has not read yet. CallerResponse is split off ForwardTask, and the choice of a route's service moves to Route.

The gateway of the product's own interface drains for longer than any request runs and isn't affected.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -55,6 +55,9 @@
     /** Whether the connection closes after the response that is being sent. */
     val isClosing: Boolean get() = listener.isClosing
 
+    /** Whether bytes of a response have not reached the socket yet. */
+    val hasUnsentBytes: Boolean get() = (context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
     }
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
@@ -20,7 +20,7 @@
     val head: RequestHead,
     val body: ByteArray,
     private val version: HttpVersion,
-    private val keepAlive: Boolean,
+    private var keepAlive: Boolean,
 ) {
     /** Called once if the caller disconnects before the response is complete. */
     var onDisconnect: () -> Unit = {}
@@ -36,6 +36,11 @@
     /** False while the caller reads too slowly; the source of the response should then be paused. */
     val isWritable: Boolean get() = channel.isWritable
 
+    /** Closes the connection after the response, so that the caller opens a new one for its next request. */
+    fun closeAfterResponse() {
+        keepAlive = false
+    }
+
     /** Sends a complete response. */
     fun respond(status: Int, headers: HttpHeaders, content: ByteArray) {
         if (isFinished) return
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -71,6 +71,9 @@
         connections.toList().forEach(CallerConnection::closeIfIdle)
     }
 
+    /** Whether a caller has not been sent all bytes of the responses that were written to it. */
+    val hasUnsentBytes: Boolean get() = connections.any(CallerConnection::hasUnsentBytes)
+
     /** Stops accepting new connections. */
     fun stopAccepting() {
         channel?.close()
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -36,6 +36,7 @@
 import redwingcross.version.forwarding.ForwardTask
 import redwingcross.version.forwarding.RequestCodec
 import redwingcross.version.forwarding.SendToBackend
+import redwingcross.version.forwarding.ShutdownAdmission
 import kotlin.random.Random
 import kotlin.time.Duration
 
@@ -78,6 +79,7 @@
     private val digestNames = HashMap<BackendServer, CompactName>()
     private val budgets = HashMap<ServiceName, RetryBudget>()
     private val forwardTasks = HashSet<ForwardTask>()
+    private val shutdown = ShutdownAdmission()
     private val waiting = WaitingRequests(dependencies.clock, dependencies.runLater, ::choose, random)
     private val progress =
         StreamProgress(dependencies.clock, dependencies.reportSuspectedGroup, dependencies.log)
@@ -96,7 +98,7 @@
         awaitPlace = waiting::add,
         waitEnded = waiting::remove,
         offerEnded = ::offerEnded,
-        tryAcquireRetry = ::tryAcquireRetry,
+        tryAcquireRetry = { budget(it).tryAcquire(dependencies.clock.now(), dependencies.gatewayShare().count) },
         retryAfter = { waiting.retryDelay(it) },
         coldReported = dependencies.coldReported,
         faultReported = { backend, _ -> backend.group?.let(dependencies.reportSuspectedGroup) },
@@ -106,6 +108,7 @@
             crashes::answerBegan,
             crashes::connectionLost,
         ),
+        shutdown = shutdown,
         finished = ::finished,
         log = { event, pairs -> dependencies.log(event, pairs) },
     )
@@ -162,7 +165,7 @@
             return refuse(exchange, request, SERVICE_UNAVAILABLE, ForwardTask.BLOCKED_PART, retryDelay = delay)
         }
         val now = dependencies.clock.now()
-        val service = pickService(route) ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service")
+        val service = route.pickService(random) ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service")
         budget(service).recordRequest(now)
         val priority = tenant?.priority ?: route.priority
         val task = ForwardTask(ForwardJob(exchange, request, route, service, tenant?.name, priority, now), context)
@@ -193,17 +196,6 @@
         exchange.respond(status, headers, ByteArray(0))
     }
 
-    private fun pickService(route: Route): ServiceName? {
-        val total = route.destinations.sumOf { it.weight }
-        if (total <= 0) return route.destinations.firstOrNull()?.service
-        var left = random.nextInt(total)
-        for (destination in route.destinations) {
-            left -= destination.weight
-            if (left < 0) return destination.service
-        }
-        return null
-    }
-
     private fun choose(request: ChoiceRequest): BackendChoice {
         val now = dependencies.clock.now()
         val fleet = dependencies.fleet()
@@ -255,14 +247,14 @@
         }
     }
 
-    private fun tryAcquireRetry(service: ServiceName): Boolean =
-        budget(service).tryAcquire(dependencies.clock.now(), dependencies.gatewayShare().count)
-
     private fun budget(service: ServiceName) = budgets.getOrPut(service) { RetryBudget { bounds().retryBudget } }
 
     private fun finished(task: ForwardTask, outcome: ForwardOutcome) {
         forwardTasks -= task
         waiting.record(outcome)
+        if (outcome.outcome == ForwardTask.SERVED) {
+            shutdown.recordServed(outcome.job.route, outcome.total, dependencies.clock.now())
+        }
         dependencies.recordOutcome(outcome)
     }
 
@@ -278,11 +270,26 @@
     fun checkProgress() {
         crashes.check()
         waiting.serve()
+        endUnsendableRequests()
         progress.check(forwardTasks)
     }
 
-    /** Ends the requests that wait for a place and whose prompts have a part that was blocked meanwhile. */
-    fun endBlockedRequests(): Unit = forwardTasks.toList().forEach(ForwardTask::endIfBlocked)
+    /** From now on refuses requests that can't be completed before the process ends all requests at [time]. */
+    fun stopAt(time: Duration) {
+        shutdown.endsAt = time
+    }
+
+    /** Answers all requests in flight as their state allows and refuses further ones. */
+    fun endRequests() {
+        stopAt(dependencies.clock.now())
+        forwardTasks.toList().forEach(ForwardTask::processEnds)
+    }
+
+    /**
+     * Ends the requests that wait for a place and must not be sent any more: because a part of their prompts was
+     * blocked meanwhile, or because the process stops.
+     */
+    fun endUnsendableRequests(): Unit = forwardTasks.toList().forEach(ForwardTask::endIfUnsendable)
 
     /** Discards the health and cold start state of all back ends that are not in [servers]. */
     fun retainServers(servers: Set<BackendServer>) {
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
@@ -19,7 +19,6 @@
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 /**
  * Guards against requests that end one engine after the other, and against refusals that are not true or that hit
@@ -233,14 +232,6 @@
         assertTrue("data: a" in caller.readAnswer())
     }
 
-    private fun awaitWaitingRequest() {
-        val deadline = TimeSource.Monotonic.markNow() + 5.seconds
-        while (onLoop { gateway.waitingRequests } == 0) {
-            assertTrue(deadline.hasNotPassedNow(), "no request waits for a place after 5 s")
-            Thread.sleep(10)
-        }
-    }
-
     @Test
     fun `a request that waits for a place is refused when one of its parts is blocked`() {
         startEngines(1)
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -65,6 +65,7 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /**
  * A gateway with real connections from callers and to back ends that the tests control, either by exchanges or byte by
@@ -99,7 +100,7 @@
         CrashAttributionDependencies(
             table = { fleet.table },
             onNewEvidence = {},
-            onBlocked = { gateway.endBlockedRequests() },
+            onBlocked = { gateway.endUnsendableRequests() },
             countCrash = {},
             countBlocked = blockedRequests::put,
             log = { _, _ -> },
@@ -262,10 +263,10 @@
     protected fun generate(parts: String, route: String = "generation") =
         call(route, fields = "Model: m\r\nParts: $parts\r\n")
 
-    protected fun call(route: String, key: String = "k2", fields: String = ""): Socket {
+    protected fun call(route: String, key: String = "k2", fields: String = "", keepAlive: Boolean = false): Socket {
         val socket = Socket(callers.address, callers.port).also { it.soTimeout = READ_TIMEOUT_MILLIS }
         val head = "GET /$route/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: $key\r\n"
-        val request = "$head${fields}Connection: close\r\n\r\n"
+        val request = "$head$fields${if (keepAlive) "" else "Connection: close\r\n"}\r\n"
         socket.getOutputStream().write(request.toByteArray())
         return socket
     }
@@ -313,6 +314,14 @@
         return received.toString()
     }
 
+    protected fun awaitWaitingRequest() {
+        val deadline = TimeSource.Monotonic.markNow() + 5.seconds
+        while (onLoop { gateway.waitingRequests } == 0) {
+            assertTrue(deadline.hasNotPassedNow(), "no request waits for a place after 5 s")
+            Thread.sleep(10)
+        }
+    }
+
     protected fun nextArrival() = assertNotNull(arrivals.poll(5, TimeUnit.SECONDS), "no back end got a request in 5 s")
 
     protected fun <T> onLoop(action: () -> T): T = loop.submit(Callable(action)).get()
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
@@ -57,6 +57,12 @@
     /** Ends each caller's connection with its next response. */
     fun closeCallersGracefully(): Unit = callers.closeGracefully()
 
+    /** Whether a caller has not been sent all bytes of its response. */
+    val hasUnsentBytes: Boolean get() = callers.hasUnsentBytes
+
+    /** Closes the listening socket for callers, so that they can tell at once that the process takes no request. */
+    fun stopAcceptingCallers(): Unit = callers.stopAccepting()
+
     private fun listener(serve: ServeExchange) =
         CallerListener(group, clock, { CallerLimits().headerBytes }, ::connectionLimits, {}, serve)
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -116,7 +116,7 @@
         CrashAttributionDependencies(
             table = { fleet.table },
             onNewEvidence = { crashRelay.onOwnChange() },
-            onBlocked = { gateway.endBlockedRequests() },
+            onBlocked = { gateway.endUnsendableRequests() },
             countCrash = metrics.countCrash,
             countBlocked = metrics.countBlockedRequest,
             log = events.info,
@@ -386,16 +386,31 @@
         events.info("stop", arrayOf("signal" to signal, "running" to gateway.runningRequests))
         controllerPost(ControllerMessage.Release)
         peerPost(PeerTaskMessage.StateChanged)
-        StopSequence(bounds.stopGrace, ADDRESS_LIST_LIFETIME, clock, ::runLater, { gateway.runningRequests }).start(
-            closeGracefully = listeners::closeCallersGracefully,
-            end = {
-                events.info("stopped", arrayOf("running" to gateway.runningRequests))
-                stopped.countDown()
-                Runtime.getRuntime().halt(0)
-            },
-        )
+        StopSequence(
+            bounds.stopGrace,
+            ADDRESS_LIST_LIFETIME,
+            clock,
+            ::runLater,
+            StopProgress({ gateway.runningRequests }, { listeners.hasUnsentBytes }),
+            stopActions(),
+        ).start()
     }
 
+    private fun stopActions() = StopActions(
+        limitRequests = gateway::stopAt,
+        closeGracefully = listeners::closeCallersGracefully,
+        endRequests = {
+            events.info("requests_ended", arrayOf("running" to gateway.runningRequests))
+            gateway.endRequests()
+            listeners.stopAcceptingCallers()
+        },
+        endProcess = {
+            events.info("stopped", arrayOf("running" to gateway.runningRequests))
+            stopped.countDown()
+            Runtime.getRuntime().halt(0)
+        },
+    )
+
     private fun runLater(delay: Duration, action: () -> Unit): CancelTimer {
         val future = loop.schedule(action, delay.inWholeMicroseconds, TimeUnit.MICROSECONDS)
         return CancelTimer { future.cancel(false) }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/StopSequence.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/StopSequence.kt
@@ -5,19 +5,39 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/** What a [StopSequence] asks of the process. */
+internal class StopActions(
+    /** Refuses requests that can't be completed before the given clock reading, at which all requests end. */
+    val limitRequests: (Duration) -> Unit,
+    /** Ends each caller's connection with its next response. */
+    val closeGracefully: () -> Unit,
+    /** Answers the requests in flight, refuses further ones and accepts no new connections. */
+    val endRequests: () -> Unit,
+    val endProcess: () -> Unit,
+)
+
+/** What is still in progress while a process stops. */
+internal class StopProgress(val runningRequests: () -> Int, val hasUnsentBytes: () -> Boolean) {
+    val isIdle: Boolean get() = runningRequests() == 0 && !hasUnsentBytes()
+}
+
 /**
  * Stops a process without cutting off requests. From the start of the sequence its address is no longer returned to
  * callers. Once their address lists have expired, each connection is closed after its current response. The process
- * ends when no request is running, at the latest shortly before the platform kills it.
+ * ends when no request is running, at the latest shortly before the platform kills it. Each request that arrives until
+ * then gets an answer: callers that know no other address stay to the end.
  */
 internal class StopSequence(
-    private val grace: Duration,
+    grace: Duration,
     listLifetime: Duration,
     private val clock: MonotonicClock,
     private val runLater: (Duration, () -> Unit) -> CancelTimer,
-    private val runningRequests: () -> Int,
+    private val progress: StopProgress,
+    private val actions: StopActions,
 ) {
     private val startedAt = clock.now()
+    private val requestsEndAt = startedAt + grace - ANSWER_MARGIN
+    private val processEndsAt = startedAt + grace - KILL_MARGIN
 
     /**
      * Time until no caller uses an old address list, limited to half of the grace period. Some callers keep a list
@@ -25,15 +45,30 @@
      */
     private val listExpiry = minOf(listLifetime * LIST_LIFETIME_FACTOR, grace / 2)
 
-    fun start(closeGracefully: () -> Unit, end: () -> Unit) {
-        runLater(listExpiry, closeGracefully)
-        endWhenIdle(end)
+    fun start() {
+        actions.limitRequests(requestsEndAt)
+        runLater(listExpiry, actions.closeGracefully)
+        endWhenIdle()
+    }
+
+    private fun endWhenIdle() {
+        val now = clock.now()
+        val isDrained = now >= startedAt + listExpiry + CLOSING_TIME && progress.isIdle
+        if (isDrained || now >= requestsEndAt) endRequests() else runLater(CHECK_INTERVAL, ::endWhenIdle)
+    }
+
+    private fun endRequests() {
+        actions.endRequests()
+        // Requests that callers have sent by now are read and refused in the meantime.
+        runLater(CHECK_INTERVAL, ::endWhenSent)
     }
 
-    private fun endWhenIdle(end: () -> Unit) {
-        val elapsed = clock.now() - startedAt
-        val isDrained = elapsed >= listExpiry + CLOSING_TIME && runningRequests() == 0
-        if (isDrained || elapsed >= grace - KILL_MARGIN) end() else runLater(CHECK_INTERVAL) { endWhenIdle(end) }
+    private fun endWhenSent() {
+        if (progress.isIdle || clock.now() >= processEndsAt) {
+            actions.endProcess()
+        } else {
+            runLater(CHECK_INTERVAL, ::endWhenSent)
+        }
     }
 
     private companion object {
@@ -41,7 +76,10 @@
         val CLOSING_TIME = 300.milliseconds
         val CHECK_INTERVAL = 50.milliseconds
 
+        /** Time before the end of the grace period at which all requests end; their answers are sent after that. */
+        val ANSWER_MARGIN = 500.milliseconds
+
         /** The process is killed at the end of the grace period. */
-        val KILL_MARGIN = 500.milliseconds
+        val KILL_MARGIN = 250.milliseconds
     }
 }
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/CrashingPartTest.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/CrashingPartTest.kt
@@ -28,14 +28,14 @@
     fun `a part under which engines crash is blocked everywhere and sound requests with its other parts are served`() {
         deployment.use {
             deployment.start()
-            waitUntilServing()
+            deployment.awaitServing()
             deployment.onLoop { fabric.crashingPart = CRASHING }
             SoakCallers({ deployment.addresses }, seed = 1).use { callers ->
                 sendCrashingRequests(CRASHING_MILLIS)
                 deployment.nodes.first().process?.kill()
                 Thread.sleep(RESTART_MILLIS)
                 deployment.nodes.first().start()
-                waitUntilServing()
+                deployment.awaitServing()
                 callers.takeCounts()
                 sendCrashingRequests(CALM_MILLIS)
                 val calm = callers.takeCounts()
@@ -53,15 +53,6 @@
         }
     }
 
-    private fun waitUntilServing() {
-        val end = now() + START_MILLIS
-        while (now() < end && !deployment.isServing()) {
-            deployment.refreshAddresses()
-            Thread.sleep(PAUSE_MILLIS)
-        }
-        assertTrue(deployment.isServing(), "the deployment does not serve after $START_MILLIS ms")
-    }
-
     /** At most three requests reach engines later than 3 s after the fifth crash, or after the last if it has fewer. */
     private fun assertBlocked() = deployment.onLoop {
         val crashes = fabric.crashTimes
@@ -114,7 +105,6 @@
 
     private companion object {
         const val CRASHING = "dead"
-        const val START_MILLIS = 15_000L
         const val CRASHING_MILLIS = 10_000L
 
         /** Time without the killed process, less than the others need to notice that it is gone. */
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakCallers.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakCallers.kt
@@ -6,6 +6,7 @@
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import java.net.http.HttpTimeoutException
 import java.time.Duration
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
@@ -45,6 +46,9 @@
 
     /** Ids of attempts that may run at most once. */
     val bookings = ConcurrentLinkedQueue<String>()
+
+    /** Ids of attempts whose connection ended without a complete response, before the caller stopped waiting. */
+    val brokenOff = ConcurrentLinkedQueue<String>()
     private val served = AtomicInteger()
     private val failures = AtomicReference(emptyMap<String, Int>())
 
@@ -102,6 +106,7 @@
         } catch (exception: IOException) {
             // Without a complete response the caller cannot tell whether the request ran.
             countFailure("$address ${exception::class.simpleName}")
+            if (exception !is HttpTimeoutException) brokenOff += attempt
         }
         Thread.sleep(callerRandom.nextLong(MAX_PAUSE_MILLIS))
     }
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
@@ -16,6 +16,7 @@
 import java.nio.file.Path
 import java.time.Duration
 import java.util.concurrent.TimeUnit
+import kotlin.test.assertTrue
 
 /**
  * Runs edge processes against stand-ins for the platform's store and engines. Concurrent deployments need different
@@ -89,6 +90,16 @@
         return addresses.size == nodes.size && open >= MIN_SERVING_GROUPS && nodes.all(EdgeNode::isListening)
     }
 
+    /** Waits until the deployment serves; fails after [START_MILLIS]. */
+    fun awaitServing() {
+        val end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS)
+        while (System.nanoTime() < end && !isServing()) {
+            refreshAddresses()
+            Thread.sleep(PAUSE_MILLIS)
+        }
+        assertTrue(isServing(), "the deployment does not serve after $START_MILLIS ms")
+    }
+
     /** Log lines of uncaught exceptions; a task that ends with one leaves its work undone. */
     fun exceptions(): List<String> = Files.list(logs).use { files ->
         files.toList().filter { it.toString().endsWith(".log") }.flatMap { file ->
@@ -145,6 +156,8 @@
         /** Twelve engines have capacity for at least one group of each model and one more. */
         const val MIN_SERVING_GROUPS = 3
         const val LOGGED_CHARACTERS = 160
+        const val START_MILLIS = 15_000L
+        const val PAUSE_MILLIS = 100L
 
         val allowedServices = mapOf(
             "/book" to setOf("app-b"),
--- a/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
@@ -4,6 +4,7 @@
 import redwingcross.request.ModelName
 import redwingcross.request.ServiceName
 import redwingcross.request.forward.Repeatability
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -53,7 +54,18 @@
     val destinations: List<Destination>,
     /** Objective for the response, for a stream for its first event; null if the operator states none. */
     val targetLatency: Duration? = null,
-)
+) {
+    /** Chooses the service for one request according to the weights; null if the route has no destination. */
+    fun pickService(random: Random): ServiceName? {
+        val total = destinations.sumOf { it.weight }
+        if (total <= 0) return destinations.firstOrNull()?.service
+        var left = random.nextInt(total)
+        return destinations.firstOrNull { destination ->
+            left -= destination.weight
+            left < 0
+        }?.service
+    }
+}
 
 /** A service and its weight in the traffic split of a route. */
 data class Destination(val service: ServiceName, val weight: Int)
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/CallerResponse.kt
@@ -0,0 +1,50 @@
+package redwingcross.version.forwarding
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+import redwingcross.connection.http.CallerExchange
+import redwingcross.connection.http.ResponseHead
+import redwingcross.connection.http.copyEndToEndTo
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+
+/** The response to the caller of one request. Its body is collected until it is complete or too long to be held. */
+internal class CallerResponse(
+    private val exchange: CallerExchange,
+    private val refusalHeaders: (Duration?) -> HttpHeaders,
+) {
+    private val body = ByteArrayOutputStream(0)
+
+    /** Head of the back end's response that was begun to the caller; null before that. */
+    var begunHead: ResponseHead? = null
+        private set
+
+    val collectedBytes: Int get() = body.size()
+
+    fun collect(bytes: ByteArray): Unit = body.write(bytes)
+
+    fun discardCollected(): Unit = body.reset()
+
+    /** Begins a response of unknown length with [head] and the bytes that were collected so far. */
+    fun begin(head: ResponseHead) {
+        exchange.beginStream(head.status, endToEndHeaders(head))
+        begunHead = head
+        if (body.size() > 0) exchange.write(body.toByteArray())
+        body.reset()
+    }
+
+    /** Ends the response: the one that was begun, or a whole one with [head] and the collected bytes. */
+    fun complete(head: ResponseHead) {
+        if (begunHead == null) {
+            exchange.respond(head.status, endToEndHeaders(head), body.toByteArray())
+        } else {
+            exchange.endStream()
+        }
+    }
+
+    /** Responds with a status of the gateway's own. */
+    fun fail(status: Int, retryAfter: Duration? = null): Unit =
+        exchange.respond(status, refusalHeaders(retryAfter), ByteArray(0))
+
+    private fun endToEndHeaders(head: ResponseHead) = DefaultHttpHeaders().also(head.headers::copyEndToEndTo)
+}
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -51,6 +51,7 @@
     /** Called when a back end reported an engine that stalled its work. */
     val faultReported: (ChosenBackend, BackendServer) -> Unit,
     val crashes: CrashSignals,
+    val shutdown: ShutdownAdmission,
     val finished: (ForwardTask, ForwardOutcome) -> Unit,
     val log: (event: String, pairs: Array<Pair<String, Any?>>) -> Unit,
 )
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardJob.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardJob.kt
@@ -17,4 +17,7 @@
     /** 0 is the most urgent. The customer's priority takes precedence over that of the route. */
     val priority: Int,
     val arrivedAt: Duration,
-)
+) {
+    /** Clock reading at which the caller or the route no longer waits for the response. */
+    val deadline: Duration = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
+}
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -1,11 +1,9 @@
 package redwingcross.version.forwarding
 
-import io.netty.handler.codec.http.DefaultHttpHeaders
 import redwingcross.connection.http.ExchangeFailure
 import redwingcross.connection.http.PendingExchange
 import redwingcross.connection.http.ResponseHead
 import redwingcross.connection.http.ResponseListener
-import redwingcross.connection.http.copyEndToEndTo
 import redwingcross.request.GroupId
 import redwingcross.request.forward.ForwardDecision
 import redwingcross.request.forward.ForwardLimits
@@ -13,7 +11,6 @@
 import redwingcross.request.forward.ForwardStep
 import redwingcross.request.forward.OfferResult
 import redwingcross.request.stream.EventSplitter
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 
 /**
@@ -25,17 +22,14 @@
     private val exchange = job.exchange
     private val route = job.route
     private val isStream = route.repeatability.isStream
-    private val deadline = job.arrivedAt + minOf(job.request.callerTimeout ?: route.timeout, route.timeout)
-    private var state = ForwardState(ForwardLimits(route.repeatability, route.maximumSends, deadline))
+    private var state = ForwardState(ForwardLimits(route.repeatability, route.maximumSends, job.deadline))
     private val splitter = EventSplitter()
-    private val collectedBody = ByteArrayOutputStream(0)
+    private val response = CallerResponse(exchange, context.codec.refusal)
     private var offer: Offer? = null
     private var timer = CancelTimer {}
     private var lastEventId: Long? = job.request.generation?.resumeAfter
     private var firstEventAt: Duration? = null
 
-    /** Head of the response whose stream was begun to the caller; null before that. */
-    private var begunHead: ResponseHead? = null
     private var finished = false
     private var waitingSince = Duration.ZERO
     private var waited = Duration.ZERO
@@ -45,6 +39,9 @@
     // A request that may have run can't be refused any more, so it counts like a stream that has begun.
     private val isResuming: Boolean get() = state.answerStarted || state.mayHaveRun
 
+    /** After this time no answer can be delivered any more. */
+    private val latestEnd: Duration get() = minOf(job.deadline, context.shutdown.endsAt)
+
     /** What this request needs from the next back end that it is sent to. */
     fun choiceRequest() = ChoiceRequest(job.service, job.request.generation?.model, state.offered.toSet(), isResuming)
 
@@ -60,20 +57,30 @@
 
     /** Sends the request to the first back end and starts the timer for the deadline. */
     fun start() {
-        exchange.onDisconnect = ::callerDisconnected
+        exchange.onDisconnect = {
+            offer?.pending?.cancel()
+            finish("caller_left", "closed")
+        }
         exchange.onWritable = { offer?.pending?.resumeReading() }
-        timer = context.runLater(deadline - context.clock.now(), ::deadlinePassed)
+        timer = context.runLater(job.deadline - context.clock.now(), ::deadlinePassed)
         offer()
     }
 
-    /** Ends the request if it isn't at a back end and its prompt has a part that no engine may receive. */
-    fun endIfBlocked() {
-        if (!finished && offer == null && context.crashes.isBlocked(job.request)) finishWithout(BLOCKED_PART)
+    /** Ends the request if it isn't at a back end and must not be sent to one any more. */
+    fun endIfUnsendable() {
+        if (!finished && offer == null) reasonNotToSend(context.clock.now())?.let(::finishWithout)
+    }
+
+    // At the end of the process, a request that may have run can't be refused truthfully, so it is sent once more.
+    private fun reasonNotToSend(now: Duration): String? = when {
+        context.crashes.isBlocked(job.request) -> BLOCKED_PART
+        !isResuming && !context.shutdown.canComplete(route, job.deadline, now) -> STOPPING
+        else -> null
     }
 
     private fun offer() {
-        if (context.crashes.isBlocked(job.request)) return finishWithout(BLOCKED_PART)
         val now = context.clock.now()
+        reasonNotToSend(now)?.let { return finishWithout(it) }
         val choice = context.choose(choiceRequest())
         if (choice !is BackendChoice.Chosen) {
             noBackendChosen(choice)
@@ -83,11 +90,11 @@
         state = state.copy(offered = state.offered + backend.server)
         progressAt = now
         splitter.reset()
-        collectedBody.reset()
+        response.discardCollected()
         val head = context.codec.encode(
             exchange.head,
             job.request,
-            BackendRequestFields(backend.server, job.customer, deadline - now, job.priority, lastEventId),
+            BackendRequestFields(backend.server, job.customer, latestEnd - now, job.priority, lastEventId),
         )
         val next = Offer(backend, now)
         offer = next
@@ -111,7 +118,7 @@
     private fun noBackendChosen(choice: BackendChoice) {
         if (choice == BackendChoice.AllBusy || isResuming) {
             waitingSince = context.clock.now()
-            if (context.awaitPlace(this, isResuming, deadline)) return
+            if (context.awaitPlace(this, isResuming, latestEnd)) return
         }
         finishWithout(if (choice == BackendChoice.AllBusy) "all_busy" else "none_serving")
     }
@@ -156,33 +163,23 @@
 
     private fun finishWith(step: ForwardStep, reason: String, ended: Offer? = null) {
         when (step) {
-            ForwardStep.PassError -> ended?.let(::relayError)
+            ForwardStep.PassError -> ended?.head?.let(response::complete) ?: response.fail(BAD_GATEWAY)
             ForwardStep.Refuse -> {
                 val isBlocked = reason == BLOCKED_PART
-                respond(
+                if (reason == STOPPING) exchange.closeAfterResponse()
+                response.fail(
                     SERVICE_UNAVAILABLE,
                     if (isBlocked) CrashSignals.BLOCKED_RETRY_DELAY else context.retryAfter(job),
                 )
             }
-            ForwardStep.ReportUnknown -> respond(BAD_GATEWAY, null)
-            ForwardStep.ReportTimeout -> respond(if (state.sends == 0) SERVICE_UNAVAILABLE else GATEWAY_TIMEOUT, null)
+            ForwardStep.ReportUnknown -> response.fail(BAD_GATEWAY)
+            ForwardStep.ReportTimeout -> response.fail(if (state.sends == 0) SERVICE_UNAVAILABLE else GATEWAY_TIMEOUT)
             ForwardStep.BreakOff -> exchange.abort()
             is ForwardStep.OfferAgain -> error("OfferAgain does not end a request")
         }
         finish(step.toString(), reason)
     }
 
-    private fun respond(status: Int, retryAfter: Duration?) {
-        exchange.respond(status, context.codec.refusal(retryAfter), ByteArray(0))
-    }
-
-    private fun relayError(ended: Offer) {
-        val head = ended.head ?: return respond(BAD_GATEWAY, null)
-        val headers = DefaultHttpHeaders()
-        head.headers.copyEndToEndTo(headers)
-        exchange.respond(head.status, headers, collectedBody.toByteArray())
-    }
-
     private fun finish(outcome: String, reason: String) {
         if (finished) return
         finished = true
@@ -210,17 +207,23 @@
         context.offerReleased(current.backend, this)
     }
 
-    private fun callerDisconnected() {
-        offer?.pending?.cancel()
-        finish("caller_left", "closed")
+    private fun deadlinePassed() {
+        if (finished) return
+        cancelOffer()
+        finishWith(ForwardDecision.expired(state), "deadline")
     }
 
-    private fun deadlinePassed() {
+    /** Ends the request with the answer that its state allows, because the process ends. */
+    fun processEnds() {
         if (finished) return
+        cancelOffer()
+        finishWithout(STOPPING)
+    }
+
+    private fun cancelOffer() {
         val sent = offer?.pending?.wasSent == true
         offer?.pending?.cancel()
         if (sent) state = state.copy(sends = state.sends + 1, mayHaveRun = true)
-        finishWith(ForwardDecision.expired(state), "deadline")
     }
 
     /** Moves the request to another back end, because its group has lost a member. */
@@ -254,7 +257,7 @@
             val metadata = context.codec.metadata(job.request, head)
             metadata.coldFor?.let { context.coldReported(backend.server, it) }
             metadata.faultyEngine?.let { context.faultReported(backend, it) }
-            val rejection = ResponseCheck.ofHead(head, metadata, state, begunHead)
+            val rejection = ResponseCheck.ofHead(head, metadata, state, response.begunHead)
             if (rejection != null) reject(rejection) else isError = !ResponseCheck.isSuccess(head)
         }
 
@@ -276,8 +279,8 @@
                 if (!exchange.isWritable) pending?.pauseReading()
                 return
             }
-            collectedBody.write(bytes)
-            if (collectedBody.size() <= MAX_COLLECTED_BYTES) return
+            response.collect(bytes)
+            if (response.collectedBytes <= MAX_COLLECTED_BYTES) return
             if (isError) {
                 reject(OfferResult.Lost, "error_too_long")
             } else {
@@ -307,20 +310,14 @@
 
         // An engine may send comments before it ends under the request, so they don't begin the response.
         private fun holdComments(bytes: ByteArray) {
-            collectedBody.write(bytes)
-            if (collectedBody.size() > MAX_COLLECTED_BYTES) reject(OfferResult.Lost, "comments_too_long")
+            response.collect(bytes)
+            if (response.collectedBytes > MAX_COLLECTED_BYTES) reject(OfferResult.Lost, "comments_too_long")
         }
 
         /** Begins the response to the caller with the bytes that were collected so far. */
         private fun startResponse() {
-            val original = head ?: return
-            val headers = DefaultHttpHeaders()
-            original.headers.copyEndToEndTo(headers)
-            exchange.beginStream(original.status, headers)
-            begunHead = original
+            response.begin(head ?: return)
             state = state.copy(answerStarted = true)
-            if (collectedBody.size() > 0) exchange.write(collectedBody.toByteArray())
-            collectedBody.reset()
         }
 
         override fun onEnd() {
@@ -344,13 +341,7 @@
             if (!isStream) context.crashes.answerBegan(sharedParts)
             if (!isStream) context.health.recordPause(backend.server, backend.kind, now - startedAt)
             state = state.copy(sends = state.sends + 1)
-            if (state.answerStarted) {
-                exchange.endStream()
-            } else {
-                val headers = DefaultHttpHeaders()
-                head?.headers?.copyEndToEndTo(headers)
-                exchange.respond(head?.status ?: OK, headers, collectedBody.toByteArray())
-            }
+            head?.let(response::complete)
             finish(SERVED, "complete")
         }
 
@@ -377,7 +368,9 @@
 
         /** Reason of the end of a request whose prompt has a blocked part. */
         const val BLOCKED_PART = "blocked_prompt_part"
-        private const val OK = 200
+
+        /** Reason of the end of a request that can't be completed before the process ends. */
+        const val STOPPING = "stopping"
         private const val BAD_GATEWAY = 502
         private const val SERVICE_UNAVAILABLE = 503
         private const val GATEWAY_TIMEOUT = 504
