Make each renewal of the controller lease a new version

A standby that woke from a freeze took the lease from a holder that renewed it all the time, and announced old routes.

Cause: a renewal wrote the same record, and the store gives no new version to a write that changes nothing. The takeover is conditional on a version that was known for the lease duration, and that version outlived all renewals. Only heartbeats kept standbys from the takeover, and a woken process has heard none.

Ruled out: failed renewals (the store answered them) and a frozen holder (the record names another one).

Change: LeaseRecord counts its renewals. The simulated store of the tests follows the rule of the platform's store. The other conditional writes can't repeat their content.

--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
@@ -12,6 +12,7 @@
  *
  * A takeover is safe without comparing the clocks of two processes: the write is conditional on a version that this
  * process has known for the whole lease duration, and the holder sent the renewal that made that version even earlier.
+ * Each renewal makes a new version, so the write of a process that has missed renewals has no effect.
  */
 object LeaseDecision {
     /** Computes the next state and effects of [message] at [now]. */
@@ -56,9 +57,11 @@
         if (now < held.renewedAt + state.settings.renewInterval) {
             state.with()
         } else {
-            write(state, held.seen.record, held.seen.version, now)
+            write(state, held.seen.record.nextRenewal(), held.seen.version, now)
         }
 
+    private fun LeaseRecord.nextRenewal() = copy(renewal = renewal + 1)
+
     private fun takeOver(state: LeaseState, now: Duration): Step {
         val number = state.acquisitions + 1
         val record =
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseRecord.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseRecord.kt
@@ -15,6 +15,11 @@
     /** Identifies the acquisition, so that its writer recognises it after a lost answer and after a restart. */
     val nonce: String,
     val duration: Duration,
+    /**
+     * Number of renewals since the acquisition. It makes the record differ with each renewal: the store gives no new
+     * version to a write that changes nothing, and a standby that missed the renewals would then take the lease.
+     */
+    val renewal: Long = 0,
 )
 
 /** Version of the lease object, assigned by the store. */
--- /dev/null
+++ b/version/src/test/kotlin/redwingcross/version/lease/LeaseDecisionTest.kt
@@ -0,0 +1,128 @@
+package redwingcross.version.lease
+
+import redwingcross.request.ProcessName
+import redwingcross.version.placement.LeaseEpoch
+import redwingcross.version.simulation.FaultyObject
+import redwingcross.version.simulation.VirtualTime
+import redwingcross.version.simulation.WriteOutcome
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against a lease that is taken from a holder that renews it, or that is kept by one that can't renew it. */
+class LeaseDecisionTest {
+    private val time = VirtualTime()
+    private val store = FaultyObject<LeaseRecord>(time)
+    private val holder = Process("holder")
+    private val standby = Process("standby")
+
+    /** A process with an access to the store of its own; it sends what it holds to [listener] with each tick. */
+    private inner class Process(name: String) {
+        var state = LeaseState(ProcessName(name), "1", settings)
+        var isPaused = false
+        var listener: Process? = null
+        val holds: Boolean get() = state.held != null
+
+        fun start(): Unit = tick()
+
+        private fun tick() {
+            if (!isPaused) {
+                step(LeaseMessage.Tick)
+                listener?.hear(state)
+            }
+            time.after(100.milliseconds, ::tick)
+        }
+
+        private fun hear(other: LeaseState) {
+            val held = other.held?.seen ?: return
+            if (isPaused) return
+            step(LeaseMessage.HolderRenewed(held))
+            step(LeaseMessage.HolderAnnounced(held.record.epoch))
+        }
+
+        fun step(message: LeaseMessage) {
+            val transition = LeaseDecision.step(state, message, time.now)
+            state = transition.state
+            for (effect in transition.effects) {
+                when (effect) {
+                    is LeaseEffect.Read -> store.read(
+                        { found -> answer(LeaseMessage.ReadAnswered(effect.call, found?.let(::stored))) },
+                        { answer(LeaseMessage.ReadFailed(effect.call)) },
+                    )
+                    is LeaseEffect.Write -> store.write(effect.expected?.value, effect.record) {
+                        answer(it.toMessage(effect.call))
+                    }
+                    else -> Unit
+                }
+            }
+        }
+
+        private fun answer(message: LeaseMessage) {
+            if (!isPaused) step(message)
+        }
+    }
+
+    private fun stored(found: Pair<Long, LeaseRecord>) = StoredLease(LeaseVersion(found.first), found.second)
+
+    private fun WriteOutcome.toMessage(call: Long): LeaseMessage = when (this) {
+        is WriteOutcome.Written -> LeaseMessage.Written(call, LeaseVersion(version))
+        WriteOutcome.Conflict -> LeaseMessage.Conflict(call)
+        WriteOutcome.NoEffect -> LeaseMessage.WriteFailed(call)
+        WriteOutcome.Unknown -> LeaseMessage.OutcomeUnknown(call)
+    }
+
+    private fun advance(duration: Duration) = time.advance(duration) {}
+
+    private fun startBoth() {
+        holder.listener = standby
+        holder.start()
+        advance(50.milliseconds)
+        standby.start()
+        advance(2.seconds)
+        assertHolderKept()
+    }
+
+    /** The holder has the lease without an interruption. */
+    private fun assertHolderKept() {
+        assertEquals(listOf(true, false), listOf(holder.holds, standby.holds))
+        assertEquals(LeaseEpoch(1), holder.state.held?.seen?.record?.epoch)
+    }
+
+    @Test
+    fun `a standby that wakes from a pause does not take the lease from a holder that renews it`() {
+        startBoth()
+        standby.isPaused = true
+        advance(5.seconds + 70.milliseconds)
+        standby.isPaused = false
+        advance(2.seconds)
+        assertHolderKept()
+    }
+
+    @Test
+    fun `a standby that does not hear the holder does not take the lease while the holder renews it`() {
+        startBoth()
+        holder.listener = null
+        advance(5.seconds)
+        assertHolderKept()
+    }
+
+    @Test
+    fun `a standby takes the lease of a holder that has ended`() {
+        startBoth()
+        holder.isPaused = true
+        advance(1500.milliseconds)
+        assertEquals(LeaseEpoch(2), standby.state.held?.seen?.record?.epoch)
+    }
+
+    private companion object {
+        val settings = LeaseSettings(
+            duration = 1.2.seconds,
+            renewInterval = 0.5.seconds,
+            margin = 0.2.seconds,
+            retryInterval = 0.3.seconds,
+            rankDelay = 0.2.seconds,
+        )
+    }
+}
--- a/version/src/test/kotlin/redwingcross/version/simulation/FaultyObject.kt
+++ b/version/src/test/kotlin/redwingcross/version/simulation/FaultyObject.kt
@@ -67,6 +67,8 @@
     private fun apply(expected: Long?, value: T): WriteOutcome = when {
         time.now < downUntil -> WriteOutcome.NoEffect
         history.lastOrNull()?.first != expected -> WriteOutcome.Conflict
+        // As in the platform's store, a write that changes nothing makes no new version.
+        history.lastOrNull()?.second == value -> WriteOutcome.Written(history.last().first)
         else -> {
             val version = (expected ?: 0) + 1
             history += version to value
