Let a new controller act only on a list as new as its lease

Cause: the active controller announced and ordered with whatever list it had.

Change: Confirmed updates carry the store's revision up to which the view is complete. The store has one counter for all kinds, so a controller whose list has reached the revision of its lease knows all that the former one could know.

Evidence: ControllerTaskTest 'a new controller announces and orders nothing before its list is as new as its lease' fails without the comparison.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -24,6 +24,7 @@
 import redwingcross.version.fleet.ServiceRoutes
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
+import redwingcross.version.fleet.StoreRevision
 import redwingcross.version.fleet.lostGroups
 import redwingcross.version.lease.LeaseDecision
 import redwingcross.version.lease.LeaseEffect
@@ -100,6 +101,10 @@
     val sendOrder: (ServiceName, FormationEffect.Send) -> Unit,
     /** Whether the view of the engines is the platform's complete list. */
     val isListComplete: () -> Boolean,
+    /** Revision up to which the view of the engines contains the changes of the platform's list. */
+    val listRevision: () -> StoreRevision,
+    /** Requests the changes of the platform's list up to now. */
+    val catchUpList: () -> Unit,
     /** The routes of a service that were announced last. */
     val announcedRoutes: (ServiceName) -> AnnouncedRoutes?,
     /** Sends the routes of a service to every gateway, or to the one that requested them. */
@@ -126,6 +131,10 @@
 
     /** Highest lease epoch that a process announced as its own. */
     private var newestEpoch = LeaseEpoch(0)
+
+    /** Revision of the acquisition of the lease, up to which the list has to be known before its holder acts. */
+    private var requiredListRevision = StoreRevision(0)
+    private var requiredByEpoch: LeaseEpoch? = null
     private var isStepScheduled = false
     private var lastStepAt = -Duration.INFINITE
     private var announcers = emptyMap<ServiceName, AnnouncerState>()
@@ -261,6 +270,10 @@
         val next = if (canAct) held.seen.record.epoch else null
         if (next == activeEpoch) return
         activeEpoch = next
+        if (next != null && next != requiredByEpoch) {
+            requiredByEpoch = next
+            requiredListRevision = StoreRevision(held?.seen?.version?.value ?: 0)
+        }
         if (next == null) dependencies.discardReports()
         formations = emptyMap()
         announcers = emptyMap()
@@ -272,13 +285,24 @@
         updateControllerRole()
         val epoch = activeEpoch ?: return
         val configuration = dependencies.configuration() ?: return
-        if (!dependencies.isListComplete()) return
+        if (!isListCurrent()) return
         for (service in configuration.services.values) {
             val formation = service.pool?.let { stepFormation(service, it, epoch) }
             announce(service, epoch, formation)
         }
     }
 
+    /**
+     * Whether the list of engines is at least as new as the lease. A process that was paused or cut off has an old list
+     * when it takes over; the gateways know of later changes from the former controller.
+     */
+    private fun isListCurrent(): Boolean {
+        if (!dependencies.isListComplete()) return false
+        val isCurrent = dependencies.listRevision() >= requiredListRevision
+        if (!isCurrent) dependencies.catchUpList()
+        return isCurrent
+    }
+
     private fun stepFormation(service: ServiceSpec, pool: ModelPool, epoch: LeaseEpoch): FormationState {
         val start = formations[service.name] ?: FormationState(epoch, epoch = firstEpoch(epoch), lastCall = lastCall)
         val view = FormationView(dependencies.table(), service, pool, dependencies.trafficSeen(), FORMATION_SETTINGS)
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -12,6 +12,7 @@
 import redwingcross.version.fleet.RouteChanges
 import redwingcross.version.fleet.ServiceRoutes
 import redwingcross.version.fleet.ServingGroup
+import redwingcross.version.fleet.StoreRevision
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.fleet.servingGroups
 import kotlin.time.Duration
@@ -66,6 +67,8 @@
     val usesAnnouncedServers: Boolean = true,
     /** Whether the platform's complete list was received since this process last used announced routes instead. */
     val isListComplete: Boolean = false,
+    /** Revision up to which the changes of the platform's list were received. */
+    val listRevision: StoreRevision = StoreRevision(0),
 ) {
     /**
      * Groups that this process derives from the list of back ends, without an announcement. Computed on first use,
@@ -101,7 +104,7 @@
             .withTable(state.table.withListed(update.server, now))
         is FleetUpdate.ServerRemoved -> removed(state, setOf(update.server), now)
         is FleetUpdate.ServersListed -> listed(state, update, now)
-        is FleetUpdate.Confirmed -> confirmed(state, update.source, now)
+        is FleetUpdate.Confirmed -> confirmed(state, update, now)
         is FleetUpdate.Interrupted -> state.copy(storeLostAt = state.storeLostAt ?: now)
     }
 
@@ -236,10 +239,12 @@
         return state.copy(pendingRemovals = servers.associateWith { due } + state.pendingRemovals)
     }
 
-    private fun confirmed(state: FleetState, source: UpdateSource, now: Duration): FleetState {
+    private fun confirmed(state: FleetState, update: FleetUpdate.Confirmed, now: Duration): FleetState {
         val regained = if (state.storeLostAt != null) now else state.storeRegainedAt
+        val isList = update.source == UpdateSource.BACKEND_SERVERS
         return state.copy(
-            confirmedAt = state.confirmedAt + (source to now),
+            confirmedAt = state.confirmedAt + (update.source to now),
+            listRevision = if (isList) update.revision else state.listRevision,
             storeLostAt = null,
             storeRegainedAt = regained,
         )
--- a/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
@@ -27,6 +27,7 @@
 import redwingcross.version.fleet.OrderOutcome
 import redwingcross.version.fleet.ReportAnswer
 import redwingcross.version.fleet.ServiceSpec
+import redwingcross.version.fleet.StoreRevision
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.lease.LeaseVersion
 import kotlin.test.Test
@@ -37,7 +38,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Guards against answers of engines that are booked on a later start or on a later call. */
+/**
+ * Guards against answers of engines that are booked on a later start or on a later call, and against a new controller
+ * that acts on an old list.
+ */
 class ControllerTaskTest {
     private val service = ServiceName("pool")
     private val small = ModelSpec(ModelName("small"), 2, 1.0, 12.seconds, 1.1.seconds)
@@ -49,6 +53,9 @@
     private val later = ArrayDeque<ControllerMessage>()
     private val orders = mutableListOf<FormationEffect.Send>()
     private val reports = mutableListOf<FormationEffect.RequestReport>()
+    private val announcements = mutableListOf<RouteAnnouncement>()
+    private var listRevision = StoreRevision(1_000)
+    private var catchUps = 0
 
     private fun status(name: String, start: Long, membership: GroupMembership?) = EngineStatus(
         id = BackendServer(name),
@@ -83,8 +90,10 @@
             requestReport = { _, request -> reports += request },
             sendOrder = { _, order -> orders += order },
             isListComplete = { true },
+            listRevision = { listRevision },
+            catchUpList = { catchUps++ },
             announcedRoutes = { null },
-            announce = { _, _, _, _ -> },
+            announce = { _, _, announcement, _ -> announcements += announcement },
             stepLater = { },
         ),
         MonotonicClock { now },
@@ -114,8 +123,8 @@
         servers.forEach { fleet = FleetDecision.onUpdate(fleet, FleetUpdate.ServerChanged(it), now) }
     }
 
-    /** Makes the task the active controller with e1, a member of a former group, and e2; returns the leave to e1. */
-    private fun orderLeave(): FormationEffect.Send {
+    /** Lists e1, a member of a former group, and e2. */
+    private fun listEngines() {
         val spec = ServiceSpec(service, 300, 3.seconds, 26.0, pool)
         val configuration =
             FleetConfiguration(
@@ -128,6 +137,11 @@
         fleet = FleetDecision.onUpdate(fleet, FleetUpdate.ConfigurationChanged(configuration), now)
         val listed = FleetUpdate.ServersListed(listOf(status("e1", 1, old), status("e2", 1, null)))
         fleet = FleetDecision.onUpdate(fleet, listed, now)
+    }
+
+    /** Makes the task the active controller with e1 and e2; returns the leave to e1. */
+    private fun orderLeave(): FormationEffect.Send {
+        listEngines()
         repeat(60) { if (reports.none { it.engine == e1 }) tick() }
         report(takeReports().first { it.engine == e1 }, 1, 3, old)
         tick()
@@ -187,6 +201,20 @@
         assertTrue(ordersOfSecondStart() > 0, "e1 accepts no order after a late answer")
     }
 
+    @Test
+    fun `a new controller announces and orders nothing before its list is as new as its lease`() {
+        listRevision = StoreRevision(0)
+        listEngines()
+        repeat(20) { tick() }
+        assertTrue(task.isActiveController)
+        assertTrue(catchUps > 0, "the changes of the list were not requested")
+        assertEquals(emptyList(), announcements)
+        assertEquals(emptyList<Any>(), takeOrders() + takeReports())
+        listRevision = StoreRevision(1)
+        tick()
+        assertTrue(announcements.isNotEmpty(), "no routes are announced with a current list")
+    }
+
     @Test
     fun `a report of another start does not change the group or the count of a listed engine`() {
         answer(orderLeave(), OrderOutcome.UNKNOWN)
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -41,6 +41,7 @@
 import redwingcross.version.fleet.ModelSpec
 import redwingcross.version.fleet.Route
 import redwingcross.version.fleet.ServiceSpec
+import redwingcross.version.fleet.StoreRevision
 import redwingcross.version.fleet.Tenant
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.forwarding.CancelTimer
@@ -255,7 +256,7 @@
             listOf(Tenant(Customer("urgent"), listOf("k1"), 0), Tenant(Customer("normal"), listOf("k2"), null)),
         )
         val updates = listOf(FleetUpdate.ConfigurationChanged(configuration), FleetUpdate.ServersListed(servers)) +
-            UpdateSource.entries.map { FleetUpdate.Confirmed(it) }
+            UpdateSource.entries.map { FleetUpdate.Confirmed(it, StoreRevision(1)) }
         fleet = updates.fold(fleet) { state, next -> FleetDecision.onUpdate(state, next, MonotonicClock.system.now()) }
     }
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -209,6 +209,8 @@
             requestReport = engines::requestReport,
             sendOrder = engines::sendOrder,
             isListComplete = { fleet.isListComplete },
+            listRevision = { fleet.listRevision },
+            catchUpList = { platform.catchUp(UpdateSource.BACKEND_SERVERS) },
             announcedRoutes = { fleet.announced[it] },
             announce = relay::announce,
             stepLater = { delay -> runLater(delay) { controllerPost(ControllerMessage.Step) } },
