Take the controller lease from a holder that the store turns away

Cause: the holder keeps its role while the store doesn't answer it, because in an outage for all nobody else can acquire the lease. The others postponed their calls with each of its heartbeats, whether it renewed the lease or not.

Ruled out: lost announcements (they were applied and contained the engine) and old lists of the standbys.

Change: heartbeats carry the age of the last renewal, and only renewals postpone the standbys' calls. A standby that hears the holder reads an overdue lease, and takes it over once the store has shown it unchanged for 0.4 s. In an outage for all its reads fail and the holder keeps its role. The controller of a large fleet sends its heartbeats to the processes next in line. A process that hears a higher epoch ends its role at once.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -60,6 +60,9 @@
     /** A gateway sees no progress on the streams of [group]. */
     data class GroupSuspected(val group: GroupId) : ControllerMessage
 
+    /** Another process announced routes under the lease [epoch]. */
+    data class RoutesAnnounced(val epoch: LeaseEpoch) : ControllerMessage
+
     /** The position of this process in the order in which processes take over the lease, from 0. */
     data class RankChanged(val rank: Int) : ControllerMessage
 
@@ -111,6 +114,8 @@
     val announce: (ServiceName, LeaseEpoch, RouteAnnouncement, GatewayRecord?) -> Unit,
     /** Sends this task a [ControllerMessage.Step] after a delay. */
     val stepLater: (Duration) -> Unit,
+    /** Called when this process has become the active controller. */
+    val becameController: () -> Unit,
 )
 
 /** Owns the controller lease of this process and, while the process holds it, forms and watches the serving groups. */
@@ -142,7 +147,7 @@
     /** The controller lease for this process's heartbeats; null unless this process is the active controller. */
     val heldLease: HeldControllerLease?
         get() = lease.held?.takeIf { activeEpoch != null }?.let {
-            HeldControllerLease(it.seen.version.value, it.seen.record)
+            HeldControllerLease(it.seen.version.value, it.seen.record, (clock.now() - it.renewedAt).inWholeMilliseconds)
         }
 
     /** Groups that this process forms and watches; empty unless it is the active controller. */
@@ -159,9 +164,10 @@
                 stepFormations()
             }
             is ControllerMessage.Lease -> {
-                (message.message as? LeaseMessage.HolderAnnounced)?.let { newestEpoch = maxOf(newestEpoch, it.epoch) }
+                (message.message as? LeaseMessage.HolderRenewed)?.let { epochSeen(it.lease.record.epoch) }
                 stepLease(message.message)
             }
+            is ControllerMessage.RoutesAnnounced -> epochSeen(message.epoch)
             is ControllerMessage.RankChanged -> stepLease(LeaseMessage.RankChanged(message.rank))
             is ControllerMessage.ReportRequestCompleted -> reportRequestCompleted(message)
             is ControllerMessage.OrderCompleted -> orderCompleted(message)
@@ -183,6 +189,13 @@
         }
     }
 
+    /** A process that was overtaken ends its role at once, although the store may not answer it. */
+    private fun epochSeen(epoch: LeaseEpoch) {
+        if (epoch <= newestEpoch) return
+        newestEpoch = epoch
+        updateControllerRole()
+    }
+
     private fun reportRequestCompleted(message: ControllerMessage.ReportRequestCompleted) {
         val state = formations[message.service] ?: return
         val answer = message.answer
@@ -278,6 +291,7 @@
         formations = emptyMap()
         announcers = emptyMap()
         log("duties_state", arrayOf("acting" to (next != null), "epoch" to next?.value))
+        if (next != null) dependencies.becameController()
     }
 
     private fun stepFormations() {
@@ -359,6 +373,9 @@
             margin = 0.2.seconds,
             retryInterval = 0.3.seconds,
             rankDelay = 0.2.seconds,
+            renewalOverdueAfter = 0.95.seconds,
+            confirmDelay = 0.4.seconds,
+            outageRetryInterval = 2.seconds,
         )
     }
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -127,7 +127,12 @@
 
 /** The controller lease that the sender of a heartbeat holds, with the version of its [record] in the store. */
 @Serializable
-data class HeldControllerLease(val version: Long, val record: LeaseRecord)
+data class HeldControllerLease(
+    val version: Long,
+    val record: LeaseRecord,
+    /** Time since the sender sent its last renewal that took effect. */
+    val renewedMillisAgo: Long = 0,
+)
 
 /**
  * The routes of a service, or changes of them, sent by the active controller to the gateways. The fields correspond to
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTable.kt
@@ -107,6 +107,9 @@
         }
     }
 
+    /** Other processes that are next in line for the lease. */
+    fun standbys(now: Duration): List<GatewayRecord> = nextInLine(alive(now))
+
     private fun nextInLine(alive: List<Peer>): List<GatewayRecord> {
         val next = ArrayList<GatewayRecord>(OBSERVERS + 1)
         for (peer in alive) {
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Message to [PeerTask]. */
@@ -176,8 +177,8 @@
     }
 
     private fun leaseReceived(lease: HeldControllerLease) {
-        dependencies.onLease(LeaseMessage.HolderRenewed(StoredLease(LeaseVersion(lease.version), lease.record)))
-        dependencies.onLease(LeaseMessage.HolderAnnounced(lease.record.epoch))
+        val stored = StoredLease(LeaseVersion(lease.version), lease.record)
+        dependencies.onLease(LeaseMessage.HolderRenewed(stored, lease.renewedMillisAgo.milliseconds))
     }
 
     private fun updateRank(now: Duration) {
@@ -210,7 +211,8 @@
         }
         val targets = when {
             toAll -> table.peers.values.map { it.record }
-            lease != null && table.isLarge -> emptyList()
+            // The others get digests, but those next in line have to notice in time that the lease is not renewed.
+            lease != null && table.isLarge -> table.standbys(clock.now())
             isReported -> table.observers(clock.now(), sequence)
             else -> table.heartbeatTargets(sequence)
         }
--- a/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
@@ -95,6 +95,7 @@
             announcedRoutes = { null },
             announce = { _, _, announcement, _ -> announcements += announcement },
             stepLater = { },
+            becameController = { },
         ),
         MonotonicClock { now },
         { _, _ -> },
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -49,6 +49,7 @@
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.forwarding.SendToBackend
 import redwingcross.version.lease.LeaseMessage
+import redwingcross.version.placement.LeaseEpoch
 import sun.misc.Signal
 import java.net.InetSocketAddress
 import java.util.concurrent.CountDownLatch
@@ -214,6 +215,7 @@
             announcedRoutes = { fleet.announced[it] },
             announce = relay::announce,
             stepLater = { delay -> runLater(delay) { controllerPost(ControllerMessage.Step) } },
+            becameController = { peerPost(PeerTaskMessage.StateChanged) },
         ),
         clock,
         events.info,
@@ -232,7 +234,10 @@
             fleetLoad = gateway::fleetLoad,
             onTrafficSeen = { peersReportedTraffic = true },
             onWatchProgress = ::restartLaggingWatches,
-            onGroupAnnouncement = relay::onAnnounced,
+            onGroupAnnouncement = {
+                controllerPost(ControllerMessage.RoutesAnnounced(LeaseEpoch(it.leaseEpoch)))
+                relay.onAnnounced(it)
+            },
             onRoutesRequest = {
                 controllerPost(ControllerMessage.RoutesRequested(ServiceName(it.service), it.sender))
             },
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
@@ -19,13 +19,13 @@
     fun step(state: LeaseState, message: LeaseMessage, now: Duration): Step = when (message) {
         LeaseMessage.Tick -> tick(state, now)
         is LeaseMessage.ReadAnswered -> state.ifPending(message.call) { readAnswered(it, message.lease, now) }
-        is LeaseMessage.ReadFailed -> state.ifPending(message.call) { it.retryLater(now).with() }
+        is LeaseMessage.ReadFailed -> state.ifPending(message.call) { it.retryAfterFailure(now).with() }
         is LeaseMessage.Written -> state.ifPending(message.call) { written(it, message.version, now) }
         is LeaseMessage.Conflict -> state.ifPending(message.call) { it.retryLater(now).with() }
-        is LeaseMessage.OutcomeUnknown -> state.ifPending(message.call) { it.retryLater(now).with() }
-        is LeaseMessage.WriteFailed -> state.ifPending(message.call) { it.retryLater(now).with() }
+        is LeaseMessage.OutcomeUnknown -> state.ifPending(message.call) { it.retryAfterFailure(now).with() }
+        is LeaseMessage.WriteFailed -> state.ifPending(message.call) { it.retryAfterFailure(now).with() }
         is LeaseMessage.HolderAnnounced -> holderAnnounced(state, message.epoch, now)
-        is LeaseMessage.HolderRenewed -> holderRenewed(state, message.lease, now)
+        is LeaseMessage.HolderRenewed -> holderRenewed(state, message.lease, message.age, now)
         is LeaseMessage.RankChanged -> state.copy(rank = message.rank).with()
         LeaseMessage.Superseded -> state.copy(nextCallAt = now, seen = null).with()
         LeaseMessage.Release -> tick(state.copy(releasing = true, nextCallAt = now), now)
@@ -125,7 +125,11 @@
 
     private fun recordObserved(state: LeaseState, lease: StoredLease, now: Duration): Step {
         val unchanged = state.seen?.version == lease.version
-        val next = state.copy(seen = lease, seenAt = if (unchanged) state.seenAt else now)
+        val next = state.copy(
+            seen = lease,
+            seenAt = if (unchanged) state.seenAt else now,
+            unchangedAt = if (unchanged) state.unchangedAt ?: now else null,
+        )
         val held = state.held
         return when {
             held != null && held.seen.record.nonce == lease.record.nonce ->
@@ -138,6 +142,7 @@
     /** Time of the next read: when the lease can be taken over, or after the retry interval if that is earlier. */
     private fun LeaseState.nextReadAt(now: Duration, unchanged: Boolean): Duration = when {
         canTakeOver(now) -> now
+        unchanged && isHolderHeard(now) -> takeoverAt(now)
         unchanged -> minOf(now + settings.retryInterval, seenAt + settings.duration)
         else -> now + settings.retryInterval
     }
@@ -153,17 +158,47 @@
         }
     }
 
-    /** Records the announced version, so that a standby can later take over without reading the lease first. */
-    private fun holderRenewed(state: LeaseState, lease: StoredLease, now: Duration): Step {
-        val isNewer = state.seen == null || lease.version > state.seen.version
+    /**
+     * Records the announced version, so that a standby can take over without reading the lease first if the holder
+     * ends. A renewal postpones the next call; a holder that is heard but doesn't renew the lease postpones nothing.
+     */
+    private fun holderRenewed(state: LeaseState, lease: StoredLease, age: Duration, now: Duration): Step {
+        val known = state.seen?.version
         val isStandby = state.held == null && state.pending == null && !state.releasing
-        if (!isNewer || !isStandby) return state.with()
-        return holderAnnounced(state.copy(seen = lease, seenAt = now), lease.record.epoch, now)
+        if (!isStandby || known != null && lease.version < known) return state.with()
+        val heard = state.copy(holderHeardAt = now)
+        if (lease.version == known) return heard.with()
+        val renewedAt = now - age
+        val overdueAt = renewedAt + state.settings.renewalOverdueAfter + state.settings.rankDelay * state.rank
+        return heard.copy(seen = lease, seenAt = renewedAt, unchangedAt = null, nextCallAt = overdueAt).with()
     }
 
     private fun LeaseState.canTakeOver(now: Duration): Boolean {
         val current = seen ?: return false
-        return current.record.holder == null || now >= seenAt + maxOf(settings.duration, current.record.duration)
+        return current.record.holder == null || now >= takeoverAt(now)
+    }
+
+    /**
+     * Time at which this process may take the lease over if its version doesn't change before. While the holder is
+     * heard, the store must have answered this process: if it is down for all, the holder keeps its role.
+     */
+    private fun LeaseState.takeoverAt(now: Duration): Duration {
+        val expiry = seenAt + maxOf(settings.duration, seen?.record?.duration ?: Duration.ZERO)
+        return when {
+            holderHeardAt == null -> expiry
+            !isHolderHeard(now) -> expiry + settings.rankDelay * rank
+            unchangedAt == null -> Duration.INFINITE
+            else -> maxOf(expiry + settings.rankDelay * rank, unchangedAt + settings.confirmDelay)
+        }
+    }
+
+    private fun LeaseState.isHolderHeard(now: Duration): Boolean =
+        holderHeardAt != null && now - holderHeardAt < settings.duration
+
+    private fun LeaseState.retryAfterFailure(now: Duration): LeaseState {
+        val isOutage = held == null && isHolderHeard(now)
+        val interval = if (isOutage) settings.outageRetryInterval else settings.retryInterval
+        return copy(nextCallAt = now + interval, unchangedAt = null)
     }
 
     private fun LeaseState.retryLater(now: Duration): LeaseState = copy(nextCallAt = now + settings.retryInterval)
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseMessage.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseMessage.kt
@@ -1,6 +1,7 @@
 package redwingcross.version.lease
 
 import redwingcross.version.placement.LeaseEpoch
+import kotlin.time.Duration
 
 /** Input of [LeaseDecision]. */
 sealed interface LeaseMessage {
@@ -27,8 +28,8 @@
     /** Gossip announced that the zone has a holder with [epoch]. */
     data class HolderAnnounced(val epoch: LeaseEpoch) : LeaseMessage
 
-    /** The holder announced that it renewed the lease, which became [lease]. */
-    data class HolderRenewed(val lease: StoredLease) : LeaseMessage
+    /** The holder announced that it holds [lease] and sent its last renewal [age] ago. */
+    data class HolderRenewed(val lease: StoredLease, val age: Duration = Duration.ZERO) : LeaseMessage
 
     /** Position of this process in the rendezvous order of the zone, from 0. */
     data class RankChanged(val rank: Int) : LeaseMessage
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseRecord.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseRecord.kt
@@ -41,4 +41,16 @@
     val retryInterval: Duration = 1.seconds,
     /** Added for each rank of a standby, so that standbys don't read and write the lease at the same time. */
     val rankDelay: Duration = 2.seconds,
+    /**
+     * Time since the last renewal after which a standby that hears the holder reads the lease: the holder may be the
+     * only process that the store turns away. Longer than a renewal usually takes to be announced.
+     */
+    val renewalOverdueAfter: Duration = 6.seconds,
+    /**
+     * Time for which the store must have shown an unchanged lease before a standby takes it from a holder that it
+     * hears. After an outage for all processes, the holder renews within this time.
+     */
+    val confirmDelay: Duration = 2.seconds,
+    /** Interval of reads that fail while the holder is heard: then the store is probably down for all processes. */
+    val outageRetryInterval: Duration = 5.seconds,
 )
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseState.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseState.kt
@@ -33,6 +33,10 @@
     val seen: StoredLease? = null,
     /** Time at which the version of [seen] was first observed. */
     val seenAt: Duration = Duration.ZERO,
+    /** When the holder last announced its lease, renewed or not; null if this process never heard one. */
+    val holderHeardAt: Duration? = null,
+    /** When a read first showed that [seen] has not changed; null if no read did since a change or a failed call. */
+    val unchangedAt: Duration? = null,
     /** Null while this process does not hold the lease. */
     val held: HeldLease? = null,
     val pending: PendingWrite? = null,
--- a/version/src/test/kotlin/redwingcross/version/lease/LeaseDecisionTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/lease/LeaseDecisionTest.kt
@@ -7,6 +7,7 @@
 import redwingcross.version.simulation.WriteOutcome
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -22,6 +23,7 @@
     private inner class Process(name: String) {
         var state = LeaseState(ProcessName(name), "1", settings)
         var isPaused = false
+        var isTurnedAway = false
         var listener: Process? = null
         val holds: Boolean get() = state.held != null
 
@@ -36,10 +38,9 @@
         }
 
         private fun hear(other: LeaseState) {
-            val held = other.held?.seen ?: return
+            val held = other.held ?: return
             if (isPaused) return
-            step(LeaseMessage.HolderRenewed(held))
-            step(LeaseMessage.HolderAnnounced(held.record.epoch))
+            step(LeaseMessage.HolderRenewed(held.seen, time.now - held.renewedAt))
         }
 
         fun step(message: LeaseMessage) {
@@ -47,12 +48,20 @@
             state = transition.state
             for (effect in transition.effects) {
                 when (effect) {
-                    is LeaseEffect.Read -> store.read(
-                        { found -> answer(LeaseMessage.ReadAnswered(effect.call, found?.let(::stored))) },
-                        { answer(LeaseMessage.ReadFailed(effect.call)) },
-                    )
-                    is LeaseEffect.Write -> store.write(effect.expected?.value, effect.record) {
-                        answer(it.toMessage(effect.call))
+                    is LeaseEffect.Read -> if (isTurnedAway) {
+                        answer(LeaseMessage.ReadFailed(effect.call))
+                    } else {
+                        store.read(
+                            { found -> answer(LeaseMessage.ReadAnswered(effect.call, found?.let(::stored))) },
+                            { answer(LeaseMessage.ReadFailed(effect.call)) },
+                        )
+                    }
+                    is LeaseEffect.Write -> if (isTurnedAway) {
+                        answer(LeaseMessage.WriteFailed(effect.call))
+                    } else {
+                        store.write(effect.expected?.value, effect.record) {
+                            answer(it.toMessage(effect.call))
+                        }
                     }
                     else -> Unit
                 }
@@ -116,6 +125,39 @@
         assertEquals(LeaseEpoch(2), standby.state.held?.seen?.record?.epoch)
     }
 
+    @Test
+    fun `a standby takes the lease of a holder that it hears and that the store turns away`() {
+        startBoth()
+        holder.isTurnedAway = true
+        advance(1600.milliseconds)
+        assertEquals(LeaseEpoch(2), standby.state.held?.seen?.record?.epoch)
+    }
+
+    @Test
+    fun `the holder keeps the lease through an outage of the store for all processes`() {
+        startBoth()
+        store.downUntil = time.now + 7.seconds
+        advance(12.seconds)
+        assertHolderKept()
+    }
+
+    @Test
+    fun `a standby sends few calls to a store that is down while it hears the holder`() {
+        startBoth()
+        store.downUntil = time.now + 8.seconds
+        val before = standby.state.calls
+        advance(8.seconds)
+        assertTrue(standby.state.calls - before <= 4, "${standby.state.calls - before} calls in 8 s")
+    }
+
+    @Test
+    fun `a standby that hears the holder's renewals does not read the lease`() {
+        startBoth()
+        val before = standby.state.calls
+        advance(10.seconds)
+        assertEquals(before, standby.state.calls)
+    }
+
     private companion object {
         val settings = LeaseSettings(
             duration = 1.2.seconds,
@@ -123,6 +165,9 @@
             margin = 0.2.seconds,
             retryInterval = 0.3.seconds,
             rankDelay = 0.2.seconds,
+            renewalOverdueAfter = 0.95.seconds,
+            confirmDelay = 0.4.seconds,
+            outageRetryInterval = 2.seconds,
         )
     }
 }
