Pass on the caller's Last-Event-Id for every kind of request

Cause: RequestFormat left Last-Event-Id out of the copied headers and set it from a field that existed only for requests that name a model.

Ruled out: callers that don't send the id and engines that ignore it.

Change: the id belongs to every request, and the header is passed on as it is unless the gateway resumes the stream after a later event.

--- a/process/src/test/kotlin/redwingcross/process/edge/CrashAttributionTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/CrashAttributionTaskTest.kt
@@ -84,7 +84,7 @@
         "/",
         null,
         null,
-        GenerationRequest(ModelName("m"), null, parts.map(::PromptPart)),
+        GenerationRequest(ModelName("m"), parts.map(::PromptPart)),
     )
 
     private fun endEngine(index: Int, vararg parts: String) {
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
@@ -197,7 +197,7 @@
         "/generation/x",
         null,
         null,
-        GenerationRequest(model, null, parts.map(::PromptPart)),
+        GenerationRequest(model, parts.map(::PromptPart)),
     )
 
     /** Lets three engines end at separate times, each under a request with the part "bad" and one of its own. */
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -372,17 +372,18 @@
                     head.target,
                     null,
                     headers.get("Key"),
+                    resumeAfter = headers.get("Resume")?.toLong(),
                     generation = headers.get("Model")?.let { model ->
                         val parts = headers.get("Parts").orEmpty().split(',').filter { it.isNotEmpty() }
-                        GenerationRequest(ModelName(model), null, parts.map(::PromptPart))
+                        GenerationRequest(ModelName(model), parts.map(::PromptPart))
                     },
                 )
             },
             encode = { original, request, send ->
                 val headers = DefaultHttpHeaders()
-                original.headers.copyEndToEndTo(headers, setOf("key"))
+                original.headers.copyEndToEndTo(headers, setOf("key", "resume"))
                 headers.add("Priority", send.priority)
-                send.resumeAfter?.let { headers.add("Resume", it) }
+                (send.resumeAfter ?: request.resumeAfter)?.let { headers.add("Resume", it) }
                 RequestHead(request.method, request.target, headers)
             },
             metadata = { request, answer ->
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayStreamTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayStreamTest.kt
@@ -13,6 +13,25 @@
  * that appear to be complete.
  */
 class GatewayStreamTest : GatewayFixture() {
+    @Test
+    fun `a stream of a plain service that its caller resumes goes on after the caller's last event`() {
+        startRawBackends(1)
+        val caller = call("stream", fields = "Resume: 4\r\n")
+        nextRawArrival().use {
+            assertEquals("4", it.resumeAfter)
+            it.send("${STREAM_HEAD}id: 5\ndata: e\n\n")
+        }
+        assertTrue("data: e" in caller.readAnswer())
+    }
+
+    @Test
+    fun `a stream that begins again in place of being resumed is not passed on`() {
+        startRawBackends(2)
+        val caller = call("stream", fields = "Resume: 4\r\n")
+        repeat(2) { nextRawArrival().use { it.send("${STREAM_HEAD}id: 1\ndata: a\n\n") } }
+        assertTrue("data: a" !in caller.readAnswer())
+    }
+
     @Test
     fun `a stream that breaks off in the middle of an event is resumed after the last complete event`() {
         startBackends(2)
--- a/request/src/main/kotlin/redwingcross/request/forward/InboundRequest.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/InboundRequest.kt
@@ -18,6 +18,8 @@
     val credential: String?,
     /** Parameters for the model engine; null if the request is not for a model. */
     val generation: GenerationRequest?,
+    /** Id of the last event that the caller has received; null to start the stream at its beginning. */
+    val resumeAfter: Long? = null,
 ) {
     /** [target] without the query. */
     val path: String get() = target.substringBefore('?')
@@ -26,8 +28,6 @@
 /** Parameters of a request to a model engine. */
 data class GenerationRequest(
     val model: ModelName,
-    /** Id of the last event that the caller has received; null to start the stream at its beginning. */
-    val resumeAfter: Long?,
     /** Parts of the prompt, in order, without the last one, which belongs to the request itself or to its session. */
     val sharedParts: List<PromptPart> = emptyList(),
 )
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -27,7 +27,7 @@
     private val response = CallerResponse(exchange, context.codec.refusal)
     private var offer: Offer? = null
     private var timer = CancelTimer {}
-    private var lastEventId: Long? = job.request.generation?.resumeAfter
+    private var lastEventId: Long? = job.request.resumeAfter.takeIf { route.repeatability.isStream }
     private var firstEventAt: Duration? = null
 
     private var finished = false
--- a/version/src/main/kotlin/redwingcross/version/forwarding/RequestCodec.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/RequestCodec.kt
@@ -16,7 +16,7 @@
     val timeLeft: Duration,
     /** 0 is the most urgent. */
     val priority: Int,
-    /** Id of the last event that the caller has received; null to start from the beginning. */
+    /** Id of the last event that was sent to the caller; null to pass on what the caller stated. */
     val resumeAfter: Long?,
 )
 
