Follow what back ends state about leaving and pauses in their responses

Until now a gateway learned of a leaving engine from the list of the store or from the controller only, so while both are away or late requests still reached it.

Change: the pools of connections pass on the head of each response, also of those that belong to no exchange, of reports and of orders. BackendNotices keeps the statements for each start of a back end; BackendChooser leaves out those that leave or pause. If all back ends pause, requests are refused at once with a Retry-After beyond the pause; a pause below 0.25 s is waited for. Connections are pooled by the start of a back end too, so a late response of an earlier start doesn't speak for the next one.

--- a/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
@@ -63,6 +63,7 @@
     private val channel: Channel,
     maximumHeadBytes: Int,
     private val clock: MonotonicClock,
+    private val onResponse: (ResponseHead) -> Unit,
     private val onIdle: (BackendConnection) -> Unit,
     private val onClosed: (BackendConnection) -> Unit,
 ) {
@@ -156,6 +157,7 @@
         if (isReused && response.containsStatusLine()) return fail(ExchangeFailure.MALFORMED)
         answer = response
         val head = ResponseHead(response.status().code(), response.headers(), isFirstOnConnection = !isReused)
+        onResponse(head)
         discarding = !matches(head)
         if (discarding) discard(ASSUMED_HEAD_BYTES) else listener?.onHead(head)
     }
--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
@@ -15,10 +15,13 @@
 /**
  * An address and the identity of the server that is expected there.
  *
- * Connections are pooled by both, so that a server that took over the address of another one gets connections of its
- * own.
+ * Connections are pooled by all fields, so that a server that took over the address of another one, or has started
+ * again, gets connections of its own. [start] tells the starts of a server apart; null if it is not known.
  */
-data class RemoteEndpoint(val address: InetSocketAddress, val identity: String)
+data class RemoteEndpoint(val address: InetSocketAddress, val identity: String, val start: Long? = null)
+
+/** Called with the head of each response of an endpoint, also if it belongs to no exchange. */
+typealias ObserveResponse = (RemoteEndpoint, ResponseHead) -> Unit
 
 /** A request that waits for its connection or its response; it can be cancelled at any time. */
 class PendingExchange internal constructor(private val listener: ResponseListener) : ResponseListener by listener {
@@ -89,6 +92,7 @@
     private val limits: OutgoingConnectionLimits,
     /** Largest number of idle connections that an endpoint accepts, if it is less than [limits] allows. */
     private val idleLimit: (RemoteEndpoint) -> Int = { Int.MAX_VALUE },
+    private val onResponse: ObserveResponse = { _, _ -> },
 ) {
     private val idle = HashMap<RemoteEndpoint, ArrayDeque<BackendConnection>>()
 
@@ -151,6 +155,7 @@
                             channel,
                             limits.maximumHeadBytes,
                             clock,
+                            { onResponse(endpoint, it) },
                             { release(endpoint, it) },
                             { closed(endpoint, it) },
                         )
--- a/connection/src/test/kotlin/redwingcross/connection/http/HttpConnectionsTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/HttpConnectionsTest.kt
@@ -33,7 +33,8 @@
         group,
         MonotonicClock.system,
         OutgoingConnectionLimits(connectTimeout = 2.seconds, maximumIdle = 4),
-    ) { idleLimit }
+        idleLimit = { idleLimit },
+    )
     private val accepted = LinkedBlockingQueue<Socket>()
 
     init {
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -16,6 +16,7 @@
 import redwingcross.request.forward.Repeatability
 import redwingcross.request.forward.RetryBudget
 import redwingcross.version.fleet.ColdRateLimiter
+import redwingcross.version.fleet.EngineStart
 import redwingcross.version.fleet.FleetConfiguration
 import redwingcross.version.fleet.GatewayShare
 import redwingcross.version.fleet.Route
@@ -24,6 +25,8 @@
 import redwingcross.version.forwarding.BackendChooser
 import redwingcross.version.forwarding.BackendHealth
 import redwingcross.version.forwarding.BackendLoad
+import redwingcross.version.forwarding.BackendNotice
+import redwingcross.version.forwarding.BackendNotices
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.forwarding.ChoiceContext
 import redwingcross.version.forwarding.ChoiceRequest
@@ -69,11 +72,13 @@
     private val load = BackendLoad()
     private val health = BackendHealth()
     private val coldAllowance = ColdRateLimiter()
+    private val notices = BackendNotices()
     private val chooser = BackendChooser(
         { ChoiceSettings(coldOverrun = bounds().coldOverrun, coldSlack = bounds().coldSlack) },
         load,
         health,
         coldAllowance,
+        notices,
         random,
     )
     private val digestNames = HashMap<BackendServer, CompactName>()
@@ -258,6 +263,21 @@
         dependencies.recordOutcome(outcome)
     }
 
+    /**
+     * Records what a back end states in the head of any response. [start] is the start of the back end that the call
+     * was made to; null if the caller of this function doesn't know it.
+     */
+    fun backendAnswered(server: BackendServer, start: EngineStart?, notice: BackendNotice) {
+        val known = start ?: dependencies.fleet().table.engines[server]?.status?.start
+        val beginsToLeave = notices.record(server, known, notice, dependencies.clock.now())
+        if (beginsToLeave) dependencies.log("back_end_leaving", arrayOf("server" to server))
+        if (notice.pause !=
+            null
+        ) {
+            dependencies.log("back_end_paused", arrayOf("server" to server, "for" to notice.pause))
+        }
+    }
+
     /** Moves the streams of groups that have lost a member to other groups. */
     fun groupsLost(groups: Set<GroupId>) {
         if (groups.isEmpty()) return
@@ -296,6 +316,7 @@
         health.retain(servers)
         digestNames.keys.retainAll(servers)
         coldAllowance.retain(servers)
+        notices.expire(dependencies.clock.now())
     }
 
     private companion object {
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -44,6 +44,7 @@
 import redwingcross.version.fleet.StoreRevision
 import redwingcross.version.fleet.Tenant
 import redwingcross.version.fleet.UpdateSource
+import redwingcross.version.forwarding.BackendNotice
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.forwarding.ChosenBackend
 import redwingcross.version.forwarding.ForwardOutcome
@@ -90,6 +91,12 @@
             group,
             MonotonicClock.system,
             OutgoingConnectionLimits(connectTimeout = 2.seconds, maximumIdle = 4),
+            onResponse = { endpoint, head ->
+                val start = endpoint.start?.let(::EngineStart)
+                val pause = head.headers.get("Pause")?.toInt()?.seconds
+                val notice = BackendNotice(head.headers.contains("Leaving"), pause)
+                gateway.backendAnswered(BackendServer(endpoint.identity), start, notice)
+            },
         )
     protected var retryExtra = 100.0
     protected val blockedRequests = LinkedBlockingQueue<PromptPart>()
@@ -127,7 +134,7 @@
         gatewayShare = { GatewayShare("self", setOf("self")) },
         send = { backend, head, body, _, matches, listener ->
             val address = InetSocketAddress("127.0.0.1", backend.address.value.substringAfter(':').toInt())
-            val endpoint = RemoteEndpoint(address, backend.server.value)
+            val endpoint = RemoteEndpoint(address, backend.server.value, backend.start?.unixMillis)
             sends.put(backend)
             connections.exchange(endpoint, head, body, matches, recording(listener))
         },
@@ -234,6 +241,12 @@
         }
     }
 
+    /** Lists the back ends again after they have started for the [number]th time. */
+    protected fun listStart(number: Long) = onLoop {
+        val listed = fleet.table.engines.values.map { it.status.copy(start = EngineStart(number)) }
+        fleet = FleetDecision.onUpdate(fleet, FleetUpdate.ServersListed(listed), MonotonicClock.system.now())
+    }
+
     private fun applyBackends(addresses: List<InetSocketAddress>, pool: ModelPool? = null) {
         val servers = addresses.mapIndexed { index, address ->
             EngineStatus(
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -7,6 +7,7 @@
 import redwingcross.connection.http.HttpConnections
 import redwingcross.connection.http.OutgoingConnectionLimits
 import redwingcross.connection.http.RemoteEndpoint
+import redwingcross.connection.http.ResponseHead
 import redwingcross.connection.http.runEach
 import redwingcross.platform.PlatformFleet
 import redwingcross.platform.RequestFormat
@@ -44,6 +45,7 @@
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ServiceName
 import redwingcross.version.fleet.CallerLimits
+import redwingcross.version.fleet.EngineStart
 import redwingcross.version.fleet.FleetUpdate
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.forwarding.CancelTimer
@@ -81,10 +83,13 @@
     private var bounds = settings.bounds
     private val reload =
         SettingsReload(readSettings, SettingsFile::decode, settingsText, settings, events.info) { bounds = it.bounds }
-    private val backendConnections = HttpConnections(group, clock, BACKEND_CONNECTION_LIMITS, ::idleConnectionLimit)
-    private val controlConnections = HttpConnections(group, clock, CONTROL_CONNECTION_LIMITS)
+    private val backendConnections =
+        HttpConnections(group, clock, BACKEND_CONNECTION_LIMITS, ::idleConnectionLimit, ::onBackendResponse)
+    private val controlConnections =
+        HttpConnections(group, clock, CONTROL_CONNECTION_LIMITS, onResponse = ::onBackendResponse)
     private val controlClient = BufferedHttpClient(controlConnections, loop as io.netty.channel.EventLoop)
-    private val orderConnections = HttpConnections(group, clock, EngineControl.ORDER_CONNECTION_LIMITS)
+    private val orderConnections =
+        HttpConnections(group, clock, EngineControl.ORDER_CONNECTION_LIMITS, onResponse = ::onBackendResponse)
     private val orderClient = BufferedHttpClient(orderConnections, loop as io.netty.channel.EventLoop)
     private val storeEndpoint = RemoteEndpoint(settings.store.toSocketAddress(), settings.store.value)
     private val platform =
@@ -372,7 +377,7 @@
     private fun sendToBackend(): SendToBackend = { backend, head, body, repeatability, matches, listener ->
         val maximumIdle = if (repeatability.isRepeatable) Duration.INFINITE else MAXIMUM_IDLE_FOR_UNREPEATABLE
         backendConnections.exchange(
-            RemoteEndpoint(backend.address.toSocketAddress(), backend.server.value),
+            RemoteEndpoint(backend.address.toSocketAddress(), backend.server.value, backend.start?.unixMillis),
             head,
             body,
             matches,
@@ -381,6 +386,12 @@
         )
     }
 
+    private fun onBackendResponse(endpoint: RemoteEndpoint, head: ResponseHead) {
+        if (endpoint == storeEndpoint) return
+        val start = endpoint.start?.let(::EngineStart)
+        gateway.backendAnswered(BackendServer(endpoint.identity), start, RequestFormat.notice(head))
+    }
+
     private fun idleConnectionLimit(endpoint: RemoteEndpoint): Int {
         val service = fleet.table.engines[BackendServer(endpoint.identity)]?.status?.service
         val spec = service?.let { fleet.configuration?.services?.get(it) }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -35,6 +35,9 @@
     /** Every back end that could run the request has reached its limit. */
     data object AllBusy : BackendChoice
 
+    /** Every back end that could run the request wants no requests before [until]. */
+    data class Paused(val until: Duration) : BackendChoice
+
     /** No back end could run the request. */
     data object NoneServing : BackendChoice
 }
@@ -64,6 +67,7 @@
     private val load: BackendLoad,
     private val health: BackendHealth,
     private val allowance: ColdRateLimiter,
+    private val notices: BackendNotices,
     private val random: Random,
 ) {
     /** Chooses among the groups that serve [model]. */
@@ -93,7 +97,13 @@
             }
         }
         val (best, head) = GroupPlacement.choose(candidates, slots, inputs.place.count, random)?.group
-            ?: return if (usable.isEmpty()) BackendChoice.NoneServing else BackendChoice.AllBusy
+            ?: return withoutCandidate(
+                usable.isNotEmpty(),
+                serving.mapNotNull {
+                    inputs.table.engines[it.head]
+                },
+                inputs,
+            )
         return BackendChoice.Chosen(
             ChosenBackend(head.id, head.status.address, best.id, model.value, head.status.start),
         )
@@ -101,19 +111,31 @@
 
     /** Chooses among the back ends of a plain service. */
     fun chooseServer(spec: ServiceSpec, inputs: ChoiceContext): BackendChoice {
-        val usable = inputs.table.engines.values.filter {
-            it.status.service == spec.name && inputs.table.acceptsWork(it) && canUse(it, spec, inputs)
-        }
+        val engines = inputs.table.engines.values.filter { it.status.service == spec.name }
+        val usable = engines.filter { inputs.table.acceptsWork(it) && canUse(it, spec, inputs) }
         val limit = settings().serverLimit
         val maximum = spec.maximumConnections
         val best = usable.filter { load.total(it.id) < minOf(it.status.slots * limit, maximum.toDouble()) }
             .minByOrNull { score(it.id, spec.name.value) / it.status.slots }
-            ?: return if (usable.isEmpty()) BackendChoice.NoneServing else BackendChoice.AllBusy
-        return BackendChoice.Chosen(ChosenBackend(best.id, best.status.address, null, spec.name.value))
+            ?: return withoutCandidate(usable.isNotEmpty(), engines, inputs)
+        return BackendChoice.Chosen(
+            ChosenBackend(best.id, best.status.address, null, spec.name.value, best.status.start),
+        )
     }
 
+    private fun withoutCandidate(isBusy: Boolean, all: List<TrackedEngine>, inputs: ChoiceContext): BackendChoice {
+        if (isBusy) return BackendChoice.AllBusy
+        val earliest = all.filter { inputs.table.acceptsWork(it) && it.id !in inputs.excluded && !isLeaving(it) }
+            .minOfOrNull { notices.pausedUntil(it.id, it.status.start) }
+        val isPaused = earliest != null && earliest > inputs.now
+        return if (isPaused) BackendChoice.Paused(earliest) else BackendChoice.NoneServing
+    }
+
+    private fun isLeaving(engine: TrackedEngine) = notices.isLeaving(engine.id, engine.status.start)
+
     private fun canUse(engine: TrackedEngine, spec: ServiceSpec, inputs: ChoiceContext): Boolean {
         if (engine.id in inputs.excluded || health.isAvoided(engine.id, inputs.now)) return false
+        if (isLeaving(engine) || inputs.now < notices.pausedUntil(engine.id, engine.status.start)) return false
         if (!inputs.table.isCold(engine, inputs.now) || spec.coldRequestsPerSecond <= 0) return true
         val current = settings()
         val limit = (spec.coldRequestsPerSecond * current.coldOverrun + current.coldSlack).toInt()
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -12,6 +12,7 @@
 import redwingcross.request.forward.OfferResult
 import redwingcross.request.stream.EventSplitter
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Forwards one request of a caller to a back end and the response back. It owns the exchange with the caller and the
@@ -34,6 +35,9 @@
     private var waitingSince = Duration.ZERO
     private var waited = Duration.ZERO
 
+    /** How long all back ends that could run the request still want none; null unless it ended for that reason. */
+    private var backendPause: Duration? = null
+
     private val sharedParts = job.request.generation?.sharedParts.orEmpty()
 
     // A request that may have run can't be refused any more, so it counts like a stream that has begun.
@@ -116,11 +120,19 @@
     }
 
     private fun noBackendChosen(choice: BackendChoice) {
-        if (choice == BackendChoice.AllBusy || isResuming) {
-            waitingSince = context.clock.now()
+        val now = context.clock.now()
+        val pause = (choice as? BackendChoice.Paused)?.let { it.until - now }
+        if (choice == BackendChoice.AllBusy || isResuming || pause != null && pause < SHORT_PAUSE) {
+            waitingSince = now
             if (context.awaitPlace(this, isResuming, latestEnd)) return
         }
-        finishWithout(if (choice == BackendChoice.AllBusy) "all_busy" else "none_serving")
+        backendPause = pause
+        val reason = when (choice) {
+            BackendChoice.AllBusy -> "all_busy"
+            is BackendChoice.Paused -> "paused"
+            else -> "none_serving"
+        }
+        finishWithout(reason)
     }
 
     private fun finishWithout(reason: String) {
@@ -169,7 +181,7 @@
                 if (reason == STOPPING) exchange.closeAfterResponse()
                 response.fail(
                     SERVICE_UNAVAILABLE,
-                    if (isBlocked) CrashSignals.BLOCKED_RETRY_DELAY else context.retryAfter(job),
+                    if (isBlocked) CrashSignals.BLOCKED_RETRY_DELAY else retryDelay(),
                 )
             }
             ForwardStep.ReportUnknown -> response.fail(BAD_GATEWAY)
@@ -180,6 +192,9 @@
         finish(step.toString(), reason)
     }
 
+    // Callers that come back within the pause of all back ends would be refused again.
+    private fun retryDelay(): Duration = context.retryAfter(job) + (backendPause ?: Duration.ZERO)
+
     private fun finish(outcome: String, reason: String) {
         if (finished) return
         finished = true
@@ -375,6 +390,9 @@
         private const val SERVICE_UNAVAILABLE = 503
         private const val GATEWAY_TIMEOUT = 504
 
+        /** Shorter than the delay after which a refused caller comes back, so waiting serves it sooner. */
+        private val SHORT_PAUSE = 250.milliseconds
+
         /**
          * A longer response is relayed while it arrives; after that the request can't be retried any more. Longer
          * events, errors and comments before the first event come from a faulty back end, which may send bytes without
