Show that a response whose head was cut off never counts as complete

Other operators reported that an engine that stopped in the middle of its answer's head and closed led to a 200 with an empty or short body, framed as whole. It can't happen here: the decoder reports a message whose head is incomplete at the end of its connection as invalid, and the caller gets 502.

--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -228,13 +228,18 @@
         assertNotNull(rawArrivals.poll(5, TimeUnit.SECONDS), "no back end got a request in 5 s")
 
     /** A request whose [head] a back end has read from [socket]. */
-    protected class RawArrival(private val socket: Socket, private val head: String) : AutoCloseable by socket {
+    protected inner class RawArrival(private val socket: Socket, private val head: String) : AutoCloseable by socket {
         /** The last event that the caller has; null if the request starts a stream. */
         val resumeAfter: String?
             get() = Regex("\r\nResume: (\\d+)\r\n", RegexOption.IGNORE_CASE).find(head)?.groupValues?.get(1)
 
         fun send(text: String): Unit = socket.getOutputStream().write(text.toByteArray())
 
+        /** Waits until the next request on the same connection was received. */
+        fun awaitNextRequest() {
+            socket.readThrough("\r\n\r\n")
+        }
+
         fun reset() {
             socket.setSoLinger(true, 0)
             socket.close()
