Show that engines that send bytes without end don't exhaust the memory

Other operators reported that a machine kept all bytes of a faulty engine and ran out of memory. Heads, bodies, events, interim and foreign responses are bounded here (EndlessResponseTest, GatewayTaskTest), and nothing was found.

The nodes of the soak now run with these limits too.

--- a/systemtests/src/test/kotlin/redwingcross/systemtests/ProgramProcess.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/ProgramProcess.kt
@@ -5,14 +5,18 @@
 import java.util.concurrent.TimeUnit
 
 /** Runs one of the system's programs in a separate process, with the class path of the tests. */
-internal class ProgramProcess(mainClass: String, name: String, logs: Path, arguments: List<String>) : AutoCloseable {
+internal class ProgramProcess(
+    mainClass: String,
+    name: String,
+    logs: Path,
+    arguments: List<String>,
+    memoryOptions: List<String> = listOf("-Xmx192m"),
+) : AutoCloseable {
     /** Combined standard output and standard error of the program. */
     val log: File = logs.resolve("$name.log").toFile()
 
     private val process: Process = ProcessBuilder(
-        listOf(
-            java,
-            "-Xmx192m",
+        listOf(java) + memoryOptions + listOf(
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1",
             "-cp",
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/platform/EngineStandin.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/platform/EngineStandin.kt
@@ -50,6 +50,9 @@
     /** While true, plain requests run but their connection is closed without a response. */
     var dropsResponses = false
 
+    /** While true, the engine answers requests and report requests with bytes that never end. */
+    var sendsWithoutEnd = false
+
     /** Whether the engine is the head of its group and the group accepts requests. */
     val isOpenHead: Boolean get() = phase == "open" && membership?.members?.first() == id
 
@@ -116,6 +119,7 @@
         val expected = exchange.head.headers.get("Expect-Instance")
         when {
             expected != null && expected != id -> reject(exchange, MISDIRECTED)
+            sendsWithoutEnd -> sendWithoutEnd(exchange)
             target == "/redwingcross/report" -> report(exchange)
             target == "/redwingcross/order" -> order(exchange)
             // Stricter than an engine, so that a request sent without the header fails the test.
@@ -125,6 +129,14 @@
         }
     }
 
+    private fun sendWithoutEnd(exchange: CallerExchange) {
+        val isRequest = exchange.head.headers.contains("Attempt-Id")
+        exchange.beginStream(OK, if (isRequest) responseHeaders(exchange.head.headers) else DefaultHttpHeaders())
+        val bytes = ByteArray(ENDLESS_PART_BYTES) { 'x'.code.toByte() }
+        exchange.onWritable = { while (exchange.isWritable && !exchange.isFinished) exchange.write(bytes) }
+        exchange.onWritable()
+    }
+
     private fun report(exchange: CallerExchange) {
         val body = buildJsonObject {
             put("stage", "combined")
@@ -345,6 +357,7 @@
         fun content(target: String, event: Int): String = "%08x".format("$target#$event".hashCode())
 
         private const val SLOTS = 12
+        private const val ENDLESS_PART_BYTES = 65_536
         private const val OK = 200
         private const val ACCEPTED = 202
         private const val BAD_REQUEST = 400
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/EdgeNode.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/EdgeNode.kt
@@ -36,6 +36,7 @@
             "$name-${starts++}",
             folder,
             listOf("--settings", settings.toString()),
+            memoryOptions,
         )
     }
 
@@ -81,6 +82,10 @@
 
     companion object {
         const val CALLER_PORT = 8227
+
+        /** The limits of the deploy file. */
+        private val memoryOptions =
+            listOf("-Xmx96m", "-XX:MaxDirectMemorySize=48m", "-Dio.netty.noPreferDirect=true")
         private const val CONNECT_MILLIS = 500
     }
 }
