--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -10,11 +10,10 @@
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
-import redwingcross.request.ServiceName
 import redwingcross.request.forward.InboundRequest
 import redwingcross.request.forward.OfferResult
 import redwingcross.request.forward.Repeatability
-import redwingcross.request.forward.RetryBudget
+import redwingcross.request.forward.RetryBudgets
 import redwingcross.version.fleet.ColdRateLimiter
 import redwingcross.version.fleet.EngineStart
 import redwingcross.version.fleet.FleetConfiguration
@@ -82,7 +81,7 @@
         random,
     )
     private val digestNames = HashMap<BackendServer, CompactName>()
-    private val budgets = HashMap<ServiceName, RetryBudget>()
+    private val budgets = RetryBudgets { bounds().retryBudget }
     private val forwardTasks = HashSet<ForwardTask>()
     private val shutdown = ShutdownAdmission()
     private val waiting = WaitingRequests(dependencies.clock, dependencies.runLater, ::choose, random)
@@ -103,7 +102,7 @@
         awaitPlace = waiting::add,
         waitEnded = waiting::remove,
         offerEnded = ::offerEnded,
-        tryAcquireRetry = { budget(it).tryAcquire(dependencies.clock.now(), dependencies.gatewayShare().count) },
+        tryAcquireRetry = { budgets[it].tryAcquire(dependencies.clock.now(), dependencies.gatewayShare().count) },
         retryAfter = { waiting.retryDelay(it) },
         coldReported = dependencies.coldReported,
         faultReported = { backend, _ -> backend.group?.let(dependencies.reportSuspectedGroup) },
@@ -171,7 +170,7 @@
         }
         val now = dependencies.clock.now()
         val service = route.pickService(random) ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service")
-        budget(service).recordRequest(now)
+        budgets[service].recordRequest(now)
         val priority = tenant?.priority ?: route.priority
         val task = ForwardTask(ForwardJob(exchange, request, route, service, tenant?.name, priority, now), context)
         forwardTasks += task
@@ -252,8 +251,6 @@
         }
     }
 
-    private fun budget(service: ServiceName) = budgets.getOrPut(service) { RetryBudget { bounds().retryBudget } }
-
     private fun finished(task: ForwardTask, outcome: ForwardOutcome) {
         forwardTasks -= task
         waiting.record(outcome)
--- a/request/src/main/kotlin/redwingcross/request/forward/RetryBudget.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/RetryBudget.kt
@@ -1,5 +1,6 @@
 package redwingcross.request.forward
 
+import redwingcross.request.ServiceName
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -60,3 +61,10 @@
         const val USABLE_FRACTION = 0.7
     }
 }
+
+/** One gateway's shares of the retry budgets of all services. */
+class RetryBudgets(private val limits: () -> RetryBudgetLimits) {
+    private val byService = HashMap<ServiceName, RetryBudget>()
+
+    operator fun get(service: ServiceName): RetryBudget = byService.getOrPut(service) { RetryBudget(limits) }
+}
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -122,7 +122,8 @@
     private fun noBackendChosen(choice: BackendChoice) {
         val now = context.clock.now()
         val pause = (choice as? BackendChoice.Paused)?.let { it.until - now }
-        if (choice == BackendChoice.AllBusy || isResuming || pause != null && pause < SHORT_PAUSE) {
+        val isShortPause = pause != null && pause < SHORT_PAUSE
+        if (choice == BackendChoice.AllBusy || isResuming || isShortPause) {
             waitingSince = now
             if (context.awaitPlace(this, isResuming, latestEnd)) return
         }
@@ -177,11 +178,12 @@
         when (step) {
             ForwardStep.PassError -> ended?.head?.let(response::complete) ?: response.fail(BAD_GATEWAY)
             ForwardStep.Refuse -> {
-                val isBlocked = reason == BLOCKED_PART
                 if (reason == STOPPING) exchange.closeAfterResponse()
+                // Callers that come back within the pause of all back ends would be refused again.
+                val delay = context.retryAfter(job) + (backendPause ?: Duration.ZERO)
                 response.fail(
                     SERVICE_UNAVAILABLE,
-                    if (isBlocked) CrashSignals.BLOCKED_RETRY_DELAY else retryDelay(),
+                    if (reason == BLOCKED_PART) CrashSignals.BLOCKED_RETRY_DELAY else delay,
                 )
             }
             ForwardStep.ReportUnknown -> response.fail(BAD_GATEWAY)
@@ -192,9 +194,6 @@
         finish(step.toString(), reason)
     }
 
-    // Callers that come back within the pause of all back ends would be refused again.
-    private fun retryDelay(): Duration = context.retryAfter(job) + (backendPause ?: Duration.ZERO)
-
     private fun finish(outcome: String, reason: String) {
         if (finished) return
         finished = true
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
@@ -139,14 +139,6 @@
         }
     }
 
-    /** Time of the next read: when the lease can be taken over, or after the retry interval if that is earlier. */
-    private fun LeaseState.nextReadAt(now: Duration, unchanged: Boolean): Duration = when {
-        canTakeOver(now) -> now
-        unchanged && isHolderHeard(now) -> takeoverAt(now)
-        unchanged -> minOf(now + settings.retryInterval, seenAt + settings.duration)
-        else -> now + settings.retryInterval
-    }
-
     /** Postpones the next call by the lease duration and the delay of this process's rank: the holder is alive. */
     private fun holderAnnounced(state: LeaseState, epoch: LeaseEpoch, now: Duration): Step {
         val newest = state.seen?.record?.epoch ?: LeaseEpoch(0)
@@ -173,36 +165,6 @@
         return heard.copy(seen = lease, seenAt = renewedAt, unchangedAt = null, nextCallAt = overdueAt).with()
     }
 
-    private fun LeaseState.canTakeOver(now: Duration): Boolean {
-        val current = seen ?: return false
-        return current.record.holder == null || now >= takeoverAt(now)
-    }
-
-    /**
-     * Time at which this process may take the lease over if its version doesn't change before. While the holder is
-     * heard, the store must have answered this process: if it is down for all, the holder keeps its role.
-     */
-    private fun LeaseState.takeoverAt(now: Duration): Duration {
-        val expiry = seenAt + maxOf(settings.duration, seen?.record?.duration ?: Duration.ZERO)
-        return when {
-            holderHeardAt == null -> expiry
-            !isHolderHeard(now) -> expiry + settings.rankDelay * rank
-            unchangedAt == null -> Duration.INFINITE
-            else -> maxOf(expiry + settings.rankDelay * rank, unchangedAt + settings.confirmDelay)
-        }
-    }
-
-    private fun LeaseState.isHolderHeard(now: Duration): Boolean =
-        holderHeardAt != null && now - holderHeardAt < settings.duration
-
-    private fun LeaseState.retryAfterFailure(now: Duration): LeaseState {
-        val isOutage = held == null && isHolderHeard(now)
-        val interval = if (isOutage) settings.outageRetryInterval else settings.retryInterval
-        return copy(nextCallAt = now + interval, unchangedAt = null)
-    }
-
-    private fun LeaseState.retryLater(now: Duration): LeaseState = copy(nextCallAt = now + settings.retryInterval)
-
     /** Applies [next] if the call [number] is pending; ignores the answer of any other call. */
     private fun LeaseState.ifPending(number: Long, next: (LeaseState) -> Step): Step =
         if (call?.number == number) next(copy(call = null)) else with()
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseTimes.kt
@@ -0,0 +1,41 @@
+package redwingcross.version.lease
+
+import kotlin.time.Duration
+
+/** Time of the next read: when the lease can be taken over, or after the retry interval if that is earlier. */
+internal fun LeaseState.nextReadAt(now: Duration, unchanged: Boolean): Duration = when {
+    canTakeOver(now) -> now
+    unchanged && isHolderHeard(now) -> takeoverAt(now)
+    unchanged -> minOf(now + settings.retryInterval, seenAt + settings.duration)
+    else -> now + settings.retryInterval
+}
+
+internal fun LeaseState.canTakeOver(now: Duration): Boolean {
+    val current = seen ?: return false
+    return current.record.holder == null || now >= takeoverAt(now)
+}
+
+/**
+ * Time at which this process may take the lease over if its version doesn't change before. While the holder is
+ * heard, the store must have answered this process: if it is down for all, the holder keeps its role.
+ */
+internal fun LeaseState.takeoverAt(now: Duration): Duration {
+    val expiry = seenAt + maxOf(settings.duration, seen?.record?.duration ?: Duration.ZERO)
+    return when {
+        holderHeardAt == null -> expiry
+        !isHolderHeard(now) -> expiry + settings.rankDelay * rank
+        unchangedAt == null -> Duration.INFINITE
+        else -> maxOf(expiry + settings.rankDelay * rank, unchangedAt + settings.confirmDelay)
+    }
+}
+
+internal fun LeaseState.isHolderHeard(now: Duration): Boolean =
+    holderHeardAt != null && now - holderHeardAt < settings.duration
+
+internal fun LeaseState.retryAfterFailure(now: Duration): LeaseState {
+    val isOutage = held == null && isHolderHeard(now)
+    val interval = if (isOutage) settings.outageRetryInterval else settings.retryInterval
+    return copy(nextCallAt = now + interval, unchangedAt = null)
+}
+
+internal fun LeaseState.retryLater(now: Duration): LeaseState = copy(nextCallAt = now + settings.retryInterval)
