Tidy the choice of back ends and the end of requests

No change of behaviour: one function is named for what it does at the end of the process, and the result without a candidate is computed from a named list of heads.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -268,11 +268,7 @@
         val known = start ?: dependencies.fleet().table.engines[server]?.status?.start
         val beginsToLeave = notices.record(server, known, notice, dependencies.clock.now())
         if (beginsToLeave) dependencies.log("back_end_leaving", arrayOf("server" to server))
-        if (notice.pause !=
-            null
-        ) {
-            dependencies.log("back_end_paused", arrayOf("server" to server, "for" to notice.pause))
-        }
+        notice.pause?.let { dependencies.log("back_end_paused", arrayOf("server" to server, "for" to it)) }
     }
 
     /** Moves the streams of groups that have lost a member to other groups. */
@@ -299,7 +295,7 @@
     /** Answers all requests in flight as their state allows and refuses further ones. */
     fun endRequests() {
         stopAt(dependencies.clock.now())
-        forwardTasks.toList().forEach(ForwardTask::processEnds)
+        forwardTasks.toList().forEach(ForwardTask::endForShutdown)
     }
 
     /**
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -80,6 +80,7 @@
         val slots = spec.pool?.slots ?: return BackendChoice.NoneServing
         val limit = slots * if (inputs.isResuming) settings().resumingGroupLimit else settings().groupLimit
         val serving = groups.filter { it.model == model && it.service == spec.name }
+        val heads = serving.mapNotNull { inputs.table.engines[it.head] }
         val usable = serving.mapNotNull { group ->
             val head = inputs.table.engines[group.head]
             if (head != null && inputs.table.acceptsWork(head) && canUse(head, spec, inputs)) group to head else null
@@ -97,13 +98,7 @@
             }
         }
         val (best, head) = GroupPlacement.choose(candidates, slots, inputs.place.count, random)?.group
-            ?: return withoutCandidate(
-                usable.isNotEmpty(),
-                serving.mapNotNull {
-                    inputs.table.engines[it.head]
-                },
-                inputs,
-            )
+            ?: return withoutCandidate(usable.isNotEmpty(), heads, inputs)
         return BackendChoice.Chosen(
             ChosenBackend(head.id, head.status.address, best.id, model.value, head.status.start),
         )
@@ -123,6 +118,7 @@
         )
     }
 
+    /** The result if none of [all] can be chosen; [isBusy] if some are usable and have reached their limits. */
     private fun withoutCandidate(isBusy: Boolean, all: List<TrackedEngine>, inputs: ChoiceContext): BackendChoice {
         if (isBusy) return BackendChoice.AllBusy
         val earliest = all.filter { inputs.table.acceptsWork(it) && it.id !in inputs.excluded && !isLeaving(it) }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -228,7 +228,7 @@
     }
 
     /** Ends the request with the answer that its state allows, because the process ends. */
-    fun processEnds() {
+    fun endForShutdown() {
         if (finished) return
         cancelOffer()
         finishWithout(STOPPING)
