Connect the stop sequence with its parts in a class of its own

No change of behaviour: StopSequenceTest and PlannedStopTest pass, and the linter is clean (mvn -Dtest='StopSequenceTest,PlannedStopTest' verify).

--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -404,31 +404,20 @@
         events.info("stop", arrayOf("signal" to signal, "running" to gateway.runningRequests))
         controllerPost(ControllerMessage.Release)
         peerPost(PeerTaskMessage.StateChanged)
-        StopSequence(
-            bounds.stopGrace,
-            ADDRESS_LIST_LIFETIME,
+        val end = {
+            stopped.countDown()
+            Runtime.getRuntime().halt(0)
+        }
+        EdgeShutdown(
+            gateway,
+            listeners,
             clock,
             ::runLater,
-            StopProgress({ gateway.runningRequests }, { listeners.hasUnsentBytes }),
-            stopActions(),
-        ).start()
+            events.info,
+            end,
+        ).start(bounds.stopGrace, ADDRESS_LIST_LIFETIME)
     }
 
-    private fun stopActions() = StopActions(
-        limitRequests = gateway::stopAt,
-        closeGracefully = listeners::closeCallersGracefully,
-        endRequests = {
-            events.info("requests_ended", arrayOf("running" to gateway.runningRequests))
-            gateway.endRequests()
-            listeners.stopAcceptingCallers()
-        },
-        endProcess = {
-            events.info("stopped", arrayOf("running" to gateway.runningRequests))
-            stopped.countDown()
-            Runtime.getRuntime().halt(0)
-        },
-    )
-
     private fun runLater(delay: Duration, action: () -> Unit): CancelTimer {
         val future = loop.schedule(action, delay.inWholeMicroseconds, TimeUnit.MICROSECONDS)
         return CancelTimer { future.cancel(false) }
