--- a/process/src/main/kotlin/redwingcross/process/edge/EdgeSettings.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/EdgeSettings.kt
@@ -27,6 +27,7 @@
     val processors: Double = 0.0,
     /** Whether the whole system starts for the first time. */
     val isFirstStart: Boolean = false,
+    val features: EdgeFeatures = EdgeFeatures(),
 )
 
 /** Limits that the operator configures; they apply without a restart. The log contains its `toString`. */
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeCommand.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeCommand.kt
@@ -7,6 +7,8 @@
 import com.github.ajalt.clikt.parameters.options.option
 import redwingcross.platform.RequestFormat
 import redwingcross.platform.SettingsFile
+import redwingcross.process.edge.EdgeSettings
+import redwingcross.process.edge.FeatureOverride
 import redwingcross.process.settings.EXIT_BAD_INPUT
 import redwingcross.request.Checked
 import redwingcross.request.Finding
@@ -44,6 +46,12 @@
         help = "Edge process that --lift-block tells; it tells the others. The port is its metrics port.",
         metavar = "ip:port",
     )
+    private val features by option(
+        "--features",
+        help = "Features that are on: auto (the settings file decides), all, none or a comma-separated list. " +
+            "Default: the value of $FEATURES_VARIABLE, or auto.",
+        metavar = "list",
+    )
     private val asJson by option("--json", help = "Print the state as JSON.").flag()
     private val checkOnly by option("--check-settings", help = "Check the settings file and exit.").flag()
 
@@ -60,11 +68,28 @@
         } catch (error: IOException) {
             reject(listOf(Finding(path, "could not be read: ${error.message}")))
         }
-        val settings = when (val decoded = SettingsFile.decode(text)) {
+        val override = featureOverride()
+        val decode = { source: String -> SettingsFile.decode(source).withFeatures(override) }
+        val settings = when (val decoded = decode(text)) {
             is Checked.Invalid -> reject(decoded.findings)
             is Checked.Valid -> decoded.value
         }
-        if (checkOnly) echo(settings.toString()) else EdgeProcess(settings, text, readText).run()
+        if (checkOnly) echo(settings.toString()) else EdgeProcess(settings, text, readText, decode).run()
+    }
+
+    private fun featureOverride(): FeatureOverride {
+        val option = features
+        val text = option ?: environment(FEATURES_VARIABLE) ?: return FeatureOverride.Automatic
+        val place = if (option != null) "--features" else FEATURES_VARIABLE
+        return when (val parsed = FeatureOverride.parse(text, place)) {
+            is Checked.Invalid -> reject(parsed.findings)
+            is Checked.Valid -> parsed.value
+        }
+    }
+
+    private fun Checked<EdgeSettings>.withFeatures(override: FeatureOverride): Checked<EdgeSettings> = when (this) {
+        is Checked.Invalid -> this
+        is Checked.Valid -> Checked.Valid(value.copy(features = override.applyTo(value.features)))
     }
 
     private fun showState(address: String) {
@@ -108,5 +133,6 @@
         /** An edge process responds within milliseconds unless it hangs. */
         val RESPONSE_TIMEOUT = 3.seconds
         const val OK = 200
+        const val FEATURES_VARIABLE = "REDWINGCROSS_EDGE_FEATURES"
     }
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -11,7 +11,6 @@
 import redwingcross.connection.http.runEach
 import redwingcross.platform.PlatformFleet
 import redwingcross.platform.RequestFormat
-import redwingcross.platform.SettingsFile
 import redwingcross.platform.WatchIntervals
 import redwingcross.process.edge.ControllerDependencies
 import redwingcross.process.edge.ControllerMessage
@@ -41,6 +40,7 @@
 import redwingcross.process.edge.WatchProgress
 import redwingcross.process.edge.configurationPause
 import redwingcross.request.BackendServer
+import redwingcross.request.Checked
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ServiceName
@@ -62,7 +62,12 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** The edge process: runs the tasks of a gateway and a controller on one event loop and owns their sockets. */
-internal class EdgeProcess(private val settings: EdgeSettings, settingsText: String, readSettings: () -> String) {
+internal class EdgeProcess(
+    private val settings: EdgeSettings,
+    settingsText: String,
+    readSettings: () -> String,
+    decodeSettings: (String) -> Checked<EdgeSettings>,
+) {
     private val clock = MonotonicClock.system
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -82,7 +87,7 @@
     )
     private var bounds = settings.bounds
     private val reload =
-        SettingsReload(readSettings, SettingsFile::decode, settingsText, settings, events.info) { bounds = it.bounds }
+        SettingsReload(readSettings, decodeSettings, settingsText, settings, events.info) { bounds = it.bounds }
     private val backendConnections =
         HttpConnections(group, clock, BACKEND_CONNECTION_LIMITS, ::idleConnectionLimit, ::onBackendResponse)
     private val controlConnections =
@@ -283,6 +288,7 @@
     /** Starts the listeners and tasks and blocks until the process is stopped by a signal. */
     fun run() {
         events.info("start", arrayOf("node" to settings.node, "zone" to settings.zone, "callers" to settings.callers))
+        events.info("features", arrayOf("on" to settings.features.enabled.joinToString(",") { it.label }))
         for (name in listOf("TERM", "INT")) Signal.handle(Signal(name)) { loop.execute { stop(name) } }
         Signal.handle(Signal("HUP")) { loop.execute { reload.check(signalled = true) } }
         peerSocket.start(InetSocketAddress(settings.ip, settings.internalPorts.first))
