--- a/process/src/main/kotlin/redwingcross/process/metrics/ProcessMetrics.kt
+++ b/process/src/main/kotlin/redwingcross/process/metrics/ProcessMetrics.kt
@@ -27,7 +27,7 @@
  */
 class ProcessMetrics(private val maximumSeries: Int = DEFAULT_MAXIMUM_SERIES) : AutoCloseable {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-    private val gcMetrics = JvmGcMetrics().also { it.bindTo(registry) }
+    private var gcMetrics: JvmGcMetrics? = null
     private val seriesLimit = SeriesLimit(maximumSeries)
 
     // Looking up a meter in the registry costs many times more than recording a value.
@@ -36,12 +36,6 @@
 
     private data class Series(val name: String, val labels: Map<String, String>)
 
-    init {
-        JvmMemoryMetrics().bindTo(registry)
-        JvmThreadMetrics().bindTo(registry)
-        ProcessorMetrics().bindTo(registry)
-    }
-
     /** Increments a counter by one. */
     val count: CountEvent = { name, labels ->
         meter(counters, name, labels) { registry.counter(name, it) }.increment()
@@ -60,10 +54,24 @@
     }
 
     /** All metrics in the Prometheus text format. */
-    fun scrape(): String = registry.scrape()
+    fun scrape(): String {
+        bindRuntimeMetrics()
+        return registry.scrape()
+    }
+
+    /** Loads the management interface of the JVM, which costs as much as a tenth of a start, only when it is needed. */
+    @Synchronized
+    private fun bindRuntimeMetrics() {
+        if (gcMetrics != null) return
+        gcMetrics = JvmGcMetrics().also { it.bindTo(registry) }
+        JvmMemoryMetrics().bindTo(registry)
+        JvmThreadMetrics().bindTo(registry)
+        ProcessorMetrics().bindTo(registry)
+    }
 
+    @Synchronized
     override fun close() {
-        gcMetrics.close()
+        gcMetrics?.close()
         registry.close()
     }
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeCommand.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeCommand.kt
@@ -1,7 +1,7 @@
 package redwingcross.edge
 
-import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
@@ -25,7 +25,7 @@
 
 /** Command line of `redwingcross-edge`. */
 internal class EdgeCommand(private val environment: (String) -> String? = System::getenv) :
-    CliktCommand("redwingcross-edge") {
+    CoreCliktCommand("redwingcross-edge") {
     private val settingsFile by option(
         "--settings",
         help = "Path of the settings file. Default: the value of ${SettingsFile.ENVIRONMENT_VARIABLE}.",
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMain.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMain.kt
@@ -10,6 +10,9 @@
     setDefault(EdgeLogging.ENABLED, "true")
     // Without it Netty looks for a hardware address and logs a warning if there is none; the id only names channels.
     setDefault("io.netty.machineId", "02:00:00:00:00:01")
+    // Otherwise every jar of the class path is searched for providers.
+    setDefault("slf4j.internal.verbosity", "WARN")
+    setDefault("slf4j.provider", "ch.qos.logback.classic.spi.LogbackServiceProvider")
     EdgeCommand().main(arguments)
 }
 
