Run the command of the edge process in its tests without a terminal

Cause: the test of the operator endpoint used the test kit of Clikt, which needs the terminal library that the edge process no longer has. Change: the test reads the output of the command through its context; its checks are unchanged. Measured: OperatorEndpointTest and the other tests of programs/edge named Stop, Engine, Edge and Operat pass with ktlint and detekt.

--- a/programs/edge/src/test/kotlin/redwingcross/edge/OperatorEndpointTest.kt
+++ b/programs/edge/src/test/kotlin/redwingcross/edge/OperatorEndpointTest.kt
@@ -1,7 +1,8 @@
 package redwingcross.edge
 
-import com.github.ajalt.clikt.testing.CliktCommandTestResult
-import com.github.ajalt.clikt.testing.test
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.context
+import com.github.ajalt.clikt.core.parse
 import io.netty.channel.nio.NioEventLoopGroup
 import redwingcross.connection.http.CallerConnectionLimits
 import redwingcross.connection.http.CallerListener
@@ -63,7 +64,26 @@
         blockedParts = blocked.values.map { it.toState() },
     )
 
-    private fun run(vararg arguments: String): CliktCommandTestResult = EdgeCommand { null }.test(*arguments)
+    private class CommandResult(val statusCode: Int, val stdout: String, val stderr: String)
+
+    private fun run(vararg arguments: String): CommandResult {
+        val output = StringBuilder()
+        val errors = StringBuilder()
+        val command = EdgeCommand { null }
+        command.context {
+            echoMessage = { _, message, trailingNewline, isError ->
+                (if (isError) errors else output).append(message).append(if (trailingNewline) "\n" else "")
+            }
+        }
+        val statusCode = try {
+            command.parse(arguments.toList())
+            0
+        } catch (error: CliktError) {
+            command.echoFormattedHelp(error)
+            error.statusCode
+        }
+        return CommandResult(statusCode, output.toString(), errors.toString())
+    }
 
     @AfterTest
     fun close() {
