Bound the request bodies that a process holds for back ends

Callers of a service whose engines read long bodies slowly made the process hold all bodies at once. Requests to other services then had no answer for 2 to 4 s, and the process answered no readiness check.

Cause: a body was handed to Netty whole, which copies it into direct memory, where it stays until the engine has read it. With the 48 MB of -XX:MaxDirectMemorySize used up, each further allocation sleeps for about 0.5 s on the event loop. Neither the heap nor the direct memory that bodies use had a bound. Writing in parts alone was ruled out: the bodies stay on the heap (96 MB), where 40 of them don't fit either.

Change: a process holds at most 24 MiB of request bodies, from the head of a request to the end of its response (RequestBodyBudget); a quarter is left to bodies of up to 64 KiB. A request beyond it gets 503 with Retry-After: 1 before anything is sent, and the rest of its body is read and discarded, so that the caller receives the response. A connection to a back end writes a long body in parts of 64 KiB (RequestWriter). Requests that were sent in part stay what they are.

--- a/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
@@ -2,20 +2,15 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import redwingcross.request.MonotonicClock
@@ -103,21 +98,13 @@
         discarding = false
         discardedBytes = 0
         requestWritten = false
-        val request = DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            HttpMethod.valueOf(head.method),
-            head.target,
-            Unpooled.wrappedBuffer(body),
-            head.headers,
-            DefaultHttpHeadersFactory.trailersFactory().newHeaders(),
-        )
         if (body.isNotEmpty() || head.method !in methodsWithoutBody) {
             head.headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         }
-        channel.writeAndFlush(request).addListener { written ->
-            requestWritten = written.isSuccess
-            if (!written.isSuccess) channel.close()
-        }
+        RequestWriter(channel, body) { isWritten ->
+            requestWritten = isWritten
+            if (!isWritten) channel.close()
+        }.write(head)
     }
 
     /** Stops reading until [resumeReading] is called; applies backpressure while the caller reads too slowly. */
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -17,7 +17,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 
 /**
@@ -40,15 +39,18 @@
 internal class CallerConnection(
     private val listener: CallerListener,
     private val limits: () -> CallerConnectionLimits,
+    private val bodyBudget: RequestBodyBudget,
     private val serve: ServeExchange,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private val pipelined = ArrayDeque<HttpObject>()
     private var pipelinedBytes = 0
     private var request: HttpRequest? = null
-    private var body = ByteArrayOutputStream(0)
+    private var body = BodyBuffer(0)
+    private var reservation = bodyBudget.Reservation()
     private var exchange: CallerExchange? = null
     private var discarding = false
+    private val refusal = RequestRefusal()
     private var lastActivityAt = listener.now()
     private var headStartedAt: Duration? = null
 
@@ -71,6 +73,7 @@
         listener.closed(this)
         pipelined.forEach(ReferenceCountUtil::release)
         pipelined.clear()
+        reservation.release()
         exchange?.callerDisconnected()
         context.fireChannelInactive()
     }
@@ -95,7 +98,7 @@
     private fun accept(part: HttpObject) {
         try {
             when {
-                discarding -> Unit
+                discarding -> refusal.drain(context, part)
                 part.decoderResult().isFailure -> reject(part.decoderResult().cause())
                 else -> {
                     if (part is HttpRequest) begin(part)
@@ -109,24 +112,26 @@
 
     private fun begin(part: HttpRequest) {
         request = part
-        body = ByteArrayOutputStream(0)
         headStartedAt = null
         val declared = HttpUtil.getContentLength(part, 0L)
         when {
             part.protocolVersion().majorVersion() != 1 -> refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED)
             part.headers().getAll(HttpHeaderNames.HOST).size > 1 -> refuse(HttpResponseStatus.BAD_REQUEST)
-            declared > limits().bodyBytes -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-            HttpUtil.is100ContinueExpected(part) -> context.writeAndFlush(CONTINUE_RESPONSE.retainedDuplicate())
-            else -> Unit
+            declared > bodyBudget.largestBody(limits()) -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            !reservation.extendTo(declared) -> refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
+            else -> {
+                body = BodyBuffer(declared.toInt())
+                if (HttpUtil.is100ContinueExpected(part)) context.writeAndFlush(CONTINUE_RESPONSE.retainedDuplicate())
+            }
         }
     }
 
     private fun append(part: HttpContent) {
         val content: ByteBuf = part.content()
-        if (body.size() + content.readableBytes() > limits().bodyBytes) {
-            refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-            return
-        }
+        val total = body.size().toLong() + content.readableBytes()
+        if (total > bodyBudget.largestBody(limits())) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        // The declared length is reserved already, so this fails only for a body in chunks.
+        if (!reservation.extendTo(total)) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
         content.readBytes(body, content.readableBytes())
         if (part is LastHttpContent) dispatch()
     }
@@ -138,11 +143,13 @@
             context.channel(),
             this,
             RequestHead(head.method().name(), head.uri(), head.headers()),
-            body.toByteArray(),
+            body.takeBytes(),
             head.protocolVersion(),
             HttpUtil.isKeepAlive(head),
+            reservation,
         )
-        body = ByteArrayOutputStream(0)
+        body = BodyBuffer(0)
+        reservation = bodyBudget.Reservation()
         exchange = next
         serve(next)
     }
@@ -155,10 +162,14 @@
     private fun refuse(status: HttpResponseStatus) {
         discarding = true
         request = null
+        body = BodyBuffer(0)
+        reservation.release()
         listener.refused(status.code())
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close")
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
+            refusal.refuseForLackOfMemory(context, bodyBudget.largestBody(limits()))
+        } else {
+            refusal.refuse(context, status)
+        }
     }
 
     /** Writes the last part of a response, then closes the connection or serves the next request. */
@@ -202,6 +213,7 @@
 
     /** Closes the connection if the caller takes too long to send a request head, a body or the next request. */
     fun checkTimeouts(now: Duration) {
+        if (refusal.isDraining && now - lastActivityAt > limits().idleTimeout) context.close()
         if (exchange != null || discarding) return
         val current = limits()
         val partial = headStartedAt
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
@@ -21,6 +21,7 @@
     val body: ByteArray,
     private val version: HttpVersion,
     private var keepAlive: Boolean,
+    private val reservation: RequestBodyBudget.Reservation,
 ) {
     /** Called once if the caller disconnects before the response is complete. */
     var onDisconnect: () -> Unit = {}
@@ -30,7 +31,10 @@
 
     /** Whether the response is complete or was aborted. */
     var isFinished = false
-        private set
+        private set(value) {
+            field = value
+            if (value) reservation.release()
+        }
     private var streaming = false
 
     /** False while the caller reads too slowly; the source of the response should then be paused. */
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -18,7 +18,8 @@
 /**
  * Accepts connections of callers at one address and passes each of their requests to [serve].
  *
- * [onRefused] receives the status of each request that is refused before it reaches [serve].
+ * [onRefused] receives the status of each request that is refused before it reaches [serve]. A process passes the same
+ * [bodyBudget] to all its listeners; a request whose body doesn't fit gets 503 with `Retry-After` and is not served.
  */
 class CallerListener(
     private val group: EventLoopGroup,
@@ -27,6 +28,7 @@
     private val limits: () -> CallerConnectionLimits,
     private val onRefused: (status: Int) -> Unit,
     private val serve: ServeExchange,
+    private val bodyBudget: RequestBodyBudget = RequestBodyBudget(),
 ) {
     private val connections = HashSet<CallerConnection>()
     private var channel: Channel? = null
@@ -57,7 +59,7 @@
 
     private fun prepare(channel: SocketChannel) {
         TcpKeepAlive.apply(channel)
-        val connection = CallerConnection(this, limits, serve)
+        val connection = CallerConnection(this, limits, bodyBudget, serve)
         channel.pipeline()
             .addLast(ReceiveTracker(connection))
             .addLast(StrictRequestDecoder(maximumHeadBytes()))
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup
 import redwingcross.connection.http.CallerConnectionLimits
 import redwingcross.connection.http.CallerListener
+import redwingcross.connection.http.RequestBodyBudget
 import redwingcross.connection.http.ServeExchange
 import redwingcross.process.edge.EdgeSettings
 import redwingcross.process.edge.LogEvent
@@ -30,6 +31,7 @@
     private val info: LogEvent,
     private val warn: LogEvent,
 ) {
+    private val bodyBudget = RequestBodyBudget()
     private val callers = CallerListener(
         group,
         clock,
@@ -37,6 +39,7 @@
         limits = ::connectionLimits,
         onRefused = { info("caller_refused", arrayOf("status" to it)) },
         serve = services.callers,
+        bodyBudget = bodyBudget,
     )
     private val readiness = listener(services.control)
     private val directory = listener(services.control)
@@ -64,7 +67,7 @@
     fun stopAcceptingCallers(): Unit = callers.stopAccepting()
 
     private fun listener(serve: ServeExchange) =
-        CallerListener(group, clock, { CallerLimits().headerBytes }, ::connectionLimits, {}, serve)
+        CallerListener(group, clock, { CallerLimits().headerBytes }, ::connectionLimits, {}, serve, bodyBudget)
 
     private fun connectionLimits(): CallerConnectionLimits {
         val limits = callerLimits()
