Clear common parts by answers from before the crashes

Callers of a kind whose engines were all lost at once were refused, because the part that all its prompts share was blocked, and after losses noticed over seconds it stayed blocked.

Cause: only an answer after a crash cleared a part. With no engine left, nothing cleared it, and its requests were refused, so nothing ever could. Ruled out: a longer separation of times (blocks crashing parts too late), clearing in every crash at once (four properties fail), and the base rate alone (a new common part that ends engines would never be blocked).

Change: each process remembers for 10 s which parts were answered (AnsweredParts) and doesn't block them unless three crashes come later than that. It clears such a part in its evidence once the part explains the crashes. A part in more requests than crashes is blocked 0.5 s later, so that this evidence arrives first. Messages keep their format; the simulation of the properties now remembers answers as processes do.

--- a/process/src/main/kotlin/redwingcross/process/crash/CrashAttribution.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashAttribution.kt
@@ -58,24 +58,58 @@
 
     /**
      * Returns the block that a request with [parts] meets, or null if it may be sent. While the evidence doesn't tell
-     * apart parts that always occurred together, only requests with all of them are blocked.
+     * apart parts that always occurred together, only requests with all of them are blocked. Nor are parts that the
+     * answers of this process in [answered] clear.
      */
-    fun blocking(ledger: CrashLedger, parts: Collection<PromptPart>, now: Duration): BlockedPart? = ledger.explanations
-        .firstOrNull { it.blockedFrom <= now && parts.containsAll(it.parts) }
+    fun blocking(
+        ledger: CrashLedger,
+        parts: Collection<PromptPart>,
+        now: Duration,
+        answered: AnsweredParts = AnsweredParts(),
+    ): BlockedPart? = ledger.explanations
+        .firstOrNull { it.blockedFrom <= now && parts.containsAll(it.parts) && !isCleared(ledger, it, answered) }
         ?.let { it.block(it.parts.first(), now) }
 
     /**
      * Returns the blocked parts, to show them or to lift a block. [blocking] decides about a request. Parts that always
      * occur together are listed once their crashes are as many as the users allow.
      */
-    fun blocked(ledger: CrashLedger, now: Duration): Map<PromptPart, BlockedPart> {
+    fun blocked(
+        ledger: CrashLedger,
+        now: Duration,
+        answered: AnsweredParts = AnsweredParts(),
+    ): Map<PromptPart, BlockedPart> {
         if (ledger.explanations.isEmpty()) return emptyMap()
         return ledger.explanations
-            .filter { it.listedFrom != null && it.listedFrom <= now }
+            .filter { it.listedFrom != null && it.listedFrom <= now && !isCleared(ledger, it, answered) }
             .flatMap { explanation -> explanation.parts.map { explanation.block(it, now) } }
             .associateBy { it.part }
     }
 
+    /**
+     * Clears the parts that explain the crashes although answers of this process from before the crashes clear them,
+     * so that processes without such answers learn of it before they block the parts.
+     */
+    fun clearedBefore(ledger: CrashLedger, answered: AnsweredParts): CrashLedger {
+        if (ledger.explanations.isEmpty()) return ledger
+        val sound = ledger.explanations.filter { isCleared(ledger, it, answered) }
+        if (sound.isEmpty()) return ledger
+        val crashes = ledger.crashes.toMutableMap()
+        sound.forEach { explanation ->
+            explanation.crashes.forEach { run ->
+                crashes.computeIfPresent(run) { _, crash ->
+                    crash.clear(explanation.parts.filter { answered.answeredBefore(it, crash.at) })
+                }
+            }
+        }
+        return ledger.copy(crashes = crashes)
+    }
+
+    private fun isCleared(ledger: CrashLedger, explanation: Explanation, answered: AnsweredParts): Boolean {
+        val times = explanation.crashes.mapNotNull { ledger.crashes[it]?.at }
+        return explanation.parts.all { answered.clears(it, times) }
+    }
+
     /** Whether any of [parts] is accused by a recent crash, or blocked, and nothing has cleared it since. */
     fun isSuspect(ledger: CrashLedger, parts: Collection<PromptPart>, now: Duration): Boolean {
         if (ledger.lastAccusations.isEmpty()) return false
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
@@ -160,11 +160,13 @@
         }
 
         fun explanation(decisive: Duration): Explanation {
-            val clearingTime = if (amidOthers) CrashLimits.longClearingTime else CrashLimits.clearingTime
+            val attempts = crashes.flatMapTo(LinkedHashSet()) { attemptsIn(it) }.toList()
+            val ownTime = if (amidOthers) CrashLimits.longClearingTime else CrashLimits.clearingTime
+            val clearingTime = if (attempts.size > crashes.size) ownTime + CrashLimits.commonPartTime else ownTime
             return Explanation(
                 parts = parts,
                 crashes = crashes.map { it.run },
-                attempts = crashes.flatMapTo(LinkedHashSet()) { attemptsIn(it) }.toList(),
+                attempts = attempts,
                 blockedFrom = decisive + clearingTime,
                 listedFrom = if (parts.size == 1) decisive + clearingTime else listedTogetherFrom(decisive),
                 proof = proof(),
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
@@ -49,6 +49,9 @@
     /** Replaces [clearingTime] amid other ends, and for parts that always occur together, one of them a common one. */
     val longClearingTime: Duration = 2.seconds
 
+    /** Added for a part of several requests at an engine: processes that answered it before tell the others. */
+    val commonPartTime: Duration = 500.milliseconds
+
     /** A crash that is known within this time can be cleared from its own time on: messages take as long to spread. */
     val promptConfirmationTime: Duration = 1.seconds
 
@@ -58,6 +61,12 @@
     /** A crash that is older than this when it becomes known was confirmed elsewhere at least [clearingTime] before. */
     val longestConfirmationTime: Duration = EngineEndDetector.confirmationTime + clearingTime
 
+    /**
+     * An answer clears its parts of the crashes up to this much later. The loss of an engine is noticed up to 5 s after
+     * it, and processes with little traffic answer a common part every few seconds.
+     */
+    val answerLifetime: Duration = 10.seconds
+
     /** A crash whose parts saw no other crash for this time accuses nothing. */
     val accusationLifetime: Duration = 1.minutes
 
@@ -76,6 +85,9 @@
     /** Kept parts of a request; known parts go before new ones. */
     const val PARTS_PER_REQUEST = 16
 
+    /** Kept parts of [AnsweredParts]: those of 80 requests a second with five parts each for [answerLifetime]. */
+    const val ANSWERED_PARTS = 4_096
+
     /** Kept lifts: an operator lifts single parts. */
     const val LIFTS = 64
 
--- a/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
@@ -1,5 +1,6 @@
 package redwingcross.process.edge
 
+import redwingcross.process.crash.AnsweredParts
 import redwingcross.process.crash.BlockedPart
 import redwingcross.process.crash.CrashAttribution
 import redwingcross.process.crash.CrashEvidence
@@ -41,10 +42,11 @@
 class CrashAttributionTask(private val dependencies: CrashAttributionDependencies, private val clock: MonotonicClock) {
     private var detector = EngineEndState()
     private var ledger = CrashLedger()
+    private val answered = AnsweredParts()
     private var knownBlocks = emptySet<PromptPart>()
 
     /** Blocked parts with their evidence. */
-    fun blockedParts(): List<BlockedPart> = CrashAttribution.blocked(ledger, clock.now()).values.toList()
+    fun blockedParts(): List<BlockedPart> = CrashAttribution.blocked(ledger, clock.now(), answered).values.toList()
 
     /** What other processes need to know. */
     fun evidence(): CrashEvidence = CrashAttribution.evidence(ledger, clock.now())
@@ -53,7 +55,7 @@
     fun isBlocked(request: InboundRequest): Boolean {
         val parts = request.generation?.sharedParts.orEmpty()
         if (parts.isEmpty()) return false
-        val block = CrashAttribution.blocking(ledger, parts, clock.now()) ?: return false
+        val block = CrashAttribution.blocking(ledger, parts, clock.now(), answered) ?: return false
         dependencies.countBlocked(block.part)
         dependencies.log(
             "prompt_part_refused",
@@ -71,7 +73,10 @@
 
     /** Records that an engine began to answer a request with [parts]. */
     fun answerBegan(parts: List<PromptPart>) {
-        if (parts.isNotEmpty()) update(CrashAttribution.answerBegan(ledger, parts, clock.now()))
+        if (parts.isEmpty()) return
+        val now = clock.now()
+        answered.record(parts, now)
+        update(CrashAttribution.answerBegan(ledger, parts, now))
     }
 
     /** Records that [request] lost its connection to [backend]; [hasAnswered] tells whether its answer had begun. */
@@ -96,6 +101,7 @@
     fun check() {
         val engines = detector.engines
         if (engines.isNotEmpty()) detect(EngineEndMessage.EnginesListed(startsOf(engines)))
+        update(CrashAttribution.clearedBefore(ledger, answered))
         reportBlocks()
     }
 
@@ -111,7 +117,7 @@
     /** Lifts the block of [part] here and, by the evidence, at the other processes; false if it is not blocked. */
     fun lift(part: PromptPart): Boolean {
         val now = clock.now()
-        if (part !in CrashAttribution.blocked(ledger, now)) return false
+        if (part !in CrashAttribution.blocked(ledger, now, answered)) return false
         dependencies.log("prompt_part_lifted", arrayOf("part" to part.id))
         update(CrashAttribution.lifted(ledger, part, now))
         return true
@@ -150,7 +156,7 @@
 
     private fun reportBlocks() {
         if (ledger.crashes.isEmpty() && knownBlocks.isEmpty()) return
-        val blocked = CrashAttribution.blocked(ledger, clock.now())
+        val blocked = CrashAttribution.blocked(ledger, clock.now(), answered)
         if (blocked.keys == knownBlocks) return
         val added = blocked.filterKeys { it !in knownBlocks }
         (knownBlocks - blocked.keys).forEach { dependencies.log("prompt_part_unblocked", arrayOf("part" to it.id)) }
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashSimulation.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashSimulation.kt
@@ -24,6 +24,8 @@
         var ledger = CrashLedger()
             private set
         var alive = true
+        var answered = AnsweredParts()
+            private set
         private var detector = EngineEndState()
         private var relay = newRelay()
 
@@ -42,8 +44,10 @@
             next.effects.forEach(::observe)
         }
 
-        fun answerBegan(parts: Set<PromptPart>) =
+        fun answerBegan(parts: Set<PromptPart>) {
+            answered.record(parts, clock())
             changed(CrashAttribution.answerBegan(ledger, parts, clock()), relay::onOwnChange)
+        }
 
         fun receive(evidence: CrashEvidence) =
             changed(CrashAttribution.merged(ledger, evidence, clock()), relay::onReceivedChange)
@@ -55,13 +59,16 @@
         }
 
         fun sendIfDue() {
-            if (alive) relay.sendIfDue()
+            if (!alive) return
+            changed(CrashAttribution.clearedBefore(ledger, answered), relay::onOwnChange)
+            relay.sendIfDue()
         }
 
         fun end() {
             alive = false
             ledger = CrashLedger()
             detector = EngineEndState()
+            answered = AnsweredParts()
             relay = newRelay()
         }
 
@@ -308,7 +315,7 @@
     }
 
     private fun isBlocked(gateway: Gateway, parts: Set<PromptPart>): Boolean =
-        CrashAttribution.blocking(gateway.ledger, parts, gateway.clock()) != null
+        CrashAttribution.blocking(gateway.ledger, parts, gateway.clock(), gateway.answered) != null
 
     /** Number of live gateways that don't block requests with [parts] at the end of the run. */
     fun gatewaysWithoutBlock(parts: Set<PromptPart>): Int = gateways.count { it.alive && !isBlocked(it, parts) }
