Share the demand among gateways and decide waiting and refusing from it

Cause: each gateway estimated from its own freed slots, of which it sees a few a second, and refused a request once its objective could not be met, although a late answer still has value.

Change: heartbeats and digests carry the demand by kind; AdmissionDecision keeps requests in time and late ones apart, gives late ones the slots that no waiting request in time needs, orders customers by the slots that they got, and refuses at once what the fleet can't answer before the deadline. Without a view the local decision applies. Off by default; messages are then unchanged.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -67,6 +67,7 @@
     private val crashes: CrashAttributionTask,
     private val bounds: () -> EdgeBounds,
     private val random: Random,
+    isAdmissionShared: Boolean = false,
 ) {
     private val load = BackendLoad()
     private val health = BackendHealth()
@@ -84,7 +85,15 @@
     private val budgets = RetryBudgets { bounds().retryBudget }
     private val forwardTasks = HashSet<ForwardTask>()
     private val shutdown = ShutdownAdmission()
-    private val waiting = WaitingRequests(dependencies.clock, dependencies.runLater, ::choose, random)
+    private val localWaiting = WaitingRequests(dependencies.clock, dependencies.runLater, ::choose, random)
+
+    /** The waiting requests, if gateways share what they know of the demand. */
+    val sharedWaiting: SharedWaitingRequests? = if (isAdmissionShared) {
+        SharedWaitingRequests(dependencies.clock, dependencies.runLater, ::choose, random, localWaiting)
+    } else {
+        null
+    }
+    private val waiting = sharedWaiting?.operations ?: WaitingOperations.of(localWaiting)
     private val progress =
         StreamProgress(dependencies.clock, dependencies.reportSuspectedGroup, dependencies.log)
     private val context = ForwardContext(
@@ -94,16 +103,19 @@
         runLater = dependencies.runLater,
         choose = ::choose,
         send = ::send,
-        offerStarted = { backend, _ -> load.requestStarted(backend.server) },
+        offerStarted = { backend, _ ->
+            load.requestStarted(backend.server)
+            waiting.sent(backend.kind)
+        },
         offerReleased = { backend, _ ->
             load.requestEnded(backend.server)
             waiting.placeFreed(backend.kind)
         },
-        awaitPlace = waiting::add,
-        waitEnded = waiting::remove,
+        awaitPlace = waiting.add,
+        waitEnded = waiting.remove,
         offerEnded = ::offerEnded,
         tryAcquireRetry = { budgets[it].tryAcquire(dependencies.clock.now(), dependencies.gatewayShare().count) },
-        retryAfter = { waiting.retryDelay(it) },
+        retryAfter = waiting.retryDelay,
         coldReported = dependencies.coldReported,
         faultReported = { backend, _ -> backend.group?.let(dependencies.reportSuspectedGroup) },
         crashes = CrashSignals(
@@ -125,7 +137,7 @@
     val runningRequests: Int get() = forwardTasks.size
 
     /** Number of requests that wait for a place. */
-    val waitingRequests: Int get() = waiting.size
+    val waitingRequests: Int get() = waiting.size()
 
     /** Requests of this gateway in flight by back end, for the other gateways. */
     fun reportLoad(): Map<BackendServer, Int> = load.report()
@@ -139,6 +151,11 @@
         waiting.serve()
     }
 
+    /** The demand of the fleet from the sums of all gateways; the slots and their use are those known here. */
+    val demandView: BuildDemandView = { counts, takenAt ->
+        dependencies.fleet().demandView(counts, takenAt, dependencies.clock.now(), load::total)
+    }
+
     /** The name of [server] in digests; its hash is needed for each group at each choice. */
     private fun digestName(server: BackendServer) = digestNames.getOrPut(server) { CompactName.of(server.value) }
 
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -98,6 +98,9 @@
     /** The controller lease that the sender holds; null unless it is the active controller. */
     @SerialName("duty")
     val controllerLease: HeldControllerLease? = null,
+    /** Requests that wait at the sender by kind, see [DemandCounts]; null if there is nothing to report. */
+    @ByteString
+    val demand: ByteArray? = null,
 ) : PeerMessage
 
 /**
@@ -123,6 +126,11 @@
     /** Progress of the sender's watches of the store. */
     val watchProgress: Map<UpdateSource, WatchProgress>,
     val controllerLease: HeldControllerLease?,
+    /** Requests that wait at all gateways by kind, see [DemandCounts]; null if there is nothing to report. */
+    @ByteString
+    val demand: ByteArray? = null,
+    /** Age of the oldest heartbeat that [demand] was summed from, in milliseconds. */
+    val demandAgeMillis: Long = 0,
 ) : PeerMessage
 
 /** The controller lease that the sender of a heartbeat holds, with the version of its [record] in the store. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -64,6 +64,8 @@
     /** What this process knows of ended engines; a process that starts receives it from the active controller. */
     val crashEvidence: () -> CrashEvidence,
     val onCrashEvidence: (CrashEvidence) -> Unit,
+    /** Exchanges the demand with the other processes; null if admission isn't shared. */
+    val demand: DemandExchange? = null,
 )
 
 /** Owns this process's view of the other processes: sends heartbeats and passes received messages to other tasks. */
@@ -137,6 +139,7 @@
             lastDigest = null
             dependencies.onFleetLoad(null)
         }
+        dependencies.demand?.tick(hasDigests = table.isLarge)
         sendHeartbeat(toAll = false)
         updateGatewayShare(before)
         updateRank(now)
@@ -171,6 +174,7 @@
         if (digest.sender.node !in before.peers) updateGatewayShare(before)
         if (isFirst) updateRank(now)
         dependencies.onFleetLoad(CompactCounts.of(digest.load))
+        dependencies.demand?.digestReceived(digest)
         if (digest.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(digest.watchProgress)
         digest.controllerLease?.let(::leaseReceived)
@@ -222,6 +226,7 @@
 
     private fun nextDigest(own: Heartbeat, lease: HeldControllerLease): FleetDigest =
         table.digest(own, lease, dependencies.fleetLoad(), ++digestsSent, clock.now())
+            .let { dependencies.demand?.complete(it) ?: it }
 
     /**
      * Tells a process that has just started who the active controller is, so that it can request its routes, and which
@@ -285,6 +290,7 @@
         if (isNew) updateGatewayShare(before)
         if (known?.heartbeat == null || known.record.start != heartbeat.sender.start) welcome(heartbeat.sender)
         dependencies.onLoad(ProcessName(heartbeat.sender.node), heartbeat.load.mapKeys { BackendServer(it.key) })
+        dependencies.demand?.heartbeatReceived(heartbeat)
         if (heartbeat.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(heartbeat.watchProgress)
         heartbeat.controllerLease?.let(::leaseReceived)
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -20,6 +20,8 @@
 import redwingcross.process.edge.CrashEvidenceDependencies
 import redwingcross.process.edge.CrashEvidenceRelay
 import redwingcross.process.edge.CrashReports
+import redwingcross.process.edge.DemandExchange
+import redwingcross.process.edge.EdgeFeature
 import redwingcross.process.edge.EdgeSettings
 import redwingcross.process.edge.EventLog
 import redwingcross.process.edge.EventLoopTask
@@ -177,7 +179,11 @@
         crashes,
         { bounds },
         random,
+        EdgeFeature.SHARED_ADMISSION in settings.features,
     )
+    private val demand: DemandExchange? = gateway.sharedWaiting?.let { waiting ->
+        DemandExchange(gateway.demandView, waiting::demandChanged, clock, events.info)
+    }
     private val relay: RouteRelay = RouteRelay(
         self,
         RouteRelayDependencies(
@@ -256,6 +262,7 @@
             onLease = postLease,
             crashEvidence = crashes::evidence,
             onCrashEvidence = { if (crashes.received(it)) crashRelay.onReceivedChange() },
+            demand = demand,
         ),
         clock,
         random,
@@ -360,7 +367,8 @@
         watchProgress = platform.progress(),
         load = gateway.reportLoad().entries.associate { (server, count) -> server.value to count },
         controllerLease = controller.heldLease,
-    )
+        demand = gateway.sharedWaiting?.report(),
+    ).also { demand?.heartbeatReceived(it) }
 
     private fun restartLaggingWatches(other: Map<UpdateSource, WatchProgress>) {
         val own = platform.progress()
