Serve late requests near their end beyond the bound, and test the exchange of demand

Change: in the last quarter of its time a late request takes any slot. Tests of the decision, of lost, stale and paused views, of the messages and of a gateway with real connections; gauges of the view.

--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -73,7 +73,7 @@
  * A gateway with real connections from callers and to back ends that the tests control, either by exchanges or byte by
  * byte.
  */
-abstract class GatewayFixture {
+abstract class GatewayFixture(isAdmissionShared: Boolean = false) {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
     private val app = ServiceName("app")
@@ -115,7 +115,7 @@
         ),
         MonotonicClock { MonotonicClock.system.now() + timePassed },
     )
-    protected val gateway: GatewayTask = GatewayTask(dependencies(), crashes, ::bounds, Random(1))
+    protected val gateway: GatewayTask = GatewayTask(dependencies(), crashes, ::bounds, Random(1), isAdmissionShared)
 
     private fun bounds() = EdgeBounds(
         drain = 2.seconds,
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
@@ -3,6 +3,7 @@
 import redwingcross.connection.http.HttpConnections
 import redwingcross.process.edge.ControllerTask
 import redwingcross.process.edge.CrashAttributionTask
+import redwingcross.process.edge.DemandExchange
 import redwingcross.process.edge.FleetState
 import redwingcross.process.edge.GatewayTask
 import redwingcross.process.edge.PeerTask
@@ -21,6 +22,8 @@
     private val controller: ControllerTask,
     private val peers: PeerTask,
     private val crashes: CrashAttributionTask,
+    /** Null if admission isn't shared. */
+    private val demand: DemandExchange? = null,
 ) {
     /** Registers the gauges of the process with [metrics]. */
     fun register(metrics: EdgeMetrics, backends: HttpConnections) {
@@ -38,6 +41,7 @@
         metrics.gauge("redwingcross_engines_without_group") {
             services().sumOf { fleet().table.enginesWithoutGroup(it) }
         }
+        demand?.let { registerDemand(it, metrics) }
         for (source in UpdateSource.entries) {
             metrics.gauge("redwingcross_view_age_seconds", mapOf("source" to source.name.lowercase())) {
                 fleet().confirmedAt[source]?.let { (clock.now() - it).toDouble(DurationUnit.SECONDS) } ?: Double.NaN
@@ -45,6 +49,15 @@
         }
     }
 
+    private fun registerDemand(demand: DemandExchange, metrics: EdgeMetrics) {
+        metrics.gauge("redwingcross_requests_waiting_late") { gateway.sharedWaiting?.lateSize ?: 0 }
+        metrics.gauge("redwingcross_demand_view_valid") { if (demand.currentView == null) 0 else 1 }
+        metrics.gauge("redwingcross_demand_view_age_seconds") {
+            demand.currentView?.age(clock.now())?.toDouble(DurationUnit.SECONDS) ?: Double.NaN
+        }
+        metrics.gauge("redwingcross_demand_rejected") { demand.rejected }
+    }
+
     private fun services(): Collection<ServiceSpec> = fleet().configuration?.services?.values.orEmpty()
 
     /** Snapshot of the current state of the process. */
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -273,7 +273,7 @@
     private val peerTask: EventLoopTask<PeerTaskMessage> =
         EventLoopTask<PeerTaskMessage>(loop, MAILBOX_CAPACITY, onMessageDropped, peers::handle)
     private val fleetTask = EventLoopTask<FleetUpdate>(loop, MAILBOX_CAPACITY, onMessageDropped, ::onFleetUpdate)
-    private val observer = EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers, crashes)
+    private val observer = EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers, crashes, demand)
 
     private val controlEndpoint = ControlEndpoint(
         ::isReady,
--- a/version/src/main/kotlin/redwingcross/version/admission/AdmissionDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/admission/AdmissionDecision.kt
@@ -119,8 +119,8 @@
      * isn't known, and a slot that is free would be lost. Requests in [skipped] can't be sent to the back ends that
      * have slots.
      *
-     * A late request that is about to be refused may be sent beyond the bound: one that is refused while a slot is free
-     * needs a slot again when its caller returns.
+     * A late request near the end of its time may be sent beyond the bound: one that is refused while a slot is free
+     * needs a slot again when its caller returns, and is never answered if none is free then.
      */
     fun <Task> next(
         state: AdmissionState<Task>,
@@ -134,9 +134,12 @@
         fairest(queue.inTime.filter { it.task !in skipped }, queue.shares)?.let { return it }
         val late = queue.late.filter { it.task !in skipped }
         val isAllowed = !isBounded || inFlight < (state.lateBounds[kind] ?: 0)
-        return if (isAllowed) fairest(late, queue.shares) else late.find { it.latestSend <= now + LAST_CALL }
+        return if (isAllowed) fairest(late, queue.shares) else late.find { now >= it.latestSend - lastPart(it) }
     }
 
+    private fun lastPart(request: AdmissionRequest<*>) =
+        maxOf((request.latestSend - request.inTimeUntil) * LAST_PART, SHORTEST_LAST_PART)
+
     /** The first request of the customer that got the fewest slots, among the requests of the most urgent priority. */
     private fun <Task> fairest(requests: List<AdmissionRequest<Task>>, shares: FairShares): AdmissionRequest<Task>? {
         val first = requests.firstOrNull() ?: return null
@@ -181,8 +184,14 @@
     /** Bound of the bodies that wait; the smallest VMs have 282 MB for everything. */
     const val MAXIMUM_BODY_BYTES = 8L shl 20
 
+    /**
+     * Last part of the time of a late request, to which the bound does not apply. On the replay, shorter parts leave
+     * more requests without an answer, longer ones leave fewer in time.
+     */
+    private const val LAST_PART = 0.25
+
     /** Longer than the interval between two looks at the queue, so that each late request is offered once more. */
-    private val LAST_CALL = 150.milliseconds
+    private val SHORTEST_LAST_PART = 150.milliseconds
 
     /** Callers honour a stated delay up to this part of their remaining time. */
     private const val HONOURED_PART_OF_TIME_LEFT = 3
--- a/version/src/test/kotlin/redwingcross/version/admission/AdmissionReplayTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/admission/AdmissionReplayTest.kt
@@ -6,6 +6,7 @@
 import redwingcross.version.forwarding.WaitingRequest
 import redwingcross.version.forwarding.retryDelay
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -86,7 +87,7 @@
 
     override fun slotFreed(now: Duration) {
         freed++
-        checked(now)
+        serve(now)
         local.slotFreed(now)
     }
 
@@ -100,9 +101,13 @@
     }
 
     override fun checked(now: Duration) {
+        serve(now)
+        local.checked(now)
+    }
+
+    private fun serve(now: Duration) {
         apply(AdmissionDecision.timePassed(state, now), now)
         while (serveNext(now)) Unit
-        local.checked(now)
     }
 
     private fun serveNext(now: Duration): Boolean {
@@ -143,4 +148,33 @@
             assertTrue(local.refusedWithFreeSlot > local.requests / 100, "$gateways gateways: $local")
         }
     }
+
+    @Test
+    fun `with views that are too old the decision is the local one`() {
+        val peak = ReplayedPeak(109, seed = 2)
+        val stale = peak.copy(receivedView = { _, view, now -> view.copy(takenAt = now - DemandView.VALIDITY) })
+        val lost = peak.copy(receivedView = { _, _, _ -> null })
+        val local = replay(peak, ::LocalAdmission).toString()
+        assertEquals(local, replay(stale, ::SharedAdmissionOfGateway).toString())
+        assertEquals(local, replay(lost, ::SharedAdmissionOfGateway).toString())
+    }
+
+    @Test
+    fun `lost views and a controller that repeats an old one for a while leave nobody without an answer`() {
+        val cut = 8.seconds..14.seconds
+        var last: DemandView? = null
+        val paused = ReplayedPeak(109, seed = 3, receivedView = { _, view, now ->
+            if (now !in cut) last = view
+            last
+        })
+        val partly = ReplayedPeak(109, seed = 3, receivedView = { gateway, view, now ->
+            view.takeIf { now !in cut || gateway % 2 == 0 }
+        })
+        val local = replay(paused, ::LocalAdmission)
+        for (peak in listOf(paused, partly)) {
+            val shared = replay(peak, ::SharedAdmissionOfGateway)
+            assertTrue(shared.served > 0.99, "$shared")
+            assertTrue(shared.inTimeShare > local.inTimeShare, "$shared, local $local")
+        }
+    }
 }
