--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -101,7 +101,7 @@
         codec = dependencies.codec,
         health = health,
         runLater = dependencies.runLater,
-        choose = ::choose,
+        choose = { waiting.beforeChoice(it) ?: choose(it) },
         send = ::send,
         offerStarted = { backend, _ ->
             load.requestStarted(backend.server)
--- a/process/src/main/kotlin/redwingcross/process/edge/SharedWaitingRequests.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/SharedWaitingRequests.kt
@@ -13,6 +13,7 @@
 import redwingcross.version.admission.ResponseTimes
 import redwingcross.version.forwarding.BackendChoice
 import redwingcross.version.forwarding.CancelTimer
+import redwingcross.version.forwarding.ChoiceRequest
 import redwingcross.version.forwarding.ChooseBackend
 import redwingcross.version.forwarding.ForwardJob
 import redwingcross.version.forwarding.ForwardOutcome
@@ -44,10 +45,12 @@
     private val counts = HashMap<BackendKind, Counts>()
     private val names = HashMap<BackendKind, CompactName>()
     private var isServingScheduled = false
+    private var isServing = false
 
     /** The operations of this object for [GatewayTask]. */
     val operations = WaitingOperations(
         size = { state.size + local.size },
+        beforeChoice = ::beforeChoice,
         add = ::add,
         remove = ::remove,
         sent = { kind -> countsOf(BackendKind(kind)).inFlight++ },
@@ -65,6 +68,16 @@
     private fun demand(kind: BackendKind, now: Duration): KindDemand? =
         view?.takeIf { it.isValid(now) }?.kinds?.get(kind)
 
+    /**
+     * A request that just arrived doesn't overtake those that can be in time: it is sent only if there are slots left
+     * after them. One that resumes may use more of a group's slots than others.
+     */
+    private fun beforeChoice(request: ChoiceRequest): BackendChoice? {
+        val kind = BackendKind(request.model?.value ?: request.service.value)
+        if (isServing || request.isResuming || state.queues[kind]?.inTime.isNullOrEmpty()) return null
+        return if (serve(kind)) null else BackendChoice.AllBusy
+    }
+
     private fun add(task: ForwardTask, isResuming: Boolean, deadline: Duration): Boolean {
         val now = clock.now()
         val job = task.job
@@ -125,24 +138,35 @@
         local.serve()
     }
 
-    private fun serve(kind: BackendKind) {
+    /** Sends waiting requests of [kind]; false if no back end has a slot for them. */
+    private fun serve(kind: BackendKind): Boolean {
+        isServing = true
+        return try {
+            serveWhilePossible(kind)
+        } finally {
+            isServing = false
+        }
+    }
+
+    private fun serveWhilePossible(kind: BackendKind): Boolean {
         val unsuitable = HashSet<ForwardTask>()
         var left = state.queue(kind).size
         while (left-- > 0) {
             val now = clock.now()
             val isBounded = demand(kind, now) != null
             val next =
-                AdmissionDecision.next(state, kind, countsOf(kind).inFlight, isBounded, now, unsuitable) ?: return
+                AdmissionDecision.next(state, kind, countsOf(kind).inFlight, isBounded, now, unsuitable) ?: break
             val choice = next.task.choiceRequest()
             if (choose(choice) is BackendChoice.Chosen) {
                 state = AdmissionDecision.sent(state, next)
                 next.task.placeFreed()
             } else if (choice.excluded.isEmpty()) {
-                return
+                return false
             } else {
                 unsuitable += next.task
             }
         }
+        return true
     }
 
     private fun refuseEnded() {
--- a/process/src/main/kotlin/redwingcross/process/edge/WaitingOperations.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/WaitingOperations.kt
@@ -1,5 +1,7 @@
 package redwingcross.process.edge
 
+import redwingcross.version.forwarding.BackendChoice
+import redwingcross.version.forwarding.ChoiceRequest
 import redwingcross.version.forwarding.ForwardJob
 import redwingcross.version.forwarding.ForwardOutcome
 import redwingcross.version.forwarding.ForwardTask
@@ -8,6 +10,11 @@
 /** What [GatewayTask] does with the requests that wait for a place, whoever decides about them. */
 class WaitingOperations(
     val size: () -> Int,
+    /**
+     * Called before a back end is chosen for a request: sends those that come first. The result replaces the choice;
+     * null to choose.
+     */
+    val beforeChoice: (ChoiceRequest) -> BackendChoice?,
     /** Lets a task wait for a place; false if it has to be refused. */
     val add: (ForwardTask, isResuming: Boolean, deadline: Duration) -> Boolean,
     val remove: (ForwardTask) -> Unit,
@@ -25,6 +32,7 @@
         /** The decision of a gateway that knows only its own requests. */
         fun of(local: WaitingRequests) = WaitingOperations(
             size = local::size,
+            beforeChoice = { null },
             add = local::add,
             remove = local::remove,
             sent = {},
--- a/version/src/main/kotlin/redwingcross/version/admission/AdmissionDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/admission/AdmissionDecision.kt
@@ -62,7 +62,8 @@
         demand: KindDemand?,
         now: Duration,
     ): Duration {
-        if (demand == null || demand.freedPerSecond <= 0) return Duration.ZERO
+        val freed = demand?.expectedFreedPerSecond ?: 0.0
+        if (demand == null || freed <= 0) return Duration.ZERO
         val ownLate = state.queue(request.kind).late
         val isBeforeNone = ownLate.isEmpty() || isInTime(request, now)
         val lateAhead = if (isBeforeNone) {
@@ -71,11 +72,9 @@
             ownLate.count { KindQueue.lateOrder.compare(it, request) <= 0 }.toDouble() / ownLate.size
         }
         val ahead = demand.waitingInTime + demand.waitingLate * lateAhead - demand.freeSlots
-        return (ahead / demand.freedPerSecond).coerceAtLeast(0.0).seconds
+        return (ahead / freed).coerceAtLeast(0.0).seconds
     }
 
-    private val KindDemand.freeSlots get() = (slots - slotsInUse).coerceAtLeast(0)
-
     /** Moves requests that can no longer be in time to the late ones, and refuses those that can't be answered. */
     fun <Task> timePassed(
         state: AdmissionState<Task>,
@@ -169,7 +168,7 @@
      * that these don't return together. [random] is from 0 until 1.
      */
     fun retryDelay(demand: KindDemand, timeLeft: Duration, random: Double): Duration {
-        val freed = demand.freedPerSecond.coerceAtLeast(1.0)
+        val freed = demand.expectedFreedPerSecond.coerceAtLeast(1.0)
         val queued = ((demand.waitingInTime - demand.freeSlots).coerceAtLeast(0) / freed).seconds
         val spread = maxOf(MINIMUM_RETRY_SPREAD, (demand.refusedPerSecond / freed).seconds)
         val delay = RETRY_DELAY_BASE + queued + spread * random
--- a/version/src/main/kotlin/redwingcross/version/admission/KindDemand.kt
+++ b/version/src/main/kotlin/redwingcross/version/admission/KindDemand.kt
@@ -26,6 +26,20 @@
 ) {
     /** Slots that remain if every waiting request that can be in time gets one. */
     val spareSlots: Int get() = slots - slotsInUse - waitingInTime
+
+    /** Slots that no request uses. */
+    val freeSlots: Int get() = (slots - slotsInUse).coerceAtLeast(0)
+
+    /**
+     * Slots that come free per second from now on. Where groups have just opened, many slots are in use before the
+     * first one is freed; their requests will free them after a usual response time.
+     */
+    val expectedFreedPerSecond: Double get() = maxOf(freedPerSecond, slotsInUse / (USUAL_RESPONSE / 1.seconds))
+
+    private companion object {
+        /** Streams take 1 to 2 s where groups aren't slow; a shorter time would hold requests that can't be served. */
+        val USUAL_RESPONSE = 2.seconds
+    }
 }
 
 /** The demand by kind as known at [takenAt], a reading of the local clock for the oldest input. */
