Give late requests near their end every fourth slot

Change: in the last quarter of its time a late request goes before the fourth request in time, never before a stream that lost its group.

--- a/bench/src/test/kotlin/redwingcross/bench/replay/AdmissionReplayTest.kt
+++ b/bench/src/test/kotlin/redwingcross/bench/replay/AdmissionReplayTest.kt
@@ -26,7 +26,7 @@
                 withShared.inTimeShare > withLocal.inTimeShare + 0.1,
                 "$gateways gateways: $withShared, local $withLocal",
             )
-            assertTrue(withShared.served > 0.99, "$gateways gateways: $withShared")
+            assertTrue(withShared.served > 0.998, "$gateways gateways: $withShared")
             assertTrue(withShared.refusedWithFreeSlot < withShared.requests / 100, "$gateways gateways: $withShared")
             assertTrue(withLocal.refusedWithFreeSlot > withLocal.requests / 100, "$gateways gateways: $withLocal")
         }
--- a/version/src/main/kotlin/redwingcross/version/admission/AdmissionDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/admission/AdmissionDecision.kt
@@ -118,8 +118,9 @@
      * isn't known, and a slot that is free would be lost. Requests in [skipped] can't be sent to the back ends that
      * have slots.
      *
-     * A late request near the end of its time may be sent beyond the bound: one that is refused while a slot is free
-     * needs a slot again when its caller returns, and is never answered if none is free then.
+     * A late request near the end of its time may be sent beyond the bound, and gets every fourth slot also while
+     * requests of this gateway can be in time: one that is refused while a slot is free needs a slot again when its
+     * caller returns, and is never answered if none is free then.
      */
     fun <Task> next(
         state: AdmissionState<Task>,
@@ -130,10 +131,17 @@
         skipped: Set<Task> = emptySet(),
     ): AdmissionRequest<Task>? {
         val queue = state.queues[kind] ?: return null
-        fairest(queue.inTime.filter { it.task !in skipped }, queue.shares)?.let { return it }
         val late = queue.late.filter { it.task !in skipped }
+        val ending = late.find { now >= it.latestSend - lastPart(it) }
+        val inTime = fairest(queue.inTime.filter { it.task !in skipped }, queue.shares)
+        val isTurnOfLate = queue.sentSinceLate >= SENT_BEFORE_LATE && inTime?.isResuming != true
         val isAllowed = !isBounded || inFlight < (state.lateBounds[kind] ?: 0)
-        return if (isAllowed) fairest(late, queue.shares) else late.find { now >= it.latestSend - lastPart(it) }
+        return when {
+            ending != null && isTurnOfLate -> ending
+            inTime != null -> inTime
+            isAllowed -> fairest(late, queue.shares)
+            else -> ending
+        }
     }
 
     private fun lastPart(request: AdmissionRequest<*>) =
@@ -149,7 +157,12 @@
     /** Records that [request] got a slot. */
     fun <Task> sent(state: AdmissionState<Task>, request: AdmissionRequest<Task>): AdmissionState<Task> {
         val queue = state.queue(request.kind)
-        return state.with(request.kind, queue.copy(shares = queue.shares.granted(request.customer))).removed(request)
+        val isLate = queue.late.any { it.task == request.task }
+        val counted = queue.copy(
+            shares = queue.shares.granted(request.customer),
+            sentSinceLate = if (isLate) 0 else queue.sentSinceLate + 1,
+        )
+        return state.with(request.kind, counted).removed(request)
     }
 
     /** Removes the request of [task], which no longer waits. */
@@ -189,6 +202,12 @@
      */
     private const val LAST_PART = 0.25
 
+    /**
+     * Requests in time that are sent before a late one near the end of its time. On the replay with 8 gateways, each of
+     * which has requests in time at any moment, 0.996 of the requests were answered without this rule.
+     */
+    private const val SENT_BEFORE_LATE = 3
+
     /** Longer than the interval between two looks at the queue, so that each late request is offered once more. */
     private val SHORTEST_LAST_PART = 150.milliseconds
 
--- a/version/src/main/kotlin/redwingcross/version/admission/AdmissionState.kt
+++ b/version/src/main/kotlin/redwingcross/version/admission/AdmissionState.kt
@@ -28,6 +28,8 @@
     /** Requests that can only be late, in the order in which they are sent. */
     val late: List<AdmissionRequest<Task>> = emptyList(),
     val shares: FairShares = FairShares(),
+    /** Slots that went to requests that can be in time since the last one that went to a late request. */
+    val sentSinceLate: Int = 0,
 ) {
     val size: Int get() = inTime.size + late.size
 
--- a/version/src/test/kotlin/redwingcross/version/admission/AdmissionDecisionTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/admission/AdmissionDecisionTest.kt
@@ -135,6 +135,17 @@
         assertEquals("late", nextWith(contended.copy(slotsInUse = 190), inFlight = 0), "its part of the spare slots")
     }
 
+    @Test
+    fun `a late request near the end of its time gets every fourth slot, but never before a resuming stream`() {
+        val inTime = (1..5).map { request("r$it", inTimeUntil = 7.seconds, latestSend = 9.seconds) }
+        val late = request("late", inTimeUntil = Duration.ZERO, latestSend = 6.seconds)
+        val state = stateOf(*(inTime + late).toTypedArray())
+        assertEquals(listOf("r1", "r2", "r3", "late", "r4", "r5"), order(state, now = 5.seconds))
+        assertEquals(listOf("r1", "r2", "r3", "r4", "r5", "late"), order(state, now = 1.seconds))
+        val moved = (1..5).map { request("r$it", latestSend = 9.seconds, isResuming = true) }
+        assertEquals("late", order(stateOf(*(moved + late).toTypedArray()), now = 5.seconds).last())
+    }
+
     @Test
     fun `the queue is bounded in requests and bytes, and late requests leave it for those that can be in time`() {
         val late = (1..300).map { request("late$it", inTimeUntil = Duration.ZERO, latestSend = (6 + it).seconds) }
