Mark groups whose streams are silent at several gateways

A group that has lost an engine goes on accepting requests for up to 0.7 s until its loss is confirmed, because each gateway sees one or two of its streams and waits 350 to 600 ms before it suspects the group.

Gateways now report silence of 160 ms to the controller, which marks a group when most of its streams are reported. Gateways send marked groups nothing new and move requests without a first event, within the retry budget. Switched on by shared-health; without it nothing changes.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -153,6 +153,10 @@
     /** Groups that this process forms and watches; empty unless it is the active controller. */
     val groups: List<FormedGroup> get() = formations.values.flatMap { it.groups.values }
 
+    /** The group [id] if this process, as the active controller, has opened it for requests; else null. */
+    fun servingGroup(id: GroupId): FormedGroup? =
+        formations.values.firstNotNullOfOrNull { it.groups[id] }?.takeIf { it.stage == GroupStage.SERVING }
+
     /** Whether this process is the active controller. */
     val isActiveController: Boolean get() = activeEpoch != null
 
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -59,6 +59,8 @@
     /** Called once for each forwarded request when it has ended. */
     val recordOutcome: (ForwardOutcome) -> Unit,
     val log: LogEvent,
+    /** Reports silent groups to the controller; null unless gateways share what they observe of groups. */
+    val reportSilence: ((SilenceReport) -> Unit)? = null,
 )
 
 /** Admits requests from callers, chooses their back ends and monitors the progress of the streams in flight. */
@@ -94,7 +96,10 @@
         runLater = dependencies.runLater,
         choose = ::choose,
         send = ::send,
-        offerStarted = { backend, _ -> load.requestStarted(backend.server) },
+        offerStarted = { backend, _ ->
+            load.requestStarted(backend.server)
+            sharedHealth?.stalls?.requestSent(backend)
+        },
         offerReleased = { backend, _ ->
             load.requestEnded(backend.server)
             waiting.placeFreed(backend.kind)
@@ -114,9 +119,29 @@
         ),
         shutdown = shutdown,
         finished = ::finished,
+        progressed = { backend, pause, isFirst ->
+            if (!isFirst) health.recordPause(backend.server, backend.kind, pause)
+            sharedHealth?.stalls?.progressed(backend, pause, isFirst)
+        },
         log = { event, pairs -> dependencies.log(event, pairs) },
     )
 
+    /** What this gateway shares of the health of groups; null if the feature is off. */
+    val sharedHealth: GatewayHealth? = dependencies.reportSilence?.let { report ->
+        GatewayHealth(
+            GatewayHealthDependencies(
+                dependencies,
+                report,
+                load,
+                budgets,
+                ::choose,
+                { forwardTasks },
+                context.crashes,
+            ),
+            random,
+        )
+    }
+
     /** Whether this gateway has received a request from a caller since its start. */
     var hasSeenRequests = false
         private set
@@ -208,7 +233,7 @@
             fleet.table,
             dependencies.gatewayShare(),
             request.excluded,
-            progress.stalledGroups,
+            sharedHealth?.avoidedGroups(progress.stalledGroups) ?: progress.stalledGroups,
             request.isResuming,
             now,
         )
@@ -274,6 +299,7 @@
     /** Moves the streams of groups that have lost a member to other groups. */
     fun groupsLost(groups: Set<GroupId>) {
         if (groups.isEmpty()) return
+        sharedHealth?.stalls?.groupsLost(groups)
         forwardTasks.filter { it.group in groups }.forEach(ForwardTask::onGroupLost)
         // Confirms also the ends of the connections that have just been cancelled.
         crashes.groupsLost(groups)
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -64,6 +64,10 @@
     /** What this process knows of ended engines; a process that starts receives it from the active controller. */
     val crashEvidence: () -> CrashEvidence,
     val onCrashEvidence: (CrashEvidence) -> Unit,
+    /** Called when a gateway reports that its streams at a group are silent or progress again. */
+    val onStallEvidence: (StallEvidence) -> Unit = {},
+    /** Called when the active controller announces the groups that make no progress. */
+    val onStalledGroups: (StalledGroups) -> Unit = {},
 )
 
 /** Owns this process's view of the other processes: sends heartbeats and passes received messages to other tasks. */
@@ -272,6 +276,8 @@
             is RoutesRequest -> dependencies.onRoutesRequest(message)
             is GroupSuspicion -> dependencies.onSuspicion(GroupId(message.group))
             is CrashReports -> dependencies.onCrashEvidence(message.evidence)
+            is StallEvidence -> dependencies.onStallEvidence(message)
+            is StalledGroups -> dependencies.onStalledGroups(message)
         }
     }
 
--- a/process/src/main/kotlin/redwingcross/process/edge/StreamProgress.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StreamProgress.kt
@@ -51,7 +51,7 @@
             log("group_suspected", arrayOf("group" to group, "stalled" to stalledFor, "streams" to members.size))
             reportSuspectedGroup(group)
         }
-        if (now - since > MOVE_AFTER) members.forEach(ForwardTask::abandonStalled)
+        if (now - since > MOVE_AFTER) members.forEach { it.abandonStalled() }
     }
 
     private companion object {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -20,6 +20,7 @@
 import redwingcross.process.edge.CrashEvidenceDependencies
 import redwingcross.process.edge.CrashEvidenceRelay
 import redwingcross.process.edge.CrashReports
+import redwingcross.process.edge.EdgeFeature
 import redwingcross.process.edge.EdgeSettings
 import redwingcross.process.edge.EventLog
 import redwingcross.process.edge.EventLoopTask
@@ -144,6 +145,12 @@
         ),
         clock,
     )
+    private val stalls: StallRelay? =
+        if (EdgeFeature.SHARED_HEALTH in settings.features) {
+            StallRelay(self, { gateway }, { controller }, { peers }, controllerPost, ::runLater, clock, events.info)
+        } else {
+            null
+        }
     private val gateway: GatewayTask = GatewayTask(
         GatewayDependencies(
             clock = clock,
@@ -173,6 +180,7 @@
                 )
             },
             log = events.info,
+            reportSilence = stalls?.let { it::report },
         ),
         crashes,
         { bounds },
@@ -256,6 +264,8 @@
             onLease = postLease,
             crashEvidence = crashes::evidence,
             onCrashEvidence = { if (crashes.received(it)) crashRelay.onReceivedChange() },
+            onStallEvidence = { stalls?.onEvidence(it) },
+            onStalledGroups = { stalls?.onStalledGroups(it) },
         ),
         clock,
         random,
--- a/request/src/main/kotlin/redwingcross/request/forward/RetryBudget.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/RetryBudget.kt
@@ -34,13 +34,18 @@
      * divide [RetryBudgetLimits.extra].
      */
     fun tryAcquire(now: Duration, gateways: Int): Boolean {
+        if (!canAcquire(now, gateways)) return false
+        retries.addLast(now)
+        return true
+    }
+
+    /** Whether [tryAcquire] would return true; takes nothing. */
+    fun canAcquire(now: Duration, gateways: Int): Boolean {
         expire(now)
         val current = limits()
         val share = current.extra / gateways.coerceAtLeast(1)
         val allowed = USABLE_FRACTION * (current.ratio * requests.size + share)
-        if (retries.size + 1 > allowed) return false
-        retries.addLast(now)
-        return true
+        return retries.size + 1 <= allowed
     }
 
     private fun expire(now: Duration) {
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -53,5 +53,7 @@
     val crashes: CrashSignals,
     val shutdown: ShutdownAdmission,
     val finished: (ForwardTask, ForwardOutcome) -> Unit,
+    /** Called for each event of a stream, with the time since the event before it or since the request was sent. */
+    val progressed: (ChosenBackend, pause: Duration, isFirst: Boolean) -> Unit,
     val log: (event: String, pairs: Array<Pair<String, Any?>>) -> Unit,
 )
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -49,8 +49,11 @@
     /** What this request needs from the next back end that it is sent to. */
     fun choiceRequest() = ChoiceRequest(job.service, job.request.generation?.model, state.offered.toSet(), isResuming)
 
+    /** The back end to which the request is currently sent; null without a current offer. */
+    val backend: ChosenBackend? get() = offer?.backend
+
     /** The group to which the request is currently sent; null for a plain service or without a current offer. */
-    val group: GroupId? get() = offer?.backend?.group
+    val group: GroupId? get() = backend?.group
 
     /** When the current back end last sent an event, or when the request was sent to it. */
     var progressAt: Duration = job.arrivedAt
@@ -249,9 +252,15 @@
         abandon(if (isLoss && !current.hasEvents) OfferResult.GroupLost else OfferResult.Stalled, "group_lost")
     }
 
-    /** Moves the request after a long time without progress, without waiting for a confirmed fault. */
-    fun abandonStalled() {
-        if (ForwardDecision.canRedispatch(state)) abandon(OfferResult.Stalled, "stalled")
+    /** Whether the request could be moved from its back end to another one. */
+    val canBeMoved: Boolean get() = offer?.pending?.wasSent == true && ForwardDecision.canRedispatch(state)
+
+    /**
+     * Moves the request after a long time without progress, without waiting for a confirmed fault. [end] is
+     * [OfferResult.GroupLost] if the request itself may have ended an engine of the group.
+     */
+    fun abandonStalled(end: OfferResult = OfferResult.Stalled, detail: String = "stalled") {
+        if (ForwardDecision.canRedispatch(state)) abandon(end, detail)
     }
 
     private fun abandon(end: OfferResult, detail: String) {
@@ -308,7 +317,7 @@
             if (batch == null) return
             val now = context.clock.now()
             ResponseCheck.ofEvents(batch, lastEventId, isFirst = !hasEvents)?.let { return reject(it) }
-            if (hasEvents) context.health.recordPause(backend.server, backend.kind, now - progressAt)
+            if (hasEvents || batch.events > 0) context.progressed(backend, now - progressAt, !hasEvents)
             if (!hasEvents && batch.events > 0) {
                 hasEvents = true
                 context.crashes.answerBegan(sharedParts)
