Replay lost groups under load seen by 8, 75 and 109 gateways

Prompts that delay events by up to 150 ms mark no group.

The checks of progress see requests as WatchedRequest, so that the replay runs the product's StreamProgress and StallWatch without connections.

--- a/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
@@ -7,25 +7,25 @@
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.forwarding.ChosenBackend
 import redwingcross.version.forwarding.CrashSignals
-import redwingcross.version.forwarding.ForwardTask
 import redwingcross.version.forwarding.MovingAverage
+import redwingcross.version.forwarding.WatchedRequest
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Callbacks of [StallWatch]. */
-class StallWatchDependencies(
+class StallWatchDependencies<Task : WatchedRequest>(
     /** Requests of this gateway that have not ended. */
-    val tasks: () -> Collection<ForwardTask>,
+    val tasks: () -> Collection<Task>,
     /** Reports to the active controller. */
     val report: (SilenceReport) -> Unit,
     /** Whether the retry budget admits one more send of the request and another back end has a place for it. */
-    val canMove: (ForwardTask) -> Boolean,
+    val canMove: (Task) -> Boolean,
     /** Requests of all gateways in flight at the back end of a request. */
     val inFlight: (ChosenBackend) -> Int,
     /** Free places at the groups other than those in the set that can run the request. */
-    val freePlaces: (ForwardTask, Set<GroupId>) -> Int,
+    val freePlaces: (Task, Set<GroupId>) -> Int,
     val crashes: CrashSignals,
     val runLater: (Duration, () -> Unit) -> CancelTimer,
 )
@@ -34,8 +34,8 @@
  * Watches the silence of the groups that have requests of this gateway, reports it to the controller, and moves
  * requests away from the groups that the controller has marked. Has no timer while no request is at a group.
  */
-class StallWatch(
-    private val dependencies: StallWatchDependencies,
+class StallWatch<Task : WatchedRequest>(
+    private val dependencies: StallWatchDependencies<Task>,
     private val clock: MonotonicClock,
     private val random: Random,
 ) {
@@ -99,7 +99,7 @@
         }
     }
 
-    private fun scheduleMoves(group: GroupId, tasks: List<ForwardTask>) {
+    private fun scheduleMoves(group: GroupId, tasks: List<Task>) {
         val backend = tasks.first().backend ?: return
         val free = dependencies.freePlaces(tasks.first(), marks.until.keys)
         val spread = MoveDecision.spread(dependencies.inFlight(backend), free)
@@ -109,13 +109,13 @@
         }
     }
 
-    private fun move(task: ForwardTask) {
+    private fun move(task: Task) {
         val now = clock.now()
         val backend = task.backend ?: return
         if (backend.group !in marks.at(now)) return
         val request = MovableRequest(task.hasProgressed, now - task.progressAt)
         if (!task.canBeMoved || !MoveDecision.shouldMove(request) || !dependencies.canMove(task)) return
-        if (!request.hasEvents) moved += MovedRequest(backend, task.job.request, now)
+        if (!request.hasEvents) moved += MovedRequest(backend, task.inbound, now)
         task.abandonStalled(if (request.hasEvents) OfferResult.Stalled else OfferResult.GroupLost, "group_stalled")
     }
 
@@ -157,7 +157,7 @@
     }
 
     /** Moves the requests that could not be moved when their group was marked. */
-    private fun moveRemaining(tasks: List<ForwardTask>, marked: Set<GroupId>, now: Duration) {
+    private fun moveRemaining(tasks: List<Task>, marked: Set<GroupId>, now: Duration) {
         movesEndAt.keys.retainAll(marked)
         tasks.filter { it.group in marked && now >= (movesEndAt[it.group] ?: now) }.forEach(::move)
     }
--- a/process/src/main/kotlin/redwingcross/process/edge/StreamProgress.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StreamProgress.kt
@@ -2,7 +2,8 @@
 
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
-import redwingcross.version.forwarding.ForwardTask
+import redwingcross.request.forward.OfferResult
+import redwingcross.version.forwarding.WatchedRequest
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -21,7 +22,7 @@
     val stalledGroups: Set<GroupId> get() = stalledSince.keys
 
     /** Looks at the requests in flight; called several times a second. */
-    fun check(tasks: Collection<ForwardTask>) {
+    fun check(tasks: Collection<WatchedRequest>) {
         val now = clock.now()
         val byGroup = tasks.filter { it.group != null }.groupBy { it.group!! }
         lastProgressAt.keys.retainAll(byGroup.keys)
@@ -37,9 +38,9 @@
     }
 
     /** A request without events may wait in a busy group's queue, so its silence says less than that of a stream. */
-    private fun ForwardTask.firstEventGrace() = if (hasProgressed) Duration.ZERO else FIRST_EVENT_GRACE
+    private fun WatchedRequest.firstEventGrace() = if (hasProgressed) Duration.ZERO else FIRST_EVENT_GRACE
 
-    private fun handleStall(group: GroupId, members: List<ForwardTask>, stalledFor: Duration, now: Duration) {
+    private fun handleStall(group: GroupId, members: List<WatchedRequest>, stalledFor: Duration, now: Duration) {
         if (stalledFor < AVOID_AFTER) {
             stalledSince.remove(group)
             return
@@ -51,7 +52,7 @@
             log("group_suspected", arrayOf("group" to group, "stalled" to stalledFor, "streams" to members.size))
             reportSuspectedGroup(group)
         }
-        if (now - since > MOVE_AFTER) members.forEach { it.abandonStalled() }
+        if (now - since > MOVE_AFTER) members.forEach { it.abandonStalled(OfferResult.Stalled, "stalled") }
     }
 
     private companion object {
--- /dev/null
+++ b/process/src/test/kotlin/redwingcross/process/edge/SharedStallTest.kt
@@ -0,0 +1,165 @@
+package redwingcross.process.edge
+
+import redwingcross.request.GroupId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Guards against groups that lost an engine and get requests until the loss is confirmed, against healthy groups that
+ * are kept out of use, and against marks of a controller that is paused or misled.
+ */
+class SharedStallTest {
+    private val lossAt = 3.seconds
+    private val lost = GroupId("small.1-0")
+
+    private class Loss(
+        /** Time from the loss of the group to the last request that was sent there. */
+        val sentFor: Duration,
+        val sentAfter: Int,
+        /** Requests that were at the lost group without an event, and those among them answered in time. */
+        val stranded: Int,
+        val inTime: Int,
+    )
+
+    private fun loss(fleet: ReplayedFleet, seed: Int, prepare: StallReplay.() -> Unit = {}): Loss {
+        val replay = StallReplay(fleet, seed)
+        replay.runUntil(lossAt)
+        replay.lose(0)
+        val before = replay.requests.filter { it.group == lost && !it.hasProgressed }
+        replay.prepare()
+        replay.runUntil(lossAt + 1.5.seconds)
+        val after = replay.sends.filter { it.first == lost && it.second > lossAt }
+        val sentThere = after.map { it.second }.toSet()
+        val stranded = before + replay.requests.filter { it.arrivedAt in sentThere }
+        return Loss(
+            after.maxOfOrNull { it.second - lossAt } ?: Duration.ZERO,
+            after.size,
+            stranded.size,
+            stranded.count { request -> request.firstEventAt?.let { it - request.arrivedAt < OBJECTIVE } == true },
+        )
+    }
+
+    private fun losses(fleet: ReplayedFleet, prepare: StallReplay.() -> Unit = {}) =
+        (1..SEEDS).map { loss(fleet, it, prepare) }
+
+    private fun List<Loss>.inTime() = sumOf { it.inTime }.toDouble() / sumOf { it.stranded }
+
+    @Test
+    fun `a lost group gets no requests once its streams have been silent, and its requests are answered in time`() {
+        for (gateways in listOf(8, 75, 109)) {
+            val shared = losses(ReplayedFleet(gateways))
+            val alone = losses(ReplayedFleet(gateways, isShared = false))
+            assertTrue(shared.all { it.sentFor < STOPPED_WITHIN }, "$gateways gateways")
+            assertTrue(shared.inTime() > SHARE_IN_TIME, "$gateways gateways: ${shared.inTime()}")
+            assertFalse(alone.all { it.sentFor < STOPPED_WITHIN }, "the present decision passes: $gateways gateways")
+            assertFalse(alone.inTime() > SHARE_IN_TIME, "the present decision passes: ${alone.inTime()}")
+        }
+    }
+
+    @Test
+    fun `a group that reads long prompts is marked for no longer than its silence lasts`() {
+        val replay = StallReplay(
+            ReplayedFleet(75, stepTime = { random ->
+                when (random.nextInt(20)) {
+                    0 -> 100.milliseconds + 50.milliseconds * random.nextDouble()
+                    1 -> 200.milliseconds + 100.milliseconds * random.nextDouble()
+                    else -> 40.milliseconds
+                }
+            }),
+            seed = 1,
+        )
+        replay.runUntil(10.seconds)
+        val times = replay.markTimes()
+        assertTrue(times.isNotEmpty() && times.max() < 300.milliseconds - SilenceDecision.SILENCE_LIMIT + SLACK)
+        assertEquals(emptySet(), (0 until 75).filter { replay.marked(it).size > 2 }.toSet())
+    }
+
+    @Test
+    fun `prompts that delay events by up to 150 ms mark no group`() {
+        val replay = StallReplay(
+            ReplayedFleet(109, stepTime = { random ->
+                if (random.nextInt(5) ==
+                    0
+                ) {
+                    100.milliseconds + 50.milliseconds * random.nextDouble()
+                } else {
+                    40.milliseconds
+                }
+            }),
+            seed = 2,
+        )
+        replay.runUntil(10.seconds)
+        assertEquals(emptyList(), replay.logged.filter { it.second == "group_stalled" })
+    }
+
+    @Test
+    fun `a tenth of the datagrams lost delays the end of the requests by few repetitions`() {
+        val losses = losses(ReplayedFleet(109, datagramLoss = 0.1))
+        assertTrue(losses.all { it.sentFor < STOPPED_WITHIN + StallMarks.LIFETIME })
+    }
+
+    @Test
+    fun `while the controller is paused gateways decide as they do alone`() {
+        val alone = losses(ReplayedFleet(75, isShared = false)) { pauseController(CONTROLLER_PAUSE) }
+        val paused = losses(ReplayedFleet(75)) { pauseController(CONTROLLER_PAUSE) }
+        assertTrue(paused.maxOf { it.sentFor } <= alone.maxOf { it.sentFor } + SLACK)
+    }
+
+    @Test
+    fun `marks of a controller that is paused, and those that it makes from late evidence, end by themselves`() {
+        val replay = StallReplay(
+            ReplayedFleet(75, stepTime = { if (it.nextInt(40) == 0) 250.milliseconds else 40.milliseconds }),
+            seed = 3,
+        )
+        var longest = 0.seconds
+        repeat(6) {
+            replay.runUntil(replay.now + 200.milliseconds)
+            replay.pauseController(CONTROLLER_PAUSE)
+            longest = maxOf(longest, replay.longestMarkUntil(replay.now + 1.seconds))
+        }
+        assertTrue(longest <= StallMarks.LIFETIME + SLACK, "$longest")
+    }
+
+    @Test
+    fun `implausible evidence marks no group and is counted`() {
+        val replay = StallReplay(ReplayedFleet(75), seed = 4)
+        replay.runUntil(2.seconds)
+        val running = replay.requests.count { it.group == lost }
+        replay.sendEvidence(SilenceReport(GroupId("other.1-1"), 2, 200.milliseconds), "x1")
+        replay.sendEvidence(SilenceReport(lost, running + 20, 200.milliseconds), "x2")
+        replay.sendEvidence(SilenceReport(lost, 3, (-1).seconds), "x3")
+        replay.sendEvidence(SilenceReport(lost, 3, 200.milliseconds), "x4")
+        replay.runUntil(2.1.seconds)
+        assertEquals(3, replay.logged.count { it.second == "stall_evidence_ignored" })
+        assertEquals(0, replay.logged.count { it.second == "group_stalled" })
+    }
+
+    @Test
+    fun `a group that is marked wrongly is in use again as soon as a gateway sees it progress`() {
+        val replay = StallReplay(ReplayedFleet(75), seed = 5)
+        replay.runUntil(2.seconds)
+        repeat(4) { replay.sendEvidence(SilenceReport(lost, 6, 200.milliseconds), "x$it") }
+        replay.runUntil(2.3.seconds)
+        assertEquals(1, replay.logged.count { it.second == "group_stalled" })
+        assertTrue(replay.markTimes().single() < 100.milliseconds)
+        assertTrue((0 until 75).all { replay.marked(it).isEmpty() })
+    }
+
+    private companion object {
+        const val SEEDS = 8
+
+        /** The objective of the small model's requests for their first event. */
+        val OBJECTIVE = 302.milliseconds
+
+        /** The silence that is reported, the time of the messages and one event of the group. */
+        val STOPPED_WITHIN = 230.milliseconds
+        const val SHARE_IN_TIME = 0.6
+        val SLACK = 20.milliseconds
+        val CONTROLLER_PAUSE = 800.milliseconds
+    }
+}
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -4,7 +4,6 @@
 import redwingcross.connection.http.PendingExchange
 import redwingcross.connection.http.ResponseHead
 import redwingcross.connection.http.ResponseListener
-import redwingcross.request.GroupId
 import redwingcross.request.forward.ForwardDecision
 import redwingcross.request.forward.ForwardLimits
 import redwingcross.request.forward.ForwardState
@@ -19,7 +18,7 @@
  * one with the back end. Each send to a back end is called an offer; [ForwardDecision] decides what happens when one
  * fails.
  */
-class ForwardTask(val job: ForwardJob, private val context: ForwardContext) {
+class ForwardTask(val job: ForwardJob, private val context: ForwardContext) : WatchedRequest {
     private val exchange = job.exchange
     private val route = job.route
     private val isStream = route.repeatability.isStream
@@ -49,18 +48,14 @@
     /** What this request needs from the next back end that it is sent to. */
     fun choiceRequest() = ChoiceRequest(job.service, job.request.generation?.model, state.offered.toSet(), isResuming)
 
-    /** The back end to which the request is currently sent; null without a current offer. */
-    val backend: ChosenBackend? get() = offer?.backend
+    override val inbound get() = job.request
 
-    /** The group to which the request is currently sent; null for a plain service or without a current offer. */
-    val group: GroupId? get() = backend?.group
+    override val backend: ChosenBackend? get() = offer?.backend
 
-    /** When the current back end last sent an event, or when the request was sent to it. */
-    var progressAt: Duration = job.arrivedAt
+    override var progressAt: Duration = job.arrivedAt
         private set
 
-    /** Whether the current back end has sent at least one event. */
-    val hasProgressed: Boolean get() = offer?.hasEvents == true
+    override val hasProgressed: Boolean get() = offer?.hasEvents == true
 
     /** Sends the request to the first back end and starts the timer for the deadline. */
     fun start() {
@@ -252,14 +247,9 @@
         abandon(if (isLoss && !current.hasEvents) OfferResult.GroupLost else OfferResult.Stalled, "group_lost")
     }
 
-    /** Whether the request could be moved from its back end to another one. */
-    val canBeMoved: Boolean get() = offer?.pending?.wasSent == true && ForwardDecision.canRedispatch(state)
+    override val canBeMoved: Boolean get() = offer?.pending?.wasSent == true && ForwardDecision.canRedispatch(state)
 
-    /**
-     * Moves the request after a long time without progress, without waiting for a confirmed fault. [end] is
-     * [OfferResult.GroupLost] if the request itself may have ended an engine of the group.
-     */
-    fun abandonStalled(end: OfferResult = OfferResult.Stalled, detail: String = "stalled") {
+    override fun abandonStalled(end: OfferResult, detail: String) {
         if (ForwardDecision.canRedispatch(state)) abandon(end, detail)
     }
 
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/WatchedRequest.kt
@@ -0,0 +1,32 @@
+package redwingcross.version.forwarding
+
+import redwingcross.request.GroupId
+import redwingcross.request.forward.InboundRequest
+import redwingcross.request.forward.OfferResult
+import kotlin.time.Duration
+
+/** What the checks of progress need of a request that is forwarded. */
+interface WatchedRequest {
+    val inbound: InboundRequest
+
+    /** The back end to which the request is currently sent; null without a current offer. */
+    val backend: ChosenBackend?
+
+    /** The group to which the request is currently sent; null for a plain service or without a current offer. */
+    val group: GroupId? get() = backend?.group
+
+    /** When the current back end last sent an event, or when the request was sent to it. */
+    val progressAt: Duration
+
+    /** Whether the current back end has sent at least one event. */
+    val hasProgressed: Boolean
+
+    /** Whether the request was sent to its back end and could be moved to another one. */
+    val canBeMoved: Boolean
+
+    /**
+     * Moves the request after a long time without progress, without waiting for a confirmed fault. [end] is
+     * [OfferResult.GroupLost] if the request itself may have ended an engine of the group.
+     */
+    fun abandonStalled(end: OfferResult, detail: String)
+}
