Merge the pace and the failures of groups over all gateways

At three requests a second a gateway learns of a slow or failing group only after the fleet has lost many requests to it. Heartbeats now carry what a gateway measured of the groups with its streams, six bytes for each; the controller takes the median weighted by events and sums the failures, and its digest carries the groups that deviate. Gateways without enough events of their own use it, and a group above three times the usual time gets only what the others can't take. The fields are absent while there is nothing to report or the feature is off.

mvn -pl programs/edge -am -Dtest='SharedStallTest,Gateway*Test, Peer*Test,FleetDigestTest,MalformedPeerMessageProperties,MergedPaceTest, PaceExchangeTest' verify: passed.

--- a/process/src/main/kotlin/redwingcross/process/edge/FleetDigest.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetDigest.kt
@@ -57,6 +57,10 @@
             return CompactCounts(byHash)
         }
 
+        /** Encodes [counts] of names that are hashed already; a number above 255 is stored as 255. */
+        fun ofNames(counts: Map<CompactName, Int>): CompactCounts =
+            CompactCounts(counts.entries.associate { it.key.hash to it.value.coerceIn(0, MAXIMUM_COUNT) })
+
         /** Decodes [bytes]; an incomplete entry at the end is ignored. */
         fun of(bytes: ByteArray): CompactCounts {
             val buffer = ByteBuffer.wrap(bytes)
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayHealth.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayHealth.kt
@@ -2,19 +2,29 @@
 
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
+import redwingcross.request.ProcessName
+import redwingcross.request.forward.OfferResult
 import redwingcross.request.forward.RetryBudgets
 import redwingcross.version.forwarding.BackendChoice
 import redwingcross.version.forwarding.BackendLoad
 import redwingcross.version.forwarding.ChooseBackend
+import redwingcross.version.forwarding.ChosenBackend
 import redwingcross.version.forwarding.CrashSignals
 import redwingcross.version.forwarding.ForwardTask
 import kotlin.random.Random
+import kotlin.time.Duration
+
+/** What a gateway needs in order to share the health of groups. */
+class SharedHealthDependencies(
+    val self: ProcessName,
+    /** Reports silent groups to the active controller. */
+    val reportSilence: (SilenceReport) -> Unit,
+)
 
 /** The parts of [GatewayTask] that its share in the health of the groups needs. */
 class GatewayHealthDependencies(
     val gateway: GatewayDependencies,
-    /** Reports silent groups to the active controller. */
-    val reportSilence: (SilenceReport) -> Unit,
+    val shared: SharedHealthDependencies,
     val load: BackendLoad,
     val budgets: RetryBudgets,
     val choose: ChooseBackend,
@@ -31,7 +41,7 @@
     val stalls = StallWatch(
         StallWatchDependencies(
             tasks = dependencies.tasks,
-            report = dependencies.reportSilence,
+            report = dependencies.shared.reportSilence,
             canMove = ::canMove,
             inFlight = { inFlight(it.server) },
             freePlaces = ::freePlaces,
@@ -42,6 +52,25 @@
         random,
     )
 
+    /** Pace and failures of groups. */
+    val pace = PaceExchange(
+        dependencies.shared.self,
+        clock,
+        dependencies.gateway.log,
+    )
+
+    /** Called for each event of a stream, with the time since the one before it or since the request was sent. */
+    fun progressed(backend: ChosenBackend, pause: Duration, isFirst: Boolean) {
+        if (!isFirst) this.pace.recordPause(backend, pause)
+        stalls.progressed(backend, pause, isFirst)
+    }
+
+    /** Called with the reason for which [backend] did not serve a request; null if it did. */
+    fun offerEnded(backend: ChosenBackend, end: OfferResult?) {
+        val failed = end == OfferResult.Failed || end == OfferResult.Lost || end == OfferResult.EngineLost
+        if (failed || end == null) pace.recordEnd(backend, failed)
+    }
+
     /** Groups that get new requests only if there is no other; [stalled] are those that this gateway finds stalled. */
     fun avoidedGroups(stalled: Set<GroupId>): Set<GroupId> {
         val marked = stalls.marked()
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -59,8 +59,8 @@
     /** Called once for each forwarded request when it has ended. */
     val recordOutcome: (ForwardOutcome) -> Unit,
     val log: LogEvent,
-    /** Reports silent groups to the controller; null unless gateways share what they observe of groups. */
-    val reportSilence: ((SilenceReport) -> Unit)? = null,
+    /** Null unless gateways share what they observe of groups. */
+    val sharedHealth: SharedHealthDependencies? = null,
 )
 
 /** Admits requests from callers, chooses their back ends and monitors the progress of the streams in flight. */
@@ -74,8 +74,10 @@
     private val health = BackendHealth()
     private val coldAllowance = ColdRateLimiter()
     private val notices = BackendNotices()
+    private val slowGroup =
+        if (dependencies.sharedHealth != null) PaceExchange.SLOW_GROUP else Double.POSITIVE_INFINITY
     private val chooser = BackendChooser(
-        { ChoiceSettings(coldOverrun = bounds().coldOverrun, coldSlack = bounds().coldSlack) },
+        { ChoiceSettings(coldOverrun = bounds().coldOverrun, coldSlack = bounds().coldSlack, slowGroup = slowGroup) },
         load,
         health,
         coldAllowance,
@@ -121,17 +123,17 @@
         finished = ::finished,
         progressed = { backend, pause, isFirst ->
             if (!isFirst) health.recordPause(backend.server, backend.kind, pause)
-            sharedHealth?.stalls?.progressed(backend, pause, isFirst)
+            sharedHealth?.progressed(backend, pause, isFirst)
         },
         log = { event, pairs -> dependencies.log(event, pairs) },
     )
 
     /** What this gateway shares of the health of groups; null if the feature is off. */
-    val sharedHealth: GatewayHealth? = dependencies.reportSilence?.let { report ->
+    val sharedHealth: GatewayHealth? = dependencies.sharedHealth?.let { shared ->
         GatewayHealth(
             GatewayHealthDependencies(
                 dependencies,
-                report,
+                shared,
                 load,
                 budgets,
                 ::choose,
@@ -139,7 +141,7 @@
                 context.crashes,
             ),
             random,
-        )
+        ).also { health.fleetSlowness = it.pace::slowness }
     }
 
     /** Whether this gateway has received a request from a caller since its start. */
@@ -259,6 +261,7 @@
 
     private fun offerEnded(backend: ChosenBackend, end: OfferResult?) {
         val now = dependencies.clock.now()
+        sharedHealth?.offerEnded(backend, end)
         when (end) {
             null -> health.recordEnd(backend.server, failed = false)
             OfferResult.NotSent -> {
@@ -334,6 +337,7 @@
     fun retainServers(servers: Set<BackendServer>) {
         health.retain(servers)
         digestNames.keys.retainAll(servers)
+        sharedHealth?.pace?.retain(servers)
         coldAllowance.retain(servers)
         notices.expire(dependencies.clock.now())
     }
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -98,6 +98,9 @@
     /** The controller lease that the sender holds; null unless it is the active controller. */
     @SerialName("duty")
     val controllerLease: HeldControllerLease? = null,
+    /** What the sender measured of groups since its last heartbeat, see [PaceExchange]; null if nothing. */
+    @ByteString
+    val health: ByteArray? = null,
 ) : PeerMessage
 
 /**
@@ -123,6 +126,9 @@
     /** Progress of the sender's watches of the store. */
     val watchProgress: Map<UpdateSource, WatchProgress>,
     val controllerLease: HeldControllerLease?,
+    /** Merged pace of the groups that don't need the usual time, by head, in eighths, as [CompactCounts]. */
+    @ByteString
+    val health: ByteArray? = null,
 ) : PeerMessage
 
 /** The controller lease that the sender of a heartbeat holds, with the version of its [record] in the store. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -64,6 +64,12 @@
     /** What this process knows of ended engines; a process that starts receives it from the active controller. */
     val crashEvidence: () -> CrashEvidence,
     val onCrashEvidence: (CrashEvidence) -> Unit,
+    /** Called with what a gateway measured of groups. */
+    val onHealth: (ProcessName, ByteArray) -> Unit = { _, _ -> },
+    /** Called with the merged pace of groups; null once digests are no longer received. */
+    val onFleetHealth: (CompactCounts?) -> Unit = {},
+    /** The merged pace of groups for a digest; null if there is nothing to report. */
+    val fleetHealth: () -> ByteArray? = { null },
     /** Called when a gateway reports that its streams at a group are silent or progress again. */
     val onStallEvidence: (StallEvidence) -> Unit = {},
     /** Called when the active controller announces the groups that make no progress. */
@@ -140,6 +146,7 @@
         if (lastDigest != null && now - lastDigestAt >= DIGEST_TIMEOUT) {
             lastDigest = null
             dependencies.onFleetLoad(null)
+            dependencies.onFleetHealth(null)
         }
         sendHeartbeat(toAll = false)
         updateGatewayShare(before)
@@ -175,6 +182,7 @@
         if (digest.sender.node !in before.peers) updateGatewayShare(before)
         if (isFirst) updateRank(now)
         dependencies.onFleetLoad(CompactCounts.of(digest.load))
+        dependencies.onFleetHealth(CompactCounts.of(digest.health ?: ByteArray(0)))
         if (digest.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(digest.watchProgress)
         digest.controllerLease?.let(::leaseReceived)
@@ -226,6 +234,7 @@
 
     private fun nextDigest(own: Heartbeat, lease: HeldControllerLease): FleetDigest =
         table.digest(own, lease, dependencies.fleetLoad(), ++digestsSent, clock.now())
+            .copy(health = dependencies.fleetHealth())
 
     /**
      * Tells a process that has just started who the active controller is, so that it can request its routes, and which
@@ -291,6 +300,7 @@
         if (isNew) updateGatewayShare(before)
         if (known?.heartbeat == null || known.record.start != heartbeat.sender.start) welcome(heartbeat.sender)
         dependencies.onLoad(ProcessName(heartbeat.sender.node), heartbeat.load.mapKeys { BackendServer(it.key) })
+        heartbeat.health?.let { dependencies.onHealth(ProcessName(heartbeat.sender.node), it) }
         if (heartbeat.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(heartbeat.watchProgress)
         heartbeat.controllerLease?.let(::leaseReceived)
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -180,7 +180,7 @@
                 )
             },
             log = events.info,
-            reportSilence = stalls?.let { it::report },
+            sharedHealth = stalls?.dependencies,
         ),
         crashes,
         { bounds },
@@ -264,6 +264,9 @@
             onLease = postLease,
             crashEvidence = crashes::evidence,
             onCrashEvidence = { if (crashes.received(it)) crashRelay.onReceivedChange() },
+            onHealth = { node, report -> gateway.sharedHealth?.pace?.received(node, report) },
+            onFleetHealth = { gateway.sharedHealth?.pace?.digestReceived(it) },
+            fleetHealth = { gateway.sharedHealth?.pace?.digest() },
             onStallEvidence = { stalls?.onEvidence(it) },
             onStalledGroups = { stalls?.onStalledGroups(it) },
         ),
@@ -370,6 +373,7 @@
         watchProgress = platform.progress(),
         load = gateway.reportLoad().entries.associate { (server, count) -> server.value to count },
         controllerLease = controller.heldLease,
+        health = gateway.sharedHealth?.pace?.report(),
     )
 
     private fun restartLaggingWatches(other: Map<UpdateSource, WatchProgress>) {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/StallRelay.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/StallRelay.kt
@@ -7,6 +7,7 @@
 import redwingcross.process.edge.LogEvent
 import redwingcross.process.edge.PeerTask
 import redwingcross.process.edge.PostMessage
+import redwingcross.process.edge.SharedHealthDependencies
 import redwingcross.process.edge.SilenceReport
 import redwingcross.process.edge.StallCoordinator
 import redwingcross.process.edge.StallCoordinatorDependencies
@@ -45,6 +46,9 @@
         clock,
     )
 
+    /** What the gateway of this process needs. */
+    val dependencies = SharedHealthDependencies(ProcessName(self.node), ::report)
+
     /** Reports what the gateway of this process observed to the active controller, which may be this process. */
     fun report(report: SilenceReport) {
         if (controller().isActiveController) {
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -53,6 +53,8 @@
     val resumingGroupLimit: Double = 1.3,
     /** The same for back ends of plain services; higher, because their requests are short. */
     val serverLimit: Double = 3.0,
+    /** A group that needs more than this many times the usual time gets only what the other groups can't take. */
+    val slowGroup: Double = Double.POSITIVE_INFINITY,
     /** The request rate of a cold back end is limited to its configured rate times [coldOverrun] plus [coldSlack]. */
     val coldOverrun: Double,
     val coldSlack: Double,
@@ -92,12 +94,13 @@
             if (inFlight <
                 limit
             ) {
-                GroupCandidate(entry, inFlight, health.slowness(entry.first.head, model.value))
+                GroupCandidate(entry, inFlight, health.groupSlowness(entry.first.head, model.value))
             } else {
                 null
             }
         }
-        val (best, head) = GroupPlacement.choose(candidates, slots, inputs.place.count, random)?.group
+        val quick = candidates.filter { it.slowness <= settings().slowGroup }.ifEmpty { candidates }
+        val (best, head) = GroupPlacement.choose(quick, slots, inputs.place.count, random)?.group
             ?: return withoutCandidate(usable.isNotEmpty(), heads, inputs)
         return BackendChoice.Chosen(
             ChosenBackend(head.id, head.status.address, best.id, model.value, head.status.start),
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendLoad.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendLoad.kt
@@ -72,6 +72,9 @@
     private val records = HashMap<BackendServer, Record>()
     private val averagePause = HashMap<String, Double>()
 
+    /** The slowness of a group's head in the view of the fleet, given the own one; null unless gateways share it. */
+    var fleetSlowness: ((BackendServer, own: Double) -> Double)? = null
+
     /**
      * Records the end of a request; [failed] if the back end closed the connection early, sent an invalid response or
      * an error.
@@ -111,6 +114,12 @@
         return ratio.coerceIn(MIN_PAUSE_RATIO, MAX_PAUSE_RATIO) * (1 + FAILURE_FACTOR * record.failureRate)
     }
 
+    /** The [slowness] of the head of a group, with what other gateways measured if they share it. */
+    fun groupSlowness(head: BackendServer, kind: String): Double {
+        val own = slowness(head, kind)
+        return fleetSlowness?.invoke(head, own) ?: own
+    }
+
     /** Whether [server] should get no requests at [now], because it recently declined one or was unreachable. */
     fun isAvoided(server: BackendServer, now: Duration): Boolean = records[server]?.let { now < it.avoidUntil } == true
 
