--- a/process/src/main/kotlin/redwingcross/process/edge/StallCoordinator.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StallCoordinator.kt
@@ -71,7 +71,7 @@
             is StallEffect.AskMembers -> dependencies.askMembers(effect.group)
             is StallEffect.Ignored -> dependencies.log(
                 "stall_evidence_ignored",
-                arrayOf("group" to effect.group, "reason" to effect.reason),
+                arrayOf("group" to effect.group, "outcome" to effect.reason),
             )
             is StallEffect.Marked -> {
                 dependencies.log(
@@ -88,10 +88,10 @@
             }
             is StallEffect.Withdrawn -> {
                 resumed = resumed + effect.group
-                val reason = effect.reason.name.lowercase()
+                val outcome = effect.reason.name.lowercase()
                 dependencies.log(
                     "group_stall_ended",
-                    arrayOf("group" to effect.group, "after" to effect.after, "reason" to reason),
+                    arrayOf("group" to effect.group, "after" to effect.after, "outcome" to outcome),
                 )
                 announceSoon()
             }
--- a/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
@@ -144,7 +144,8 @@
         // After a pause of this process, the events that arrived meanwhile are read first.
         if (now - dueAt >= LONGEST_DELAY) return scheduleCheck(CHECK_AGAIN_AFTER)
         val tasks = dependencies.tasks().filter { it.group != null }
-        val requests = tasks.map {
+        // A plain answer has no events whose pauses tell anything.
+        val requests = tasks.filter { it.isStream }.map {
             GroupRequest(it.group!!, it.hasProgressed, it.progressAt, firstEventLimit(it.backend?.kind))
         }
         val transition = SilenceDecision.check(silence, requests, now)
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -115,6 +115,9 @@
         ),
         MonotonicClock { MonotonicClock.system.now() + timePassed },
     )
+
+    /** Set by tests of the health that gateways share; must not read a field of the test class when it is called. */
+    protected open val sharedHealth: SharedHealthDependencies? get() = null
     protected val gateway: GatewayTask = GatewayTask(dependencies(), crashes, ::bounds, Random(1))
 
     private fun bounds() = EdgeBounds(
@@ -146,6 +149,7 @@
         coldReported = { _, _ -> },
         recordOutcome = outcomes::put,
         log = { _, _ -> },
+        sharedHealth = sharedHealth,
     )
 
     private fun recording(listener: ResponseListener) = object : ResponseListener by listener {
--- a/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
@@ -237,6 +237,7 @@
         private var received = 0
         private var current: Group? = null
         override val inbound = INBOUND
+        override val isStream = true
         override val backend get() = current?.let { ChosenBackend(it.head, ADDRESS, it.id, "small") }
         override var progressAt = now
         override var hasProgressed = false
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -279,7 +279,11 @@
     private val peerTask: EventLoopTask<PeerTaskMessage> =
         EventLoopTask<PeerTaskMessage>(loop, MAILBOX_CAPACITY, onMessageDropped, peers::handle)
     private val fleetTask = EventLoopTask<FleetUpdate>(loop, MAILBOX_CAPACITY, onMessageDropped, ::onFleetUpdate)
-    private val observer = EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers, crashes)
+    private val observer =
+        EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers, crashes) {
+            stalls?.markedCount
+                ?: 0
+        }
 
     private val controlEndpoint = ControlEndpoint(
         ::isReady,
--- a/programs/edge/src/main/kotlin/redwingcross/edge/StallRelay.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/StallRelay.kt
@@ -49,6 +49,9 @@
     /** What the gateway of this process needs. */
     val dependencies = SharedHealthDependencies(ProcessName(self.node), ::report)
 
+    /** Number of groups that this process has marked as the active controller. */
+    val markedCount: Int get() = coordinator.marked.size
+
     /** Reports what the gateway of this process observed to the active controller, which may be this process. */
     fun report(report: SilenceReport) {
         if (controller().isActiveController) {
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -21,7 +21,7 @@
 class ForwardTask(val job: ForwardJob, private val context: ForwardContext) : WatchedRequest {
     private val exchange = job.exchange
     private val route = job.route
-    private val isStream = route.repeatability.isStream
+    override val isStream = route.repeatability.isStream
     private var state = ForwardState(ForwardLimits(route.repeatability, route.maximumSends, job.deadline))
     private val splitter = EventSplitter()
     private val response = CallerResponse(exchange, context.codec.refusal)
--- a/version/src/main/kotlin/redwingcross/version/forwarding/WatchedRequest.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/WatchedRequest.kt
@@ -9,6 +9,9 @@
 interface WatchedRequest {
     val inbound: InboundRequest
 
+    /** Whether the answer is a stream of events. */
+    val isStream: Boolean
+
     /** The back end to which the request is currently sent; null without a current offer. */
     val backend: ChosenBackend?
 
