Mark slow groups seldom and ask their members seldom

A group that is 5 to 12 times as slow pauses for more than 160 ms between all its events, so it was marked at each of them and its members were asked each time. A marked group that went on is marked again only after 1.5 times as long a silence, and members are asked at most each 3 s below 350 ms of silence.

--- a/process/src/main/kotlin/redwingcross/process/edge/StallDecision.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StallDecision.kt
@@ -15,10 +15,17 @@
     val reports: Map<ProcessName, SilentStreams> = emptyMap(),
     /** When a gateway last reported that the group makes progress; null if none did. */
     val progressedAt: Duration? = null,
+    /** The silence for which the group was last marked until it made progress again; null if it never was. */
+    val pause: EndedPause? = null,
+    /** When its members were last asked whether they still run. */
+    val askedAt: Duration = -Duration.INFINITE,
 )
 
+/** A silence of [length] that ended with progress at [endedAt]. */
+data class EndedPause(val length: Duration, val endedAt: Duration)
+
 /** A group that is marked as making no progress. */
-data class StallMark(val since: Duration, val lastEvidenceAt: Duration, val askedAt: Duration)
+data class StallMark(val since: Duration, val silentSince: Duration, val lastEvidenceAt: Duration)
 
 /** Evidence of silent groups and the groups that are marked. */
 data class StallState(
@@ -95,11 +102,12 @@
         val known = state.evidence[group] ?: GroupEvidence()
         val silentSince = now - message.silentFor
         if (contradicts(known.progressedAt, silentSince, now)) return Transition(state)
+        val mark = state.marks[group]
+        if (mark == null && message.silentFor < requiredSilence(known.pause, now)) return Transition(state)
         val report = SilentStreams(message.streams, silentSince, now)
         val reports = known.reports.filterValues { now - it.receivedAt < EVIDENCE_LIFETIME } +
             (message.gateway to report)
         val next = state.copy(evidence = state.evidence + (group to known.copy(reports = reports)))
-        val mark = state.marks[group]
         val inFlight = message.inFlight ?: 0
         return when {
             mark != null -> extended(next, group, mark, now)
@@ -119,6 +127,14 @@
     private fun contradicts(progressedAt: Duration?, silentSince: Duration, now: Duration): Boolean =
         progressedAt != null && silentSince < progressedAt && now - progressedAt < PROGRESS_PRECEDENCE
 
+    /** A group that has paused and gone on may pause as long again, as a slow one does between all its events. */
+    private fun requiredSilence(pause: EndedPause?, now: Duration): Duration =
+        if (pause == null || now - pause.endedAt >= PAUSE_MEMORY) {
+            Duration.ZERO
+        } else {
+            (pause.length * REPEATED_PAUSE).coerceAtMost(LONGEST_REQUIRED_SILENCE)
+        }
+
     private fun isStalled(reports: Collection<SilentStreams>, inFlight: Int): Boolean {
         val streams = reports.sumOf { it.streams }
         return streams >= inFlight || reports.size >= SEVERAL_GATEWAYS && streams >= inFlight * STALLED_FRACTION
@@ -131,15 +147,26 @@
         now: Duration,
     ): Transition<StallState, StallEffect> {
         val reports = state.evidence.getValue(group).reports.values
-        val effect = StallEffect.Marked(
-            group,
-            reports.sumOf { it.streams },
-            inFlight,
-            reports.size,
-            now - reports.maxOf { it.silentSince },
-        )
-        val marks = state.marks + (group to StallMark(now, now, now))
-        return Transition(state.copy(marks = marks), listOf(effect, StallEffect.AskMembers(group)))
+        val silentSince = reports.maxOf { it.silentSince }
+        val effect =
+            StallEffect.Marked(group, reports.sumOf { it.streams }, inFlight, reports.size, now - silentSince)
+        val marks = state.marks + (group to StallMark(now, silentSince, now))
+        val asked = asked(state.copy(marks = marks), group, silentSince, now)
+        return Transition(asked.state, listOf(effect) + asked.effects)
+    }
+
+    /** Asks the members unless they were asked lately and answered: queries are expensive for engines. */
+    private fun asked(
+        state: StallState,
+        group: GroupId,
+        silentSince: Duration,
+        now: Duration,
+    ): Transition<StallState, StallEffect> {
+        val known = state.evidence.getValue(group)
+        val interval = if (now - silentSince >= LONG_SILENCE) ASK_INTERVAL else SHORT_SILENCE_ASK_INTERVAL
+        if (now - known.askedAt < interval) return Transition(state)
+        val next = state.copy(evidence = state.evidence + (group to known.copy(askedAt = now)))
+        return Transition(next, listOf(StallEffect.AskMembers(group)))
     }
 
     private fun extended(
@@ -148,22 +175,18 @@
         mark: StallMark,
         now: Duration,
     ): Transition<StallState, StallEffect> {
-        val asks = now - mark.askedAt >= ASK_INTERVAL
-        val next = mark.copy(lastEvidenceAt = now, askedAt = if (asks) now else mark.askedAt)
-        return Transition(
-            state.copy(marks = state.marks + (group to next)),
-            if (asks) listOf(StallEffect.AskMembers(group)) else emptyList(),
-        )
+        val marks = state.marks + (group to mark.copy(lastEvidenceAt = now))
+        return asked(state.copy(marks = marks), group, mark.silentSince, now)
     }
 
     private fun progressed(state: StallState, group: GroupId, now: Duration): Transition<StallState, StallEffect> {
         // Progress of a group without evidence tells nothing, so that unknown names take no memory.
-        if (group !in state.evidence) return Transition(state)
-        val next = state.copy(
-            evidence = state.evidence + (group to GroupEvidence(progressedAt = now)),
-            marks = state.marks - group,
-        )
-        val mark = state.marks[group] ?: return Transition(next)
+        val known = state.evidence[group] ?: return Transition(state)
+        val mark = state.marks[group]
+        val pause = mark?.let { EndedPause(now - it.silentSince, now) } ?: known.pause
+        val ended = known.copy(reports = emptyMap(), progressedAt = now, pause = pause)
+        val next = state.copy(evidence = state.evidence + (group to ended), marks = state.marks - group)
+        if (mark == null) return Transition(next)
         return Transition(next, listOf(StallEffect.Withdrawn(group, now - mark.since, WithdrawalReason.PROGRESS)))
     }
 
@@ -172,10 +195,11 @@
         val evidence = state.evidence.filter { (group, known) ->
             group in state.marks ||
                 known.reports.values.any { now - it.receivedAt < EVIDENCE_LIFETIME } ||
-                known.progressedAt?.let { now - it < PROGRESS_PRECEDENCE } == true
+                known.progressedAt?.let { now - it < PAUSE_MEMORY } == true ||
+                now - known.askedAt < PAUSE_MEMORY
         }
         return Transition(
-            StallState(evidence - ended.keys, state.marks - ended.keys),
+            StallState(evidence, state.marks - ended.keys),
             ended.map { (group, mark) ->
                 StallEffect.Withdrawn(group, now - mark.since, WithdrawalReason.NO_EVIDENCE)
             },
@@ -208,4 +232,17 @@
 
     /** The controller needs this long to find out whether a group has lost a member. */
     private val ASK_INTERVAL = 400.milliseconds
+
+    /** After this silence a gateway alone suspects the group, so its members would be asked in any case. */
+    private val LONG_SILENCE = 350.milliseconds
+
+    /** Members of a slow group, whose silences are short and many, are asked this seldom. */
+    private val SHORT_SILENCE_ASK_INTERVAL = 3.seconds
+
+    /** How long a pause that ended is remembered, and how much longer the next one has to be. */
+    private val PAUSE_MEMORY = 5.seconds
+    private const val REPEATED_PAUSE = 1.5
+
+    /** Beyond the 350 ms after which gateways suspect a group themselves, sharing gains little. */
+    private val LONGEST_REQUIRED_SILENCE = 450.milliseconds
 }
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDigestTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDigestTest.kt
@@ -35,6 +35,7 @@
     private val loads = mutableListOf<CompactCounts?>()
     private var ownLease: HeldControllerLease? = null
     private var evidence = CrashEvidence()
+    private var fleetHealth: ByteArray? = null
 
     private fun record(node: String, start: Long = 1) =
         GatewayRecord(node, start, "10.0.0.1", 7000 + node.substringAfter('-').toInt(), "10.0.0.1:80", "a")
@@ -61,6 +62,7 @@
             onLease = {},
             crashEvidence = { evidence },
             onCrashEvidence = {},
+            fleetHealth = { fleetHealth },
         ),
         MonotonicClock { now },
         Random(1),
@@ -224,6 +226,7 @@
     @Test
     fun `the digest of a fleet of 350 processes and 75 groups stays within 3 KB a second`() {
         ownLease = lease
+        fleetHealth = CompactCounts.of((1..75).associate { "e$it" to 30 }).toBytes()
         val task = task("node-1")
         (2..350).forEach { task.receive(heartbeat("node-$it", 1)) }
         sent.clear()
--- a/process/src/test/kotlin/redwingcross/process/edge/MalformedPeerMessageProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/MalformedPeerMessageProperties.kt
@@ -84,6 +84,8 @@
         RoutesRequest(sender, "pool"),
         GroupSuspicion(sender, "m.3-1"),
         CrashReports(sender, evidence),
+        StallEvidence(sender, "m.3-1", 2, 160),
+        StalledGroups(sender, 3, 1, listOf("m.3-1"), listOf("m.3-2")),
     )
 
     private val task = PeerTask(
--- a/process/src/test/kotlin/redwingcross/process/edge/SharedStallTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/SharedStallTest.kt
@@ -97,6 +97,23 @@
         assertEquals(emptyList(), replay.logged.filter { it.second == "group_stalled" })
     }
 
+    @Test
+    fun `a slow group is marked about once a second at most, and its members are asked hardly more often`() {
+        fun replays(isShared: Boolean, factor: Int) = (1..SEEDS).map { seed ->
+            StallReplay(ReplayedFleet(75, isShared), seed).also {
+                it.slow(0, factor)
+                it.runUntil(8.seconds)
+            }
+        }
+        for (factor in listOf(5, 8, 12)) {
+            val shared = replays(isShared = true, factor)
+            val marks = shared.map { replay -> replay.logged.count { it.second == "group_stalled" } }
+            val asked = listOf(shared, replays(isShared = false, factor)).map { all -> all.map { it.asked.size } }
+            assertTrue(marks.max() <= MARKS_OF_SLOW_GROUP, "$marks marks")
+            assertTrue(asked[0].sum() <= asked[1].sum() + 2 * SEEDS, "$asked")
+        }
+    }
+
     @Test
     fun `a tenth of the datagrams lost delays the end of the requests by few repetitions`() {
         val losses = losses(ReplayedFleet(109, datagramLoss = 0.1))
@@ -152,6 +169,7 @@
 
     private companion object {
         const val SEEDS = 8
+        const val MARKS_OF_SLOW_GROUP = 10
 
         /** The objective of the small model's requests for their first event. */
         val OBJECTIVE = 302.milliseconds
--- a/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
@@ -73,6 +73,9 @@
 
     /** Requests sent to each group, with the time. */
     val sends = mutableListOf<Pair<GroupId, Duration>>()
+
+    /** Groups whose members were asked. */
+    val asked = mutableListOf<GroupId>()
     val logged = mutableListOf<Triple<Duration, String, Map<String, Any?>>>()
 
     /** Times from the mark of a group to its end. */
@@ -102,6 +105,11 @@
         return CancelTimer {}
     }
 
+    /** Makes each step of the group at [index] take [factor] times as long. */
+    fun slow(index: Int, factor: Int) {
+        groups[index].factor = factor
+    }
+
     /** Stops the group at [index] now: it goes on accepting requests and answers none. */
     fun lose(index: Int) {
         groups[index].isLost = true
@@ -144,6 +152,7 @@
     private fun askMembers(group: GroupId) {
         if (group in gone || askedAt[group]?.let { now - it < 400.milliseconds } == true) return
         askedAt[group] = now
+        asked += group
         runLater(270.milliseconds) {
             if (!groups.first { it.id == group }.isLost) return@runLater
             gone += group
@@ -162,11 +171,12 @@
     internal inner class Group(val id: GroupId, val head: BackendServer) {
         val running = LinkedHashSet<Request>()
         var isLost = false
+        var factor = 1
 
         fun step() {
             if (isLost) return
             running.filter { now - it.sentAt >= PROMPT_TIME }.forEach { runLater(LATENCY) { it.eventReceived(this) } }
-            runLater(fleet.stepTime(random), ::step)
+            runLater(fleet.stepTime(random) * factor, ::step)
         }
     }
 
