Count ignored evidence of stalls and log it once a second

Reports of a group that was just confirmed lost arrive for some milliseconds and would take the log lines of other events: about 20 gateways repeat theirs each 100 ms. Groups that are being dissolved still run requests, so evidence about them counts.

mvn -pl programs/edge -am -Dtest='SharedStallTest,Gateway*Test, Peer*Test,Operat*,Controller*Test,FleetDigestTest' verify: passed.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -153,9 +153,9 @@
     /** Groups that this process forms and watches; empty unless it is the active controller. */
     val groups: List<FormedGroup> get() = formations.values.flatMap { it.groups.values }
 
-    /** The group [id] if this process, as the active controller, has opened it for requests; else null. */
-    fun servingGroup(id: GroupId): FormedGroup? =
-        formations.values.firstNotNullOfOrNull { it.groups[id] }?.takeIf { it.stage == GroupStage.SERVING }
+    /** The group [id] if this process is the active controller and requests run there; else null. */
+    fun runningGroup(id: GroupId): FormedGroup? = formations.values.firstNotNullOfOrNull { it.groups[id] }
+        ?.takeIf { it.stage == GroupStage.SERVING || it.stage == GroupStage.RETIRING }
 
     /** Whether this process is the active controller. */
     val isActiveController: Boolean get() = activeEpoch != null
--- a/process/src/main/kotlin/redwingcross/process/edge/StallCoordinator.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StallCoordinator.kt
@@ -6,6 +6,7 @@
 import redwingcross.version.forwarding.CancelTimer
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Callbacks of [StallCoordinator]. */
 class StallCoordinatorDependencies(
@@ -32,6 +33,12 @@
     private var resumed = emptySet<GroupId>()
     private var isAnnouncementScheduled = false
     private var isRepeatScheduled = false
+    private var ignoredSinceLog = 0
+    private var ignoredLoggedAt = -Duration.INFINITE
+
+    /** Number of reports that were ignored because they can't be true. */
+    var ignored = 0L
+        private set
 
     /** Groups that are marked at present. */
     val marked: Set<GroupId> get() = state.marks.keys
@@ -69,10 +76,7 @@
     private fun perform(effect: StallEffect) {
         when (effect) {
             is StallEffect.AskMembers -> dependencies.askMembers(effect.group)
-            is StallEffect.Ignored -> dependencies.log(
-                "stall_evidence_ignored",
-                arrayOf("group" to effect.group, "outcome" to effect.reason),
-            )
+            is StallEffect.Ignored -> ignore(effect)
             is StallEffect.Marked -> {
                 dependencies.log(
                     "group_stalled",
@@ -98,6 +102,20 @@
         }
     }
 
+    /** Reports of a group that has just been confirmed lost are still on their way, so the lines are limited. */
+    private fun ignore(effect: StallEffect.Ignored) {
+        ignored++
+        ignoredSinceLog++
+        val now = clock.now()
+        if (now - ignoredLoggedAt < IGNORED_LOG_INTERVAL) return
+        dependencies.log(
+            "stall_evidence_ignored",
+            arrayOf("group" to effect.group, "outcome" to effect.reason, "count" to ignoredSinceLog),
+        )
+        ignoredLoggedAt = now
+        ignoredSinceLog = 0
+    }
+
     /** Sends one message for all changes of a short time: a lost zone stalls all its groups at once. */
     private fun announceSoon() {
         if (isAnnouncementScheduled) return
@@ -125,6 +143,7 @@
     }
 
     private companion object {
+        val IGNORED_LOG_INTERVAL = 1.seconds
         val ANNOUNCEMENT_DELAY = 3.milliseconds
 
         /** A gateway that missed a message learns of the mark this much later, see [StallMarks.LIFETIME]. */
--- a/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
@@ -78,6 +78,8 @@
     val asked = mutableListOf<GroupId>()
     val logged = mutableListOf<Triple<Duration, String, Map<String, Any?>>>()
 
+    val ignoredReports: Long get() = coordinator.ignored
+
     /** Times from the mark of a group to its end. */
     fun markTimes(): List<Duration> =
         logged.filter { it.second == "group_stall_ended" }.map { it.third["after"] as Duration }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
@@ -21,8 +21,7 @@
     private val controller: ControllerTask,
     private val peers: PeerTask,
     private val crashes: CrashAttributionTask,
-    /** Number of groups that this process has marked as the active controller. */
-    private val stalledGroups: () -> Int = { 0 },
+    private val stalls: StallRelay? = null,
 ) {
     /** Registers the gauges of the process with [metrics]. */
     fun register(metrics: EdgeMetrics, backends: HttpConnections) {
@@ -36,7 +35,8 @@
         metrics.gauge("redwingcross_peers_alive") { peers.alivePeers().size }
         metrics.gauge("redwingcross_duties_held") { if (controller.isActiveController) 1 else 0 }
         metrics.gauge("redwingcross_groups_avoided") { gateway.sharedHealth?.stalls?.marked().orEmpty().size }
-        metrics.gauge("redwingcross_groups_stalled", read = stalledGroups)
+        metrics.gauge("redwingcross_groups_stalled") { stalls?.markedCount ?: 0 }
+        metrics.gauge("redwingcross_stall_evidence_ignored") { stalls?.ignoredReports ?: 0 }
         metrics.gauge("redwingcross_blocked_parts") { crashes.blockedParts().size }
         metrics.gauge("redwingcross_back_ends_known") { fleet().table.engines.size }
         metrics.gauge("redwingcross_engines_without_group") {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -280,10 +280,7 @@
         EventLoopTask<PeerTaskMessage>(loop, MAILBOX_CAPACITY, onMessageDropped, peers::handle)
     private val fleetTask = EventLoopTask<FleetUpdate>(loop, MAILBOX_CAPACITY, onMessageDropped, ::onFleetUpdate)
     private val observer =
-        EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers, crashes) {
-            stalls?.markedCount
-                ?: 0
-        }
+        EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers, crashes, stalls)
 
     private val controlEndpoint = ControlEndpoint(
         ::isReady,
--- a/programs/edge/src/main/kotlin/redwingcross/edge/StallRelay.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/StallRelay.kt
@@ -36,7 +36,7 @@
         StallCoordinatorDependencies(
             leaseEpoch = { controller().heldLease?.record?.epoch?.value },
             inFlight = { id ->
-                controller().servingGroup(id)?.let { gateway().sharedHealth?.inFlight(it.members.first()) }
+                controller().runningGroup(id)?.let { gateway().sharedHealth?.inFlight(it.members.first()) }
             },
             askMembers = { controllerPost(ControllerMessage.GroupSuspected(it)) },
             announce = ::announce,
@@ -52,6 +52,9 @@
     /** Number of groups that this process has marked as the active controller. */
     val markedCount: Int get() = coordinator.marked.size
 
+    /** Number of reports of silent streams that were ignored because they can't be true. */
+    val ignoredReports: Long get() = coordinator.ignored
+
     /** Reports what the gateway of this process observed to the active controller, which may be this process. */
     fun report(report: SilenceReport) {
         if (controller().isActiveController) {
