--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -59,6 +59,8 @@
     /** Called once for each forwarded request when it has ended. */
     val recordOutcome: (ForwardOutcome) -> Unit,
     val log: LogEvent,
+    /** Null unless gateways share what they observe of groups. */
+    val sharedHealth: SharedHealthDependencies? = null,
 )
 
 /** Admits requests from callers, chooses their back ends and monitors the progress of the streams in flight. */
@@ -73,8 +75,10 @@
     private val health = BackendHealth()
     private val coldAllowance = ColdRateLimiter()
     private val notices = BackendNotices()
+    private val slowGroup =
+        if (dependencies.sharedHealth != null) PaceExchange.SLOW_GROUP else Double.POSITIVE_INFINITY
     private val chooser = BackendChooser(
-        { ChoiceSettings(coldOverrun = bounds().coldOverrun, coldSlack = bounds().coldSlack) },
+        { ChoiceSettings(coldOverrun = bounds().coldOverrun, coldSlack = bounds().coldSlack, slowGroup = slowGroup) },
         load,
         health,
         coldAllowance,
@@ -106,6 +110,7 @@
         offerStarted = { backend, _ ->
             load.requestStarted(backend.server)
             waiting.sent(backend.kind)
+            sharedHealth?.stalls?.requestSent(backend)
         },
         offerReleased = { backend, _ ->
             load.requestEnded(backend.server)
@@ -126,9 +131,29 @@
         ),
         shutdown = shutdown,
         finished = ::finished,
+        progressed = { backend, pause, isFirst ->
+            if (!isFirst) health.recordPause(backend.server, backend.kind, pause)
+            sharedHealth?.progressed(backend, pause, isFirst)
+        },
         log = { event, pairs -> dependencies.log(event, pairs) },
     )
 
+    /** What this gateway shares of the health of groups; null if the feature is off. */
+    val sharedHealth: GatewayHealth? = dependencies.sharedHealth?.let { shared ->
+        GatewayHealth(
+            GatewayHealthDependencies(
+                dependencies,
+                shared,
+                load,
+                budgets,
+                ::choose,
+                { forwardTasks },
+                context.crashes,
+            ),
+            random,
+        ).also { health.fleetSlowness = it.pace::slowness }
+    }
+
     /** Whether this gateway has received a request from a caller since its start. */
     var hasSeenRequests = false
         private set
@@ -225,7 +250,7 @@
             fleet.table,
             dependencies.gatewayShare(),
             request.excluded,
-            progress.stalledGroups,
+            sharedHealth?.avoidedGroups(progress.stalledGroups) ?: progress.stalledGroups,
             request.isResuming,
             now,
         )
@@ -251,6 +276,7 @@
 
     private fun offerEnded(backend: ChosenBackend, end: OfferResult?) {
         val now = dependencies.clock.now()
+        sharedHealth?.offerEnded(backend, end)
         when (end) {
             null -> health.recordEnd(backend.server, failed = false)
             OfferResult.NotSent -> {
@@ -291,6 +317,7 @@
     /** Moves the streams of groups that have lost a member to other groups. */
     fun groupsLost(groups: Set<GroupId>) {
         if (groups.isEmpty()) return
+        sharedHealth?.stalls?.groupsLost(groups)
         forwardTasks.filter { it.group in groups }.forEach(ForwardTask::onGroupLost)
         // Confirms also the ends of the connections that have just been cancelled.
         crashes.groupsLost(groups)
@@ -325,6 +352,7 @@
     fun retainServers(servers: Set<BackendServer>) {
         health.retain(servers)
         digestNames.keys.retainAll(servers)
+        sharedHealth?.pace?.retain(servers)
         coldAllowance.retain(servers)
         notices.expire(dependencies.clock.now())
     }
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -101,6 +101,9 @@
     /** Requests that wait at the sender by kind, see [DemandCounts]; null if there is nothing to report. */
     @ByteString
     val demand: ByteArray? = null,
+    /** What the sender measured of groups since its last heartbeat, see [PaceExchange]; null if nothing. */
+    @ByteString
+    val health: ByteArray? = null,
 ) : PeerMessage
 
 /**
@@ -131,6 +134,9 @@
     val demand: ByteArray? = null,
     /** Age of the oldest heartbeat that [demand] was summed from, in milliseconds. */
     val demandAgeMillis: Long = 0,
+    /** Merged pace of the groups that don't need the usual time, by head, in eighths, as [CompactCounts]. */
+    @ByteString
+    val health: ByteArray? = null,
 ) : PeerMessage
 
 /** The controller lease that the sender of a heartbeat holds, with the version of its [record] in the store. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -66,6 +66,16 @@
     val onCrashEvidence: (CrashEvidence) -> Unit,
     /** Exchanges the demand with the other processes; null if admission isn't shared. */
     val demand: DemandExchange? = null,
+    /** Called with what a gateway measured of groups. */
+    val onHealth: (ProcessName, ByteArray) -> Unit = { _, _ -> },
+    /** Called with the merged pace of groups; null once digests are no longer received. */
+    val onFleetHealth: (CompactCounts?) -> Unit = {},
+    /** The merged pace of groups for a digest; null if there is nothing to report. */
+    val fleetHealth: () -> ByteArray? = { null },
+    /** Called when a gateway reports that its streams at a group are silent or progress again. */
+    val onStallEvidence: (StallEvidence) -> Unit = {},
+    /** Called when the active controller announces the groups that make no progress. */
+    val onStalledGroups: (StalledGroups) -> Unit = {},
 )
 
 /** Owns this process's view of the other processes: sends heartbeats and passes received messages to other tasks. */
@@ -138,6 +148,7 @@
         if (lastDigest != null && now - lastDigestAt >= DIGEST_TIMEOUT) {
             lastDigest = null
             dependencies.onFleetLoad(null)
+            dependencies.onFleetHealth(null)
         }
         dependencies.demand?.tick(hasDigests = table.isLarge)
         sendHeartbeat(toAll = false)
@@ -175,6 +186,7 @@
         if (isFirst) updateRank(now)
         dependencies.onFleetLoad(CompactCounts.of(digest.load))
         dependencies.demand?.digestReceived(digest)
+        dependencies.onFleetHealth(CompactCounts.of(digest.health ?: ByteArray(0)))
         if (digest.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(digest.watchProgress)
         digest.controllerLease?.let(::leaseReceived)
@@ -226,6 +238,7 @@
 
     private fun nextDigest(own: Heartbeat, lease: HeldControllerLease): FleetDigest =
         table.digest(own, lease, dependencies.fleetLoad(), ++digestsSent, clock.now())
+            .copy(health = dependencies.fleetHealth())
             .let { dependencies.demand?.complete(it) ?: it }
 
     /**
@@ -277,6 +290,8 @@
             is RoutesRequest -> dependencies.onRoutesRequest(message)
             is GroupSuspicion -> dependencies.onSuspicion(GroupId(message.group))
             is CrashReports -> dependencies.onCrashEvidence(message.evidence)
+            is StallEvidence -> dependencies.onStallEvidence(message)
+            is StalledGroups -> dependencies.onStalledGroups(message)
         }
     }
 
@@ -291,6 +306,7 @@
         if (known?.heartbeat == null || known.record.start != heartbeat.sender.start) welcome(heartbeat.sender)
         dependencies.onLoad(ProcessName(heartbeat.sender.node), heartbeat.load.mapKeys { BackendServer(it.key) })
         dependencies.demand?.heartbeatReceived(heartbeat)
+        heartbeat.health?.let { dependencies.onHealth(ProcessName(heartbeat.sender.node), it) }
         if (heartbeat.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(heartbeat.watchProgress)
         heartbeat.controllerLease?.let(::leaseReceived)
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
@@ -24,6 +24,7 @@
     private val crashes: CrashAttributionTask,
     /** Null if admission isn't shared. */
     private val demand: DemandExchange? = null,
+    private val stalls: StallRelay? = null,
 ) {
     /** Registers the gauges of the process with [metrics]. */
     fun register(metrics: EdgeMetrics, backends: HttpConnections) {
@@ -36,6 +37,9 @@
         metrics.gauge("redwingcross_configuration_version") { fleet().configuration?.version?.value ?: 0 }
         metrics.gauge("redwingcross_peers_alive") { peers.alivePeers().size }
         metrics.gauge("redwingcross_duties_held") { if (controller.isActiveController) 1 else 0 }
+        metrics.gauge("redwingcross_groups_avoided") { gateway.sharedHealth?.stalls?.marked().orEmpty().size }
+        metrics.gauge("redwingcross_groups_stalled") { stalls?.markedCount ?: 0 }
+        metrics.gauge("redwingcross_stall_evidence_ignored") { stalls?.ignoredReports ?: 0 }
         metrics.gauge("redwingcross_blocked_parts") { crashes.blockedParts().size }
         metrics.gauge("redwingcross_back_ends_known") { fleet().table.engines.size }
         metrics.gauge("redwingcross_engines_without_group") {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -146,6 +146,12 @@
         ),
         clock,
     )
+    private val stalls: StallRelay? =
+        if (EdgeFeature.SHARED_HEALTH in settings.features) {
+            StallRelay(self, { gateway }, { controller }, { peers }, controllerPost, ::runLater, clock, events.info)
+        } else {
+            null
+        }
     private val gateway: GatewayTask = GatewayTask(
         GatewayDependencies(
             clock = clock,
@@ -175,6 +181,7 @@
                 )
             },
             log = events.info,
+            sharedHealth = stalls?.dependencies,
         ),
         crashes,
         { bounds },
@@ -263,6 +270,11 @@
             crashEvidence = crashes::evidence,
             onCrashEvidence = { if (crashes.received(it)) crashRelay.onReceivedChange() },
             demand = demand,
+            onHealth = { node, report -> gateway.sharedHealth?.pace?.received(node, report) },
+            onFleetHealth = { gateway.sharedHealth?.pace?.digestReceived(it) },
+            fleetHealth = { gateway.sharedHealth?.pace?.digest() },
+            onStallEvidence = { stalls?.onEvidence(it) },
+            onStalledGroups = { stalls?.onStalledGroups(it) },
         ),
         clock,
         random,
@@ -273,7 +285,8 @@
     private val peerTask: EventLoopTask<PeerTaskMessage> =
         EventLoopTask<PeerTaskMessage>(loop, MAILBOX_CAPACITY, onMessageDropped, peers::handle)
     private val fleetTask = EventLoopTask<FleetUpdate>(loop, MAILBOX_CAPACITY, onMessageDropped, ::onFleetUpdate)
-    private val observer = EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers, crashes, demand)
+    private val observer =
+        EdgeObserver(settings.node, clock, { fleet }, gateway, controller, peers, crashes, demand, stalls)
 
     private val controlEndpoint = ControlEndpoint(
         ::isReady,
@@ -368,6 +381,7 @@
         load = gateway.reportLoad().entries.associate { (server, count) -> server.value to count },
         controllerLease = controller.heldLease,
         demand = gateway.sharedWaiting?.report(),
+        health = gateway.sharedHealth?.pace?.report(),
     ).also { demand?.heartbeatReceived(it) }
 
     private fun restartLaggingWatches(other: Map<UpdateSource, WatchProgress>) {
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -4,7 +4,6 @@
 import redwingcross.connection.http.PendingExchange
 import redwingcross.connection.http.ResponseHead
 import redwingcross.connection.http.ResponseListener
-import redwingcross.request.GroupId
 import redwingcross.request.forward.ForwardDecision
 import redwingcross.request.forward.ForwardLimits
 import redwingcross.request.forward.ForwardState
@@ -19,10 +18,10 @@
  * one with the back end. Each send to a back end is called an offer; [ForwardDecision] decides what happens when one
  * fails.
  */
-class ForwardTask(val job: ForwardJob, private val context: ForwardContext) {
+class ForwardTask(val job: ForwardJob, private val context: ForwardContext) : WatchedRequest {
     private val exchange = job.exchange
     private val route = job.route
-    private val isStream = route.repeatability.isStream
+    override val isStream = route.repeatability.isStream
     private var state = ForwardState(ForwardLimits(route.repeatability, route.maximumSends, job.deadline))
     private val splitter = EventSplitter()
     private val response = CallerResponse(exchange, context.codec.refusal)
@@ -49,15 +48,14 @@
     /** What this request needs from the next back end that it is sent to. */
     fun choiceRequest() = ChoiceRequest(job.service, job.request.generation?.model, state.offered.toSet(), isResuming)
 
-    /** The group to which the request is currently sent; null for a plain service or without a current offer. */
-    val group: GroupId? get() = offer?.backend?.group
+    override val inbound get() = job.request
 
-    /** When the current back end last sent an event, or when the request was sent to it. */
-    var progressAt: Duration = job.arrivedAt
+    override val backend: ChosenBackend? get() = offer?.backend
+
+    override var progressAt: Duration = job.arrivedAt
         private set
 
-    /** Whether the current back end has sent at least one event. */
-    val hasProgressed: Boolean get() = offer?.hasEvents == true
+    override val hasProgressed: Boolean get() = offer?.hasEvents == true
 
     /** Sends the request to the first back end and starts the timer for the deadline. */
     fun start() {
@@ -249,9 +247,10 @@
         abandon(if (isLoss && !current.hasEvents) OfferResult.GroupLost else OfferResult.Stalled, "group_lost")
     }
 
-    /** Moves the request after a long time without progress, without waiting for a confirmed fault. */
-    fun abandonStalled() {
-        if (ForwardDecision.canRedispatch(state)) abandon(OfferResult.Stalled, "stalled")
+    override val canBeMoved: Boolean get() = offer?.pending?.wasSent == true && ForwardDecision.canRedispatch(state)
+
+    override fun abandonStalled(end: OfferResult, detail: String) {
+        if (ForwardDecision.canRedispatch(state)) abandon(end, detail)
     }
 
     private fun abandon(end: OfferResult, detail: String) {
@@ -308,7 +307,7 @@
             if (batch == null) return
             val now = context.clock.now()
             ResponseCheck.ofEvents(batch, lastEventId, isFirst = !hasEvents)?.let { return reject(it) }
-            if (hasEvents) context.health.recordPause(backend.server, backend.kind, now - progressAt)
+            if (hasEvents || batch.events > 0) context.progressed(backend, now - progressAt, !hasEvents)
             if (!hasEvents && batch.events > 0) {
                 hasEvents = true
                 context.crashes.answerBegan(sharedParts)
