Replay more ways to place requests, with oscillating load and lost groups

The replay compared two decisions under constant load. It now replays load that oscillates by 55% in 15 s, two groups lost in the middle, requests that wait at their gateway and are sent again after a rejection, and counts the requests that waited or were refused although slots were free, and messages.

--- a/bench/src/main/kotlin/redwingcross/bench/replay/PlacementReplay.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/replay/PlacementReplay.kt
@@ -1,71 +1,64 @@
 package redwingcross.bench.replay
 
-import redwingcross.version.forwarding.GroupCandidate
-import redwingcross.version.forwarding.GroupPlacement
 import java.util.PriorityQueue
 import kotlin.math.ln
 import kotlin.random.Random
 
-/** The size and load of a replayed fleet. */
-internal data class ReplayedLoad(
-    val gateways: Int,
-    val groups: Int,
-    /** Requests offered, as a fraction of what the groups can serve. */
-    val utilization: Double,
-    val seconds: Double = 12.0,
-    val slots: Int = 10,
-    /** Requests that a group keeps waiting; it rejects further ones. */
-    val queue: Int = 20,
-    /** Time from one report of the load to the next; gateways know of each other what the last report said. */
-    val reportPeriod: Double = 0.5,
-    val reportDelay: Double = 0.1,
-    val meanService: Double = 1.3,
-)
-
-/** What callers and groups saw. */
-internal data class ReplayResult(
-    val requests: Int,
-    /** Requests that began within [PlacementReplay.IN_TIME] of their arrival. */
-    val inTime: Int,
-    /** Requests sent to a group that rejected them. */
-    val wasted: Int,
-    val busiestOverMean: Double,
-    /** Requests that ended, as a fraction of what the groups can serve. */
-    val goodput: Double,
-) {
-    val inTimeShare get() = inTime.toDouble() / requests
-    val wastedShare get() = wasted.toDouble() / requests
-}
-
-/** Chooses a group from the load that a gateway knows; -1 refuses the request. */
+/** Chooses a group from the load that a gateway knows; -1 if it knows of no free place. */
 internal typealias Choose = (inFlight: IntArray, random: Random) -> Int
 
 /**
  * Replays arrivals at many gateways in virtual time. Each gateway knows its own requests exactly and the total of the
  * others as of the last report. A group serves [ReplayedLoad.slots] requests at a time in the order of arrival.
  */
-internal class PlacementReplay(private val load: ReplayedLoad, seed: Int, private val choose: Choose) {
+internal class PlacementReplay(val load: ReplayedLoad, seed: Int, way: (PlacementReplay) -> ReplayedWay) {
+    constructor(load: ReplayedLoad, seed: Int, choose: Choose) : this(load, seed, { ReplayedWay.of(it, choose) })
+
     private class Event(val at: Double, val order: Long, val action: () -> Unit)
 
-    private val random = Random(seed)
+    private class Request(val gateway: Int, val arrivedAt: Double) {
+        var sends = 0
+        var excluded = -1
+        var begun = false
+        var isWaiting = false
+        var ended = false
+        var avoidable = false
+    }
+
+    val random = Random(seed)
     private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
     private var order = 0L
-    private var now = 0.0
-    private val running = IntArray(load.groups)
-    private val waiting = Array(load.groups) { ArrayDeque<() -> Unit>() }
+    var now = 0.0
+        private set
+    private val running = Array(load.groups) { LinkedHashSet<Request>() }
+    private val waiting = Array(load.groups) { ArrayDeque<Request>() }
     private val arrivals = IntArray(load.groups)
     private val own = Array(load.gateways) { IntArray(load.groups) }
     private val ownReported = Array(load.gateways) { IntArray(load.groups) }
+    private val lines = Array(load.gateways) { ArrayDeque<Request>() }
     private var total = IntArray(load.groups)
     private var reportedTotal = IntArray(load.groups)
+    private val sent = IntArray(load.gateways)
     private var requests = 0
     private var inTime = 0
     private var wasted = 0
     private var completed = 0
+    private var avoidable = 0
+
+    /** Groups that gateways don't use because they know that they are lost. */
+    val knownLost = HashSet<Int>()
+    private val lost = HashSet<Int>()
+
+    /** When the load that gateways know was reported. */
+    var reportedAt = 0.0
+        private set
+    private val way = way(this)
 
     fun run(): ReplayResult {
         at(0.0, ::arrive)
         at(0.0, ::report)
+        if (load.lostGroups > 0) at(load.seconds / 2, ::loseGroups)
+        if (load.wait > 0) at(CHECK_PERIOD, ::check)
         while (events.isNotEmpty()) {
             val next = events.poll()
             now = next.at
@@ -74,57 +67,178 @@
         }
         val capacity = load.groups * load.slots / load.meanService * load.seconds
         val busiest = arrivals.max() * load.groups.toDouble() / arrivals.sum()
-        return ReplayResult(requests, inTime, wasted, busiest, completed / capacity)
+        return ReplayResult(
+            requests,
+            inTime,
+            wasted,
+            busiest,
+            completed / capacity,
+            avoidable,
+            sent.sum() / load.seconds / load.gateways,
+            sent.max() / load.seconds,
+        )
     }
 
-    private fun at(time: Double, action: () -> Unit) {
+    fun at(time: Double, action: () -> Unit) {
         events += Event(time, order++, action)
     }
 
-    private fun exponential(mean: Double) = -mean * ln(1 - random.nextDouble())
+    /** Runs [action] at another node after the time that a datagram takes. */
+    fun message(sender: Int, receiver: Int, action: () -> Unit) {
+        if (sender == receiver) return action()
+        sent[sender]++
+        at(now + MINIMUM_DELAY + random.nextDouble() * DELAY_SPREAD, action)
+    }
+
+    /** Requests in flight at each group as far as [gateway] knows. */
+    fun known(gateway: Int) = IntArray(load.groups) {
+        if (it in knownLost) {
+            UNUSABLE
+        } else {
+            own[gateway][it] + (reportedTotal[it] - ownReported[gateway][it]).coerceAtLeast(0)
+        }
+    }
+
+    /** Requests of all gateways in flight as of the last report. */
+    fun reportedInFlight(): Int = reportedTotal.indices.sumOf { if (it in knownLost) 0 else reportedTotal[it] }
+
+    /** Requests of [gateway] in flight at each group. */
+    fun own(gateway: Int): IntArray = own[gateway]
+
+    fun exponential(mean: Double) = -mean * ln(1 - random.nextDouble())
 
     private fun arrive() {
-        val rate = load.utilization * load.groups * load.slots / load.meanService
-        at(now + exponential(1 / rate), ::arrive)
-        val gateway = random.nextInt(load.gateways)
+        at(now + exponential(1 / load.peakRate), ::arrive)
+        if (load.oscillation > 0 && random.nextDouble() * load.peakRate > load.rate(now)) return
         requests++
-        val known = IntArray(load.groups) {
-            own[gateway][it] + (reportedTotal[it] - ownReported[gateway][it]).coerceAtLeast(0)
+        place(Request(random.nextInt(load.gateways), now))
+    }
+
+    private fun place(request: Request) {
+        way.place(request.gateway, request.excluded) { group -> placed(request, group) }
+    }
+
+    private fun placed(request: Request, group: Int): Boolean {
+        if (request.ended || group < 0 && request.isWaiting) return false
+        if (request.isWaiting && now - request.arrivedAt > load.wait) {
+            expire(request)
+            return false
+        }
+        if (group >= 0) {
+            if (request.isWaiting) lines[request.gateway].remove(request)
+            request.isWaiting = false
+            send(request, group)
+            return true
         }
-        val group = choose(known, random)
-        if (group >= 0) send(gateway, group)
+        countAvoidable(request)
+        if (now - request.arrivedAt < load.wait) {
+            request.isWaiting = true
+            lines[request.gateway].addLast(request)
+        } else {
+            request.ended = true
+        }
+        return false
+    }
+
+    /**
+     * Counts a request that is refused or has to wait although there are more free slots than waiting requests. A slot
+     * that has just come free and for which a request waits already is on its way to that request.
+     */
+    private fun countAvoidable(request: Request) {
+        if (request.avoidable) return
+        val free = running.indices.sumOf { if (it in lost) 0 else load.slots - running[it].size }
+        if (free <= waiting.sumOf { it.size } + lines.sumOf { it.size }) return
+        request.avoidable = true
+        avoidable++
     }
 
-    private fun send(gateway: Int, group: Int) {
+    private fun send(request: Request, group: Int) {
         arrivals[group]++
+        if (group in lost) {
+            wasted++
+            return
+        }
         if (waiting[group].size >= load.queue) {
             wasted++
+            way.ended(request.gateway, group)
+            if (request.sends++ < load.resends) {
+                request.excluded = group
+                at(now + MINIMUM_DELAY + random.nextDouble() * DELAY_SPREAD) { place(request) }
+            }
             return
         }
-        own[gateway][group]++
+        own[request.gateway][group]++
         total[group]++
-        val arrivedAt = now
-        val start = {
-            if (now - arrivedAt <= IN_TIME) inTime++
-            running[group]++
-            at(now + exponential(load.meanService)) { end(gateway, group) }
+        if (running[group].size < load.slots) {
+            start(request, group)
+        } else {
+            countAvoidable(request)
+            waiting[group].addLast(request)
         }
-        if (running[group] < load.slots) start() else waiting[group].addLast(start)
+    }
+
+    private fun start(request: Request, group: Int) {
+        if (!request.begun && now - request.arrivedAt <= IN_TIME) inTime++
+        request.begun = true
+        running[group].add(request)
+        at(now + exponential(load.meanService)) { if (running[group].remove(request)) end(request.gateway, group) }
     }
 
     private fun end(gateway: Int, group: Int) {
         own[gateway][group]--
         total[group]--
-        running[group]--
         completed++
-        waiting[group].removeFirstOrNull()?.invoke()
+        waiting[group].removeFirstOrNull()?.let { start(it, group) }
+        way.ended(gateway, group)
+        serveLine(gateway)
+    }
+
+    private fun serveLine(gateway: Int) {
+        val next = lines[gateway].firstOrNull() ?: return
+        if (way.retries) way.place(gateway, next.excluded) { if (it < 0) false else placed(next, it) }
+    }
+
+    private fun check() {
+        at(now + CHECK_PERIOD, ::check)
+        for (gateway in lines.indices) {
+            val line = lines[gateway]
+            while (line.isNotEmpty() && now - line.first().arrivedAt >= load.wait) {
+                expire(line.first())
+            }
+            serveLine(gateway)
+        }
+    }
+
+    private fun expire(request: Request) {
+        lines[request.gateway].remove(request)
+        request.ended = true
+        countAvoidable(request)
+    }
+
+    private fun loseGroups() {
+        val moved = ArrayList<Request>()
+        for (group in 0 until load.lostGroups) {
+            lost += group
+            moved += running[group] + waiting[group]
+            (running[group] + waiting[group]).forEach { own[it.gateway][group]-- }
+            running[group].clear()
+            waiting[group].clear()
+            total[group] = 0
+        }
+        at(now + LOSS_KNOWN_AFTER) {
+            knownLost += lost
+            way.lost()
+            moved.forEach { place(it) }
+        }
     }
 
     private fun report() {
         at(now + load.reportPeriod, ::report)
+        val takenAt = now
         val snapshot = total.copyOf()
         val ownSnapshot = Array(load.gateways) { own[it].copyOf() }
         at(now + load.reportDelay) {
+            reportedAt = takenAt
             reportedTotal = snapshot
             ownSnapshot.forEachIndexed { gateway, counts -> counts.copyInto(ownReported[gateway]) }
         }
@@ -134,21 +248,26 @@
         /** A request that waits no longer at a group reaches its first event within the objective. */
         const val IN_TIME = 0.15
 
+        /** Load of a group that gets no requests. */
+        const val UNUSABLE = 1_000_000
+
+        /** One-way time of a datagram: 0.2 to 1.4 ms, half of the round trips between gateways. */
+        private const val MINIMUM_DELAY = 0.0002
+        private const val DELAY_SPREAD = 0.0012
+
+        /** Period in which a gateway serves its waiting requests without a place of its own. */
+        private const val CHECK_PERIOD = 0.1
+
+        /** Time until all gateways know that a group is lost. */
+        private const val LOSS_KNOWN_AFTER = 0.5
+
         /** The decision of the product. */
-        fun placement(load: ReplayedLoad): Choose = { known, random ->
-            val candidates = known.indices.filter {
-                known[it] < load.slots * LIMIT
-            }.map { GroupCandidate(it, known[it], 1.0) }
-            GroupPlacement.choose(candidates, load.slots, load.gateways, random)?.group ?: -1
-        }
+        fun placement(load: ReplayedLoad): Choose = ReplayedWay.placement(load)
 
         /** The former decision: the least loaded group of all. */
         fun leastLoaded(load: ReplayedLoad): Choose = { known, random ->
-            known.indices.filter { known[it] < load.slots * LIMIT }.minByOrNull { known[it] + random.nextDouble() }
-                ?: -1
+            known.indices.filter { known[it] < load.slots * load.groupLimit }
+                .minByOrNull { known[it] + random.nextDouble() } ?: -1
         }
-
-        /** Requests in flight at a group, as a multiple of its slots, beyond which a gateway sends it no more. */
-        private const val LIMIT = 1.3
     }
 }
--- a/bench/src/main/kotlin/redwingcross/bench/replay/PlacementReplayCommand.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/replay/PlacementReplayCommand.kt
@@ -12,39 +12,77 @@
 
 /** Prints how ways to choose a group serve the same replayed arrivals. */
 internal class PlacementReplayCommand : CliktCommand(name = "placement-replay") {
-    private val gateways by option(help = "Numbers of gateways").int().split(",").default(listOf(8, 58, 95, 350))
-    private val utilizations by option(help = "Offered loads as fractions of the capacity")
-        .double().split(",").default(listOf(0.7, 0.9, 1.1, 1.7))
-    private val groupsPerGateway by option(help = "Number of groups for each gateway").double().default(0.85)
+    private val fleets by option(help = "Fleets as gateways:groups:slots")
+        .split(",").default(listOf("8:4:14", "75:36:14", "109:11:34", "350:75:34"))
+    private val utilizations by option(help = "Offered loads in the mean as fractions of the capacity")
+        .double().split(",").default(listOf(0.6, 0.75, 0.9))
+    private val oscillation by option(help = "Amplitude of the load as a fraction of its mean").double().default(0.55)
+    private val lostGroups by option(help = "Groups lost in the middle of a run").int().default(2)
     private val reportPeriod by option(help = "Seconds between two reports of the load").double().default(0.5)
-    private val seconds by option(help = "Duration of a run in virtual seconds").double().default(12.0)
-    private val seed by option(help = "Seed of the arrivals").int().default(1)
+    private val seconds by option(help = "Duration of a run in virtual seconds").double().default(30.0)
+    private val seeds by option(help = "Seeds of the arrivals; figures are means").int().split(",")
+        .default(listOf(1, 2, 3))
 
-    override fun help(context: Context): String =
-        "Replays arrivals in virtual time for three ways to choose a group: one dispatcher that knows every load, " +
-            "the least loaded group of all, and the placement of the product."
+    override fun help(context: Context): String = "Replays arrivals in virtual time for several ways to choose a group."
 
     override fun run() {
-        echo("gateways;groups;offered;way;in time;rejected by groups;busiest over mean;goodput")
-        for (count in gateways) {
+        echo("gateways;groups;slots;offered;way;in time;wasted;busiest over mean;goodput;avoidable;node/s;busiest/s")
+        for (fleet in fleets) {
+            val (gateways, groups, slots) = fleet.split(":").map(String::toInt)
             for (utilization in utilizations) {
-                val groups = maxOf(2, (count * groupsPerGateway).toInt())
-                compare(ReplayedLoad(count, groups, utilization, seconds, reportPeriod = reportPeriod))
+                compare(
+                    ReplayedLoad(
+                        gateways,
+                        groups,
+                        utilization,
+                        seconds,
+                        slots,
+                        reportPeriod = reportPeriod,
+                        oscillation = oscillation,
+                        lostGroups = lostGroups,
+                        groupLimit = 1.0,
+                        wait = PlacementReplay.IN_TIME,
+                        resends = 1,
+                    ),
+                )
             }
         }
     }
 
     private fun compare(load: ReplayedLoad) {
         val single = load.copy(gateways = 1, reportDelay = 0.0)
-        print(load, "one dispatcher", PlacementReplay(single, seed, PlacementReplay.leastLoaded(single)).run())
-        print(load, "least loaded", PlacementReplay(load, seed, PlacementReplay.leastLoaded(load)).run())
-        print(load, "placement", PlacementReplay(load, seed, PlacementReplay.placement(load)).run())
-    }
-
-    private fun print(load: ReplayedLoad, way: String, result: ReplayResult) {
-        val figures = listOf(result.inTimeShare, result.wastedShare, result.busiestOverMean, result.goodput)
-            .joinToString(";") { String.format(Locale.ROOT, "%.3f", it) }
-        echo("${load.gateways};${load.groups};${load.utilization};$way;$figures")
+        val ways = listOf<Pair<String, (Int) -> PlacementReplay>>(
+            "one dispatcher" to { PlacementReplay(single, it, PlacementReplay.leastLoaded(single)) },
+            "least loaded" to { PlacementReplay(load, it, PlacementReplay.leastLoaded(load)) },
+            "placement" to { PlacementReplay(load, it, PlacementReplay.placement(load)) },
+            "corrected" to { PlacementReplay(load, it) { replay -> ReplayedWay.corrected(replay) } },
+            "corrected, time 0.7" to { PlacementReplay(load, it) { replay -> ReplayedWay.corrected(replay, 0.7) } },
+            "corrected, rate known" to {
+                PlacementReplay(load, it) { replay -> ReplayedWay.corrected(replay, isOracle = true) }
+            },
+            "subsets of 4" to { PlacementReplay(load, it) { replay -> ReplayedWay.subsets(replay, 4) } },
+            "idle slots" to { PlacementReplay(load, it, ReplayedWay::idleSlots) },
+            "advance grants 0.2 s" to {
+                PlacementReplay(load, it) { replay -> ReplayedWay.advanceGrants(replay, 0.2) }
+            },
+            "one owner" to { PlacementReplay(load, it) { replay -> ReplayedWay.owners(replay, 1e9) } },
+            "owners of 200/s" to { PlacementReplay(load, it) { replay -> ReplayedWay.owners(replay, 200.0) } },
+        )
+        for ((name, replay) in ways) {
+            val results = seeds.map { replay(it).run() }
+            fun mean(figure: (ReplayResult) -> Double) =
+                String.format(Locale.ROOT, "%.3f", results.map(figure).average())
+            val figures = listOf(
+                mean { it.inTimeShare },
+                mean { it.wastedShare },
+                mean { it.busiestOverMean },
+                mean { it.goodput },
+                mean { it.avoidableShare },
+                mean { it.messagesPerNode },
+                mean { it.messagesAtBusiest },
+            ).joinToString(";")
+            echo("${load.gateways};${load.groups};${load.slots};${load.utilization};$name;$figures")
+        }
     }
 }
 
