Place requests at groups through one owner of the slots

Gateways know of each other's load what was reported up to a second ago, so groups are overrun in turn while others idle. With even placement on, a gateway asks the active controller for a slot of any group of the kind before it sends a request. Cold groups with a limited rate are not granted, because that limit is divided among the gateways.

With the feature off no message is sent and the choice is unchanged.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -20,15 +20,12 @@
 import redwingcross.version.fleet.GatewayShare
 import redwingcross.version.fleet.Route
 import redwingcross.version.fleet.Tenant
-import redwingcross.version.forwarding.BackendChoice
 import redwingcross.version.forwarding.BackendChooser
 import redwingcross.version.forwarding.BackendHealth
 import redwingcross.version.forwarding.BackendLoad
 import redwingcross.version.forwarding.BackendNotice
 import redwingcross.version.forwarding.BackendNotices
 import redwingcross.version.forwarding.CancelTimer
-import redwingcross.version.forwarding.ChoiceContext
-import redwingcross.version.forwarding.ChoiceRequest
 import redwingcross.version.forwarding.ChoiceSettings
 import redwingcross.version.forwarding.ChosenBackend
 import redwingcross.version.forwarding.CrashSignals
@@ -59,6 +56,8 @@
     /** Called once for each forwarded request when it has ended. */
     val recordOutcome: (ForwardOutcome) -> Unit,
     val log: LogEvent,
+    /** Reaches the owner of the places; null if groups are chosen without it. */
+    val places: PlaceNetwork? = null,
 )
 
 /** Admits requests from callers, chooses their back ends and monitors the progress of the streams in flight. */
@@ -84,23 +83,33 @@
     private val budgets = RetryBudgets { bounds().retryBudget }
     private val forwardTasks = HashSet<ForwardTask>()
     private val shutdown = ShutdownAdmission()
-    private val waiting = WaitingRequests(dependencies.clock, dependencies.runLater, ::choose, random)
+    private val waiting = WaitingRequests(dependencies.clock, dependencies.runLater, { placement.choose(it) }, random)
     private val progress =
         StreamProgress(dependencies.clock, dependencies.reportSuspectedGroup, dependencies.log)
+    private val placement = RequestPlacement(dependencies, chooser, load) { progress.stalledGroups }
+    private val places = placement.places
     private val context = ForwardContext(
         clock = dependencies.clock,
         codec = dependencies.codec,
         health = health,
         runLater = dependencies.runLater,
-        choose = ::choose,
+        choose = placement::choose,
+        beforeChoice = placement::beforeChoice,
         send = ::send,
-        offerStarted = { backend, _ -> load.requestStarted(backend.server) },
+        offerStarted = { backend, task ->
+            load.requestStarted(backend.server)
+            places?.sent(task, backend.server)
+        },
         offerReleased = { backend, _ ->
             load.requestEnded(backend.server)
+            if (backend.group != null) places?.placeFreed()
             waiting.placeFreed(backend.kind)
         },
         awaitPlace = waiting::add,
-        waitEnded = waiting::remove,
+        waitEnded = { task ->
+            waiting.remove(task)
+            places?.ended(task)
+        },
         offerEnded = ::offerEnded,
         tryAcquireRetry = { budgets[it].tryAcquire(dependencies.clock.now(), dependencies.gatewayShare().count) },
         retryAfter = { waiting.retryDelay(it) },
@@ -117,6 +126,10 @@
         log = { event, pairs -> dependencies.log(event, pairs) },
     )
 
+    init {
+        places?.onPlaceGranted = waiting::serve
+    }
+
     /** Whether this gateway has received a request from a caller since its start. */
     var hasSeenRequests = false
         private set
@@ -143,8 +156,18 @@
     private fun digestName(server: BackendServer) = digestNames.getOrPut(server) { CompactName.of(server.value) }
 
     /** Stores the requests in flight of another gateway by back end; null if that gateway is no longer reachable. */
-    fun peerLoadReceived(gateway: ProcessName, counts: Map<BackendServer, Int>?): Unit =
+    fun peerLoadReceived(gateway: ProcessName, counts: Map<BackendServer, Int>?) {
         load.updateReported(gateway, counts)
+        places?.loadReported(gateway, counts)
+    }
+
+    /** Applies a message about places from another process. */
+    fun placeMessageReceived(message: PlaceMessage) {
+        places?.received(message)
+    }
+
+    /** Whether requests are placed without the owner of the places, because it does not answer. */
+    val isPlaceOwnerLost: Boolean get() = places?.isOwnerLost == true
 
     /** Serves one request: authenticates and routes it, then forwards it or responds with an error status. */
     fun serve(exchange: CallerExchange) {
@@ -200,26 +223,6 @@
         exchange.respond(status, headers, ByteArray(0))
     }
 
-    private fun choose(request: ChoiceRequest): BackendChoice {
-        val now = dependencies.clock.now()
-        val fleet = dependencies.fleet()
-        val terms = fleet.configuration?.services?.get(request.service) ?: return BackendChoice.NoneServing
-        val choiceContext = ChoiceContext(
-            fleet.table,
-            dependencies.gatewayShare(),
-            request.excluded,
-            progress.stalledGroups,
-            request.isResuming,
-            now,
-        )
-        val model = request.model
-        return if (model != null && terms.pool != null) {
-            chooser.chooseGroup(terms, model, fleet.servingGroups(request.service, now), choiceContext)
-        } else {
-            chooser.chooseServer(terms, choiceContext)
-        }
-    }
-
     private fun send(
         backend: ChosenBackend,
         head: RequestHead,
@@ -282,6 +285,7 @@
     /** Serves waiting requests and finds groups whose streams make no progress; called several times a second. */
     fun checkProgress() {
         crashes.check()
+        places?.check()
         waiting.serve()
         endUnsendableRequests()
         progress.check(forwardTasks)
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -64,6 +64,7 @@
     /** What this process knows of ended engines; a process that starts receives it from the active controller. */
     val crashEvidence: () -> CrashEvidence,
     val onCrashEvidence: (CrashEvidence) -> Unit,
+    val onPlaceMessage: (PlaceMessage) -> Unit = {},
 )
 
 /** Owns this process's view of the other processes: sends heartbeats and passes received messages to other tasks. */
@@ -88,6 +89,9 @@
     /** All other processes that may be running, including those that currently send no heartbeats. */
     val knownPeers: List<Peer> get() = table.peers.values.toList()
 
+    /** The [knownPeers] by node name. */
+    val peersByNode: Map<String, Peer> get() = table.peers
+
     /**
      * Position of this process, from 0, in the order in which processes take over the controller lease, see
      * [PeerTable.rank].
@@ -260,6 +264,9 @@
     }
 
     private fun received(bytes: ByteArray) {
+        if (PlaceCodec.isPlaceMessage(bytes)) {
+            PlaceCodec.decode(bytes)?.let { return dependencies.onPlaceMessage(it) }
+        }
         val message = PeerCodec.decode(bytes)
         if (message == null) {
             log("peer_message_unreadable", arrayOf("bytes" to bytes.size))
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMetrics.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMetrics.kt
@@ -2,6 +2,7 @@
 
 import redwingcross.platform.CountStoreCall
 import redwingcross.process.edge.CountLoggedEvent
+import redwingcross.process.edge.PlaceResult
 import redwingcross.process.metrics.ProcessMetrics
 import redwingcross.request.PromptPart
 import redwingcross.version.forwarding.ForwardOutcome
@@ -46,6 +47,11 @@
         metrics.count("redwingcross_blocked_requests", mapOf("part" to part.id))
     }
 
+    /** Counts a request by what the owner of the places answered. */
+    val countPlace: (PlaceResult) -> Unit = { result ->
+        metrics.count("redwingcross_places", mapOf("result" to result.name.lowercase()))
+    }
+
     /** All metrics in the Prometheus text format. */
     fun scrape(): String = metrics.scrape()
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
@@ -26,6 +26,7 @@
     fun register(metrics: EdgeMetrics, backends: HttpConnections) {
         metrics.gauge("redwingcross_requests_running") { gateway.runningRequests }
         metrics.gauge("redwingcross_requests_waiting") { gateway.waitingRequests }
+        metrics.gauge("redwingcross_place_owner_lost") { if (gateway.isPlaceOwnerLost) 1 else 0 }
         metrics.gauge("redwingcross_groups_serving") {
             services().sumOf { fleet().servingGroups(it.name, clock.now()).size }
         }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -20,6 +20,7 @@
 import redwingcross.process.edge.CrashEvidenceDependencies
 import redwingcross.process.edge.CrashEvidenceRelay
 import redwingcross.process.edge.CrashReports
+import redwingcross.process.edge.EdgeFeature
 import redwingcross.process.edge.EdgeSettings
 import redwingcross.process.edge.EventLog
 import redwingcross.process.edge.EventLoopTask
@@ -52,6 +53,7 @@
 import redwingcross.version.forwarding.SendToBackend
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.placement.LeaseEpoch
+import redwingcross.version.places.GatewayStart
 import sun.misc.Signal
 import java.net.InetSocketAddress
 import java.util.concurrent.CountDownLatch
@@ -173,6 +175,12 @@
                 )
             },
             log = events.info,
+            places = placeNetwork(
+                GatewayStart(settings.node, startMillis),
+                { controller.heldLease?.record?.epoch?.value },
+                { peers },
+                metrics.countPlace,
+            ).takeIf { EdgeFeature.EVEN_PLACEMENT in settings.features },
         ),
         crashes,
         { bounds },
@@ -256,6 +264,7 @@
             onLease = postLease,
             crashEvidence = crashes::evidence,
             onCrashEvidence = { if (crashes.received(it)) crashRelay.onReceivedChange() },
+            onPlaceMessage = gateway::placeMessageReceived,
         ),
         clock,
         random,
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -12,6 +12,7 @@
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
 import redwingcross.version.fleet.TrackedEngine
+import redwingcross.version.places.OwnedGroup
 import kotlin.random.Random
 import kotlin.time.Duration
 
@@ -70,23 +71,23 @@
     private val notices: BackendNotices,
     private val random: Random,
 ) {
-    /** Chooses among the groups that serve [model]. */
+    /** Chooses among the groups that serve [model]; the one led by [granted] if it can be used. */
     fun chooseGroup(
         spec: ServiceSpec,
         model: ModelName,
         groups: List<ServingGroup>,
         inputs: ChoiceContext,
+        granted: BackendServer? = null,
     ): BackendChoice {
         val slots = spec.pool?.slots ?: return BackendChoice.NoneServing
         val limit = slots * if (inputs.isResuming) settings().resumingGroupLimit else settings().groupLimit
         val serving = groups.filter { it.model == model && it.service == spec.name }
         val heads = serving.mapNotNull { inputs.table.engines[it.head] }
-        val usable = serving.mapNotNull { group ->
-            val head = inputs.table.engines[group.head]
-            if (head != null && inputs.table.acceptsWork(head) && canUse(head, spec, inputs)) group to head else null
+        val usable = usable(serving, spec, inputs)
+        usable.firstOrNull { (group, _) -> group.head == granted }?.let { (group, head) ->
+            return chosen(group, head, model)
         }
-        // All groups of a model may stall at the same time while they process long prompts; use them all then.
-        val preferred = usable.filter { (group, _) -> group.id !in inputs.avoidedGroups }.ifEmpty { usable }
+        val preferred = preferred(usable, inputs)
         val candidates = preferred.mapNotNull { entry ->
             val inFlight = load.total(entry.first.head)
             if (inFlight <
@@ -99,11 +100,41 @@
         }
         val (best, head) = GroupPlacement.choose(candidates, slots, inputs.place.count, random)?.group
             ?: return withoutCandidate(usable.isNotEmpty(), heads, inputs)
-        return BackendChoice.Chosen(
-            ChosenBackend(head.id, head.status.address, best.id, model.value, head.status.start),
-        )
+        return chosen(best, head, model)
     }
 
+    /**
+     * Groups of [model] whose slots can be granted to any gateway. A cold group isn't among them while its requests are
+     * limited, because the limit is divided among the gateways.
+     */
+    fun groupsToGrant(
+        spec: ServiceSpec,
+        model: ModelName,
+        groups: List<ServingGroup>,
+        inputs: ChoiceContext,
+    ): List<OwnedGroup> {
+        val slots = spec.pool?.slots ?: return emptyList()
+        val usable = usable(groups.filter { it.model == model && it.service == spec.name }, spec, inputs)
+            .filter { (_, head) -> spec.coldRequestsPerSecond <= 0 || !inputs.table.isCold(head, inputs.now) }
+        return preferred(usable, inputs).map { (group, _) ->
+            OwnedGroup(group.head, slots, health.slowness(group.head, model.value))
+        }
+    }
+
+    private fun usable(serving: List<ServingGroup>, spec: ServiceSpec, inputs: ChoiceContext) =
+        serving.mapNotNull { group ->
+            val head = inputs.table.engines[group.head]
+            if (head != null && inputs.table.acceptsWork(head) && canUse(head, spec, inputs)) group to head else null
+        }
+
+    // All groups of a model may stall at the same time while they process long prompts; use them all then.
+    private fun preferred(usable: List<Pair<ServingGroup, TrackedEngine>>, inputs: ChoiceContext) =
+        usable.filter { (group, _) -> group.id !in inputs.avoidedGroups }.ifEmpty { usable }
+
+    private fun chosen(group: ServingGroup, head: TrackedEngine, model: ModelName) = BackendChoice.Chosen(
+        ChosenBackend(head.id, head.status.address, group.id, model.value, head.status.start),
+    )
+
     /** Chooses among the back ends of a plain service. */
     fun chooseServer(spec: ServiceSpec, inputs: ChoiceContext): BackendChoice {
         val engines = inputs.table.engines.values.filter { it.status.service == spec.name }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -28,6 +28,8 @@
     val health: BackendHealth,
     val runLater: (Duration, () -> Unit) -> CancelTimer,
     val choose: ChooseBackend,
+    /** Called before a back end is chosen for a request; runs the action once it is to be chosen. */
+    val beforeChoice: (ForwardTask, () -> Unit) -> Unit = { _, choose -> choose() },
     val send: SendToBackend,
     /**
      * Lets a request wait for a place at a back end; false if it has to be refused. Later the task is told to offer
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -66,7 +66,12 @@
             finish("caller_left", "closed")
         }
         exchange.onWritable = { offer?.pending?.resumeReading() }
-        timer = context.runLater(job.deadline - context.clock.now(), ::deadlinePassed)
+        timer = context.runLater(job.deadline - context.clock.now()) {
+            if (!finished) {
+                cancelOffer()
+                finishWith(ForwardDecision.expired(state), "deadline")
+            }
+        }
         offer()
     }
 
@@ -82,7 +87,9 @@
         else -> null
     }
 
-    private fun offer() {
+    private fun offer() = context.beforeChoice(this) { if (!finished) offerNow() }
+
+    private fun offerNow() {
         val now = context.clock.now()
         reasonNotToSend(now)?.let { return finishWithout(it) }
         val choice = context.choose(choiceRequest())
@@ -221,12 +228,6 @@
         context.offerReleased(current.backend, this)
     }
 
-    private fun deadlinePassed() {
-        if (finished) return
-        cancelOffer()
-        finishWith(ForwardDecision.expired(state), "deadline")
-    }
-
     /** Ends the request with the answer that its state allows, because the process ends. */
     fun endForShutdown() {
         if (finished) return
