--- a/process/src/main/kotlin/redwingcross/process/edge/PlaceTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PlaceTask.kt
@@ -44,6 +44,7 @@
     private val network: PlaceNetwork,
     private val clock: MonotonicClock,
     private val runLater: (Duration, () -> Unit) -> CancelTimer,
+    /** Requests of this gateway in flight by back end. */
     private val held: () -> Map<BackendServer, Int>,
     groups: GroupsOfKind,
     private val log: LogEvent,
@@ -118,7 +119,7 @@
             network.ownerEpoch()?.let { requester = requester.ownedBy(it) }
             giveBack(requester.withoutUnused(clock.now()))
         }
-        loadReported(network.self.node, held())
+        if (network.ownEpoch() != null) loadReported(network.self.node, held().toMap())
     }
 
     private fun report(request: PlaceRequest? = null) {
--- a/process/src/main/kotlin/redwingcross/process/edge/PlaceWire.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PlaceWire.kt
@@ -91,6 +91,7 @@
         val model: String,
         val excluded: List<String>,
         val isResuming: Boolean,
+        val priority: Int,
     )
 
     @Serializable
@@ -104,7 +105,7 @@
         held.mapKeys { it.key.value },
         open.map { it.value },
         request?.run {
-            WireRequest(kind.service.value, kind.model.value, excluded.map { it.value }, isResuming)
+            WireRequest(kind.service.value, kind.model.value, excluded.map { it.value }, isResuming, priority)
         },
     )
 
@@ -115,7 +116,7 @@
         open.mapTo(HashSet(), ::PlaceNumber),
         request?.run {
             val kind = PlaceKind(ServiceName(service), ModelName(model))
-            PlaceRequest(kind, excluded.mapTo(HashSet(), ::BackendServer), isResuming)
+            PlaceRequest(kind, excluded.mapTo(HashSet(), ::BackendServer), isResuming, priority)
         },
     )
 
--- a/process/src/main/kotlin/redwingcross/process/edge/RequestPlacement.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/RequestPlacement.kt
@@ -42,7 +42,7 @@
         val context = context(fleet, request.excluded, request.isResuming, now)
         val model = request.model
         if (model == null || terms.pool == null) return chooser.chooseServer(terms, context)
-        val decision = request.toPlaceRequest()?.let { places?.decide(it) }
+        val decision = request.toPlaceRequest(priority = 0)?.let { places?.decide(it) }
         if (decision == PlaceDecision.Wait) return BackendChoice.AllBusy
         val granted = (decision as? PlaceDecision.UseGrant)?.head
         return chooser.chooseGroup(terms, model, fleet.servingGroups(request.service, now), context, granted)
@@ -50,7 +50,7 @@
 
     /** Asks for a place for [task], and calls [choose] when a back end is to be chosen. */
     fun beforeChoice(task: ForwardTask, choose: () -> Unit) {
-        val request = places?.let { task.choiceRequest().toPlaceRequest() }
+        val request = places?.let { task.choiceRequest().toPlaceRequest(task.job.priority) }
         if (request == null) choose() else places?.prepare(task, request, choose)
     }
 
@@ -66,6 +66,6 @@
         ChoiceContext(fleet.table, dependencies.gatewayShare(), excluded, stalledGroups(), isResuming, now)
 
     /** What to ask the owner of the places for; null if the request is for a plain service. */
-    private fun ChoiceRequest.toPlaceRequest(): PlaceRequest? =
-        model?.let { PlaceRequest(PlaceKind(service, it), excluded, isResuming) }
+    private fun ChoiceRequest.toPlaceRequest(priority: Int): PlaceRequest? =
+        model?.let { PlaceRequest(PlaceKind(service, it), excluded, isResuming, priority) }
 }
--- a/version/src/main/kotlin/redwingcross/version/places/PlaceMessages.kt
+++ b/version/src/main/kotlin/redwingcross/version/places/PlaceMessages.kt
@@ -24,6 +24,8 @@
     val excluded: Set<BackendServer> = emptySet(),
     /** Whether the request was sent before, so that refusing it would lose work. */
     val isResuming: Boolean = false,
+    /** 0 is the most urgent. */
+    val priority: Int = 0,
 )
 
 /**
--- a/version/src/main/kotlin/redwingcross/version/places/PlaceOwner.kt
+++ b/version/src/main/kotlin/redwingcross/version/places/PlaceOwner.kt
@@ -59,7 +59,8 @@
  * Grants the slots of all groups to the gateways that ask for them, one for each request. Answers a load that many
  * gateways place at the same time, each with a few requests a second: what they know of each other is up to a second
  * old, so that some groups get more requests than they have slots while others idle. The owner counts each grant at
- * once, and gives the slot that comes free to the request that has waited longest.
+ * once, and gives the slot that comes free to the most urgent request, among equal ones to the one that has waited
+ * longest.
  *
  * A gateway that does not hear the owner decides by itself; its next report or heartbeat includes what it has sent.
  * Two owners, or one that has just been paused, grant too much at worst: the queue and the limit of the engine remain.
@@ -131,7 +132,8 @@
             if (grant(gateway, number, request)) return
             if (state.queue.size >= QUEUE_CAPACITY) return answer(gateway, PlaceAnswer.Declined(number))
             val queued = QueuedRequest(gateway, number, request, now + QUEUE_LIFETIME)
-            state = state.copy(queue = state.queue.add(queued))
+            val next = state.queue.indexOfFirst { order.compare(it.request, request) > 0 }
+            state = state.copy(queue = state.queue.add(if (next < 0) state.queue.size else next, queued))
             answer(gateway, PlaceAnswer.Queued(number))
         }
 
@@ -173,6 +175,9 @@
     }
 
     companion object {
+        /** Order in which queued requests get places: those that would lose work first, then by priority. */
+        private val order = compareBy<PlaceRequest> { !it.isResuming }.thenBy { it.priority }
+
         /** Requests in flight at a group that resuming requests may reach, as a multiple of its slots. */
         private const val RESUMING_LIMIT = 1.3
 
--- a/version/src/test/kotlin/redwingcross/version/places/PlaceOwnerTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/places/PlaceOwnerTest.kt
@@ -35,6 +35,7 @@
         held: Int = 0,
         start: Long = 1,
         asks: Boolean = sequence in open,
+        priority: Int = 0,
     ) = owner.reported(
         state,
         PlaceReport(
@@ -42,7 +43,7 @@
             sequence,
             if (held == 0) emptyMap() else mapOf(head to held),
             open.mapTo(HashSet(), ::PlaceNumber),
-            if (asks) PlaceRequest(kind) else null,
+            if (asks) PlaceRequest(kind, priority = priority) else null,
         ),
         now,
     ).apply()
@@ -63,6 +64,15 @@
         assertEquals(listOf(granted("c", 1)), report("a", 3))
     }
 
+    @Test
+    fun `a more urgent request gets the place before one that has waited longer`() {
+        report("a", 1, setOf(1))
+        report("a", 2, held = 2)
+        report("b", 1, setOf(1), priority = 2)
+        report("c", 1, setOf(1), priority = 1)
+        assertEquals(listOf(granted("c", 1)), report("a", 3, held = 1))
+    }
+
     @Test
     fun `a repeated or late report changes nothing`() {
         report("a", 1, setOf(1))
