--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -20,15 +20,12 @@
 import redwingcross.version.fleet.GatewayShare
 import redwingcross.version.fleet.Route
 import redwingcross.version.fleet.Tenant
-import redwingcross.version.forwarding.BackendChoice
 import redwingcross.version.forwarding.BackendChooser
 import redwingcross.version.forwarding.BackendHealth
 import redwingcross.version.forwarding.BackendLoad
 import redwingcross.version.forwarding.BackendNotice
 import redwingcross.version.forwarding.BackendNotices
 import redwingcross.version.forwarding.CancelTimer
-import redwingcross.version.forwarding.ChoiceContext
-import redwingcross.version.forwarding.ChoiceRequest
 import redwingcross.version.forwarding.ChoiceSettings
 import redwingcross.version.forwarding.ChosenBackend
 import redwingcross.version.forwarding.CrashSignals
@@ -61,6 +58,8 @@
     val log: LogEvent,
     /** Null unless gateways share what they observe of groups. */
     val sharedHealth: SharedHealthDependencies? = null,
+    /** Reaches the owner of the places; null if groups are chosen without it. */
+    val places: PlaceNetwork? = null,
 )
 
 /** Admits requests from callers, chooses their back ends and monitors the progress of the streams in flight. */
@@ -89,35 +88,52 @@
     private val budgets = RetryBudgets { bounds().retryBudget }
     private val forwardTasks = HashSet<ForwardTask>()
     private val shutdown = ShutdownAdmission()
-    private val localWaiting = WaitingRequests(dependencies.clock, dependencies.runLater, ::choose, random)
+    private val localWaiting =
+        WaitingRequests(dependencies.clock, dependencies.runLater, { placement.choose(it) }, random)
 
     /** The waiting requests, if gateways share what they know of the demand. */
     val sharedWaiting: SharedWaitingRequests? = if (isAdmissionShared) {
-        SharedWaitingRequests(dependencies.clock, dependencies.runLater, ::choose, random, localWaiting)
+        SharedWaitingRequests(
+            dependencies.clock,
+            dependencies.runLater,
+            { placement.choose(it) },
+            random,
+            localWaiting,
+        )
     } else {
         null
     }
     private val waiting = sharedWaiting?.operations ?: WaitingOperations.of(localWaiting)
     private val progress =
         StreamProgress(dependencies.clock, dependencies.reportSuspectedGroup, dependencies.log)
+    private val placement = RequestPlacement(dependencies, chooser, load) {
+        sharedHealth?.avoidedGroups(progress.stalledGroups) ?: progress.stalledGroups
+    }
+    private val places = placement.places
     private val context = ForwardContext(
         clock = dependencies.clock,
         codec = dependencies.codec,
         health = health,
         runLater = dependencies.runLater,
-        choose = { waiting.beforeChoice(it) ?: choose(it) },
+        choose = { waiting.beforeChoice(it) ?: placement.choose(it) },
+        beforeChoice = placement::beforeChoice,
         send = ::send,
-        offerStarted = { backend, _ ->
+        offerStarted = { backend, task ->
             load.requestStarted(backend.server)
             waiting.sent(backend.kind)
             sharedHealth?.stalls?.requestSent(backend)
+            places?.sent(task, backend.server)
         },
         offerReleased = { backend, _ ->
             load.requestEnded(backend.server)
+            if (backend.group != null) places?.placeFreed()
             waiting.placeFreed(backend.kind)
         },
         awaitPlace = waiting.add,
-        waitEnded = waiting.remove,
+        waitEnded = { task ->
+            waiting.remove(task)
+            places?.ended(task)
+        },
         offerEnded = ::offerEnded,
         tryAcquireRetry = { budgets[it].tryAcquire(dependencies.clock.now(), dependencies.gatewayShare().count) },
         retryAfter = waiting.retryDelay,
@@ -146,7 +162,7 @@
                 shared,
                 load,
                 budgets,
-                ::choose,
+                placement::choose,
                 { forwardTasks },
                 context.crashes,
             ),
@@ -154,6 +170,10 @@
         ).also { health.fleetSlowness = it.pace::slowness }
     }
 
+    init {
+        places?.onPlaceGranted = waiting.serve
+    }
+
     /** Whether this gateway has received a request from a caller since its start. */
     var hasSeenRequests = false
         private set
@@ -185,8 +205,18 @@
     private fun digestName(server: BackendServer) = digestNames.getOrPut(server) { CompactName.of(server.value) }
 
     /** Stores the requests in flight of another gateway by back end; null if that gateway is no longer reachable. */
-    fun peerLoadReceived(gateway: ProcessName, counts: Map<BackendServer, Int>?): Unit =
+    fun peerLoadReceived(gateway: ProcessName, counts: Map<BackendServer, Int>?) {
         load.updateReported(gateway, counts)
+        places?.loadReported(gateway, counts)
+    }
+
+    /** Applies a message about places from another process. */
+    fun placeMessageReceived(message: PlaceMessage) {
+        places?.received(message)
+    }
+
+    /** Whether requests are placed without the owner of the places, because it does not answer. */
+    val isPlaceOwnerLost: Boolean get() = places?.isOwnerLost == true
 
     /** Serves one request: authenticates and routes it, then forwards it or responds with an error status. */
     fun serve(exchange: CallerExchange) {
@@ -242,26 +272,6 @@
         exchange.respond(status, headers, ByteArray(0))
     }
 
-    private fun choose(request: ChoiceRequest): BackendChoice {
-        val now = dependencies.clock.now()
-        val fleet = dependencies.fleet()
-        val terms = fleet.configuration?.services?.get(request.service) ?: return BackendChoice.NoneServing
-        val choiceContext = ChoiceContext(
-            fleet.table,
-            dependencies.gatewayShare(),
-            request.excluded,
-            sharedHealth?.avoidedGroups(progress.stalledGroups) ?: progress.stalledGroups,
-            request.isResuming,
-            now,
-        )
-        val model = request.model
-        return if (model != null && terms.pool != null) {
-            chooser.chooseGroup(terms, model, fleet.servingGroups(request.service, now), choiceContext)
-        } else {
-            chooser.chooseServer(terms, choiceContext)
-        }
-    }
-
     private fun send(
         backend: ChosenBackend,
         head: RequestHead,
@@ -326,6 +336,7 @@
     /** Serves waiting requests and finds groups whose streams make no progress; called several times a second. */
     fun checkProgress() {
         crashes.check()
+        places?.check()
         waiting.serve()
         endUnsendableRequests()
         progress.check(forwardTasks)
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -54,6 +54,7 @@
 import redwingcross.version.forwarding.SendToBackend
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.placement.LeaseEpoch
+import redwingcross.version.places.GatewayStart
 import sun.misc.Signal
 import java.net.InetSocketAddress
 import java.util.concurrent.CountDownLatch
@@ -182,6 +183,12 @@
             },
             log = events.info,
             sharedHealth = stalls?.dependencies,
+            places = placeNetwork(
+                GatewayStart(settings.node, startMillis),
+                { controller.heldLease?.record?.epoch?.value },
+                { peers },
+                metrics.countPlace,
+            ).takeIf { EdgeFeature.EVEN_PLACEMENT in settings.features },
         ),
         crashes,
         { bounds },
@@ -275,6 +282,7 @@
             fleetHealth = { gateway.sharedHealth?.pace?.digest() },
             onStallEvidence = { stalls?.onEvidence(it) },
             onStalledGroups = { stalls?.onStalledGroups(it) },
+            onPlaceMessage = gateway::placeMessageReceived,
         ),
         clock,
         random,
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -64,7 +64,12 @@
             finish("caller_left", "closed")
         }
         exchange.onWritable = { offer?.pending?.resumeReading() }
-        timer = context.runLater(job.deadline - context.clock.now(), ::deadlinePassed)
+        timer = context.runLater(job.deadline - context.clock.now()) {
+            if (!finished) {
+                cancelOffer()
+                finishWith(ForwardDecision.expired(state), "deadline")
+            }
+        }
         offer()
     }
 
@@ -80,7 +85,9 @@
         else -> null
     }
 
-    private fun offer() {
+    private fun offer() = context.beforeChoice(this) { if (!finished) offerNow() }
+
+    private fun offerNow() {
         val now = context.clock.now()
         reasonNotToSend(now)?.let { return finishWithout(it) }
         val choice = context.choose(choiceRequest())
@@ -219,12 +226,6 @@
         context.offerReleased(current.backend, this)
     }
 
-    private fun deadlinePassed() {
-        if (finished) return
-        cancelOffer()
-        finishWith(ForwardDecision.expired(state), "deadline")
-    }
-
     /** Ends the request with the answer that its state allows, because the process ends. */
     fun endForShutdown() {
         if (finished) return
