Let the number of groups of each model follow the demand

Cause: the number of groups of a model follows the configured share, also while one model lacks slots for long and groups of the other idle.

Change: DemandFormation (pure) smooths the demand, learns the lengths of surges, and moves groups of one model at a time if the slots gained over the expected rest of the surge exceed those lost while the engines change, both ways. Spares come first. FormationView carries its plan as an optional value; without the feature demand-formation it is null and every decision is as before. DemandFollower owns the state on the active controller. Under the feature, loads of empty engines go first where the fewest complete a group.

Ruled out: moving without staging first (its line lies at about 57 s), staging the other model on all spares ahead of any surge (they then replace no lost member).

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -6,6 +6,7 @@
 import redwingcross.request.ProcessName
 import redwingcross.request.ServiceName
 import redwingcross.version.fleet.CallNumber
+import redwingcross.version.fleet.DemandPlan
 import redwingcross.version.fleet.EngineReport
 import redwingcross.version.fleet.EngineTable
 import redwingcross.version.fleet.FleetConfiguration
@@ -116,6 +117,8 @@
     val stepLater: (Duration) -> Unit,
     /** Called when this process has become the active controller. */
     val becameController: () -> Unit,
+    /** What the demand for the models of a service asks of its groups; null if their configured shares decide. */
+    val demandPlan: (ServiceSpec, ModelPool, FormationState) -> DemandPlan? = { _, _, _ -> null },
 )
 
 /** Owns the controller lease of this process and, while the process holds it, forms and watches the serving groups. */
@@ -319,7 +322,9 @@
 
     private fun stepFormation(service: ServiceSpec, pool: ModelPool, epoch: LeaseEpoch): FormationState {
         val start = formations[service.name] ?: FormationState(epoch, epoch = firstEpoch(epoch), lastCall = lastCall)
-        val view = FormationView(dependencies.table(), service, pool, dependencies.trafficSeen(), FORMATION_SETTINGS)
+        val traffic = dependencies.trafficSeen()
+        val demand = if (traffic) dependencies.demandPlan(service, pool, start) else null
+        val view = FormationView(dependencies.table(), service, pool, traffic, FORMATION_SETTINGS, demand)
         val transition = FormationDecision.step(start, view, clock.now())
         formations = formations + (service.name to transition.state)
         lastGroupEpoch = maxOf(lastGroupEpoch, transition.state.epoch)
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -20,6 +20,9 @@
 import redwingcross.process.edge.CrashEvidenceDependencies
 import redwingcross.process.edge.CrashEvidenceRelay
 import redwingcross.process.edge.CrashReports
+import redwingcross.process.edge.DemandDependencies
+import redwingcross.process.edge.DemandFollower
+import redwingcross.process.edge.EdgeFeature
 import redwingcross.process.edge.EdgeSettings
 import redwingcross.process.edge.EventLog
 import redwingcross.process.edge.EventLoopTask
@@ -198,6 +201,16 @@
         events.info,
     )
     private val engines = EngineControl(controlClient::call, orderClient::call, clock, controllerPost, events.info)
+    private val demand: DemandFollower? =
+        if (EdgeFeature.DEMAND_FORMATION in settings.features) {
+            DemandFollower(
+                DemandDependencies({ fleet.table }, gateway::fleetLoad, { peers.isMajorityReachable }),
+                clock,
+                events.info,
+            )
+        } else {
+            null
+        }
     private val controller = ControllerTask(
         settings.node,
         "$startMillis",
@@ -226,6 +239,7 @@
             announce = relay::announce,
             stepLater = { delay -> runLater(delay) { controllerPost(ControllerMessage.Step) } },
             becameController = { peerPost(PeerTaskMessage.StateChanged) },
+            demandPlan = { service, pool, formation -> demand?.plan(service, pool, formation) },
         ),
         clock,
         events.info,
@@ -293,6 +307,7 @@
         Signal.handle(Signal("HUP")) { loop.execute { reload.check(signalled = true) } }
         peerSocket.start(InetSocketAddress(settings.ip, settings.internalPorts.first))
         observer.register(metrics, backendConnections)
+        demand?.let { metrics.gauge("redwingcross_group_moves") { it.movesInProgress } }
         listeners.start()
         loop.execute(::startTasks)
         stopped.await()
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
@@ -17,6 +17,8 @@
     /** Whether a caller's request was received; before the first one, loading weights is fast and has no cost. */
     val trafficStarted: Boolean,
     val settings: FormationSettings = FormationSettings(),
+    /** What the demand asks for; null if the configured shares alone decide. */
+    val demand: DemandPlan? = null,
 )
 
 /**
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationPlanner.kt
@@ -1,6 +1,7 @@
 package redwingcross.version.fleet
 
 import redwingcross.request.AvailabilityZone
+import redwingcross.request.BackendServer
 import redwingcross.request.ModelName
 import redwingcross.version.bundle.FabricDomain
 import kotlin.time.Duration.Companion.seconds
@@ -15,12 +16,24 @@
     private val engines = view.table.engines.values.filter { it.status.service == view.service.name }
     private val targetCounts = targetGroupCounts()
     private val free = freeByDomain()
+
+    /**
+     * Whether groups beyond the target may form in domains of another model: during traffic only engines with the
+     * weights are used, and these can replace no engine of the other model. They remain after a move that was given up.
+     */
+    private val mixesDomains = view.demand != null && view.trafficStarted
+    private val servedModels by lazy(LazyThreadSafetyMode.NONE) { step.servedModels() }
     private val domainHolders = HashMap<FabricDomain?, HolderCount>()
     private val zoneHolders = HashMap<AvailabilityZone, HolderCount>()
 
     /** Forms groups until none is possible; then stages weights on the remaining engines. */
     fun plan() {
-        if (free.isEmpty()) return
+        if (free.isNotEmpty()) formAndStage()
+        // A group move waits for replacements of lost engines, which load weights first.
+        view.demand?.stage?.forEach { (id, model) -> stageForMove(id, model) }
+    }
+
+    private fun formAndStage() {
         engines.forEach { engine -> step.modelOf(engine)?.let { countHolder(engine, it) } }
         var outcome = formNextGroup()
         while (outcome == FormOutcome.FORMED) outcome = formNextGroup()
@@ -28,6 +41,12 @@
         if (outcome == FormOutcome.NOTHING) stageSpares()
     }
 
+    private fun stageForMove(id: BackendServer, model: ModelName) {
+        val engine = view.table.engines[id]?.takeIf { id !in step.state.loads } ?: return
+        val spec = models.firstOrNull { it.name == model } ?: return
+        if (canStartLoads(1)) step.stage(engine, spec)
+    }
+
     private fun countHolder(engine: TrackedEngine, model: ModelName) {
         domainHolders.getOrPut(engine.status.domain, ::HolderCount).add(model)
         zoneHolders.getOrPut(engine.status.zone, ::HolderCount).add(model)
@@ -51,18 +70,17 @@
      */
     private fun reserveOf(model: ModelSpec): Int = (model.groupSize - 1) / ENGINES_PER_SPARE
 
-    /** Target number of groups of each model for the usable engines, less the fraction kept as spares; at least 1. */
+    /** Target number of groups of each model: the one that follows demand, or else the one of the configured share. */
     private fun targetGroupCounts(): Map<ModelSpec, Int> {
         val usable = engines.count { view.table.acceptsWork(it) && it.id !in step.state.lost }
-        val grouped = usable * (1 - view.settings.spareFraction)
-        val shares = models.sumOf { it.share }.takeIf { it > 0 } ?: return models.associateWith { 0 }
-        return models.associateWith { (grouped * it.share / shares / it.groupSize).toInt().coerceAtLeast(1) }
+        val configured = ConfiguredGroups.of(view.pool, usable, view.settings)
+        return configured.mapValues { (model, count) -> view.demand?.targets?.get(model.name) ?: count }
     }
 
     private fun formGroup(model: ModelSpec, reserve: Int): FormOutcome {
         val exceedsTarget = fillRatio(model) >= 1.0
         val candidates = free.mapNotNull { (domain, idle) -> membersFor(model, domain, idle, reserve) }
-            .filterNot { exceedsTarget && it.domain.ofOthers > 0 }
+            .filterNot { exceedsTarget && it.domain.ofOthers > 0 && !mixesDomains }
         val best = candidates.minWithOrNull(
             compareBy<Candidate> { if (view.trafficStarted) it.loads else 0 }
                 .thenBy { it.domain.ofOthers }
@@ -90,7 +108,8 @@
         val unstaged = free.filter { it.status.staged.isEmpty() }
         // During traffic a load would occupy the engine for too long, so only engines with staged weights are used.
         val usable = if (view.trafficStarted) staged else staged + unstaged
-        if (usable.size < model.groupSize + reserve) return null
+        val kept = if (mixesDomains && (domain to model.name) !in servedModels) 0 else reserve
+        if (usable.size < model.groupSize + kept) return null
         val members = usable.take(model.groupSize)
         val zone = members.first().status.zone
         return Candidate(
@@ -111,6 +130,7 @@
     }
 
     private fun stageSpares() {
+        if (view.demand != null) return stageMostUseful()
         for ((domain, idle) in free) {
             val unstaged = idle.filter { engine -> models.none { it.name in engine.status.staged } }
             for (engine in unstaged) {
@@ -122,6 +142,14 @@
         }
     }
 
+    private fun stageMostUseful() {
+        for ((engine, model) in StagingOrder(step, free, ::modelToStage).choices()) {
+            if (!canStartLoads(1)) return
+            step.stage(engine, model)
+            countHolder(engine, model.name)
+        }
+    }
+
     /** The model that most engines of the domain hold; if they hold none, the model that lacks most groups. */
     private fun modelToStage(domain: FabricDomain?): ModelSpec? = models.minWithOrNull(
         compareByDescending<ModelSpec> { model -> domainHolders[domain].holders(model.name).ofModel }
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
@@ -86,6 +86,8 @@
     val stage: GroupStage,
     /** Time at which [stage] was entered. */
     val since: Duration,
+    /** Whether the group is closed to give its engines to another model; its requests in flight are never rejected. */
+    val isRetiredForDemand: Boolean = false,
 )
 
 /** An unanswered order, or an unanswered report request if [order] is null. */
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationStep.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationStep.kt
@@ -9,6 +9,7 @@
 import redwingcross.request.GroupId
 import redwingcross.request.ModelName
 import redwingcross.request.Transition
+import redwingcross.version.bundle.FabricDomain
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -234,6 +235,13 @@
 internal fun FormationState.liveGroups(model: ModelName): Int =
     groups.values.count { it.model == model && it.stage != GroupStage.LOST && it.stage != GroupStage.RETIRING }
 
+/** The models of which groups exist, by fabric domain. */
+internal fun FormationStep.servedModels(): Set<Pair<FabricDomain?, ModelName>> = state.groups.values
+    .filter { it.stage != GroupStage.LOST }
+    .mapNotNullTo(HashSet()) { group ->
+        view.table.engines[group.members.first()]?.let { it.status.domain to group.model }
+    }
+
 /** Lost groups, whose streams must be moved to other groups. */
 fun FormationState.lostGroups(): Set<GroupId> =
     groups.values.filter { it.stage == GroupStage.LOST }.mapTo(mutableSetOf()) { it.id }
--- a/version/src/main/kotlin/redwingcross/version/fleet/GroupLifecycle.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/GroupLifecycle.kt
@@ -102,10 +102,20 @@
                 step.move(group, JOINING, "reason" to "open_not_done")
             broken != null -> step.move(group, LOST, "broken" to broken)
             group.members.any { leaves(it) } -> step.move(group, RETIRING)
+            view.demand?.retire == group.id && canRetire(group) ->
+                step.move(group.copy(isRetiredForDemand = true), RETIRING, "reason" to "demand")
             else -> Unit
         }
     }
 
+    /**
+     * Whether a group may be closed for another model now; the plan may be half a second old. At most one group moves
+     * at a time, the last two groups of a model never do, and none does during an evacuation.
+     */
+    private fun canRetire(group: FormedGroup): Boolean = view.table.evacuatedZones.isEmpty() &&
+        state.groups.values.none { it.isRetiredForDemand } &&
+        state.groups.values.count { it.model == group.model && it.stage == SERVING } > GROUPS_THAT_REMAIN
+
     private fun isStateKnown(id: BackendServer) = id !in state.needsReport && id !in state.calls
 
     /** Gateways send no new work to the group; its head is closed once requests in flight have arrived. */
@@ -118,11 +128,15 @@
             gone || phase == MemberPhase.READY || phase == MemberPhase.BROKEN ->
                 step.move(group, LOST, "reason" to "retired")
             phase == MemberPhase.OPEN && age > CLOSING_DELAY ->
-                step.send(head, FormationOrder.Close(group.id, group.epoch, age > view.settings.retireTimeout))
+                step.send(head, FormationOrder.Close(group.id, group.epoch, rejectsRunning(group, age)))
             else -> Unit
         }
     }
 
+    /** A group whose engines have to leave rejects its requests in the end; one that moves finishes all of them. */
+    private fun rejectsRunning(group: FormedGroup, age: Duration) = age > view.settings.retireTimeout &&
+        (!group.isRetiredForDemand || group.members.any { leaves(it) })
+
     private fun advanceLost(group: FormedGroup) {
         val present = group.members.filter { !step.isUnavailable(it) && view.table.phaseIn(group, it) != null }
         if (present.isEmpty()) {
@@ -153,6 +167,9 @@
     }
 
     private companion object {
+        /** Number of groups that always remain to a model. */
+        const val GROUPS_THAT_REMAIN = 2
+
         /** Time allowed beyond the expected opening time before a group is moved back to [JOINING]. */
         val OPENING_GRACE = 1000.milliseconds
 
