--- a/version/src/test/kotlin/redwingcross/version/fleet/DemandFormationTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/DemandFormationTest.kt
@@ -4,6 +4,7 @@
 import redwingcross.request.ModelName
 import kotlin.math.PI
 import kotlin.math.sin
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -166,6 +167,30 @@
         simulation.assertSound()
     }
 
+    /** Slot seconds for 8 seeds while two engines are lost every 3 s for a minute and all slots are wanted. */
+    private fun openUnderLosses(pool: ModelPool, domains: Int, size: Int, isOn: Boolean) = (1..8).map { seed ->
+        val simulation = DemandSimulation(pool, domains, size, isOn)
+        simulation.run(60.seconds, trafficStarted = false)
+        simulation.demand = { 10_000.0 }
+        simulation.served.clear()
+        repeat(20) {
+            simulation.replace(2, Random(100 * seed + it))
+            simulation.run(3.seconds)
+        }
+        simulation.assertSound()
+        simulation.served.values.sum()
+    }
+
+    @Test
+    fun `engines lost and replaced by empty ones leave more slots open than with loads in the order of the list`() {
+        val ebute = bagmati.copy(slots = 14, models = listOf(big.copy(groupSize = 8), compact.copy(groupSize = 2)))
+        for ((pool, domains, size) in listOf(Triple(bagmati, 6, 27), Triple(ebute, 9, 18))) {
+            val fixed = openUnderLosses(pool, domains, size, isOn = false)
+            val following = openUnderLosses(pool, domains, size, isOn = true)
+            assertTrue(following.average() > fixed.average(), "$fixed $following")
+        }
+    }
+
     @Test
     fun `a move for a surge pays only beyond the time that its engines need`() {
         val settings = DemandSettings()
--- a/version/src/test/kotlin/redwingcross/version/fleet/DemandSimulation.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/DemandSimulation.kt
@@ -4,6 +4,7 @@
 import redwingcross.request.GroupId
 import redwingcross.request.ModelName
 import redwingcross.version.placement.LeaseEpoch
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -20,7 +21,7 @@
 ) {
     var demand: (ModelName) -> Double = { 0.0 }
     var isDemandKnown = true
-    val engines = (0 until domains * enginesPerDomain).associate {
+    val engines = (0 until domains * enginesPerDomain).associateTo(LinkedHashMap()) {
         BackendServer("e$it") to FakeEngine(BackendServer("e$it"), "d${it / enginesPerDomain}")
     }
     private val gone = mutableSetOf<BackendServer>()
@@ -52,14 +53,22 @@
 
     fun moves(): List<String> = events.filter { it.event == "group_move_started" }.map { it.pairs.joinToString() }
 
-    fun ends(): List<Any?> = events.filter { it.event == "group_move_ended" }.map { it.pairs.toMap()["outcome"] }
-
     /** Ends an engine for good; the list shows it a second later. */
     fun lose(id: BackendServer) {
         gone += id
         pending += now + 1.seconds to { table = table.without(id) }
     }
 
+    /** Ends engines for good and adds as many empty ones in their domains. */
+    fun replace(count: Int, random: Random) {
+        engines.values.filter { it.id !in gone }.shuffled(random).take(count).forEach { former ->
+            lose(former.id)
+            val next = FakeEngine(BackendServer("e${engines.size}"), former.domain)
+            engines[next.id] = next
+            list(next)
+        }
+    }
+
     /** A successor without a state takes over; it knows the groups from the engines' entries. */
     fun takeOver() {
         formation = FormationState(LeaseEpoch(2), epoch = GroupEpoch(100_000))
