--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -20,7 +20,9 @@
 import redwingcross.process.edge.CrashEvidenceDependencies
 import redwingcross.process.edge.CrashEvidenceRelay
 import redwingcross.process.edge.CrashReports
+import redwingcross.process.edge.DemandDependencies
 import redwingcross.process.edge.DemandExchange
+import redwingcross.process.edge.DemandFollower
 import redwingcross.process.edge.EdgeFeature
 import redwingcross.process.edge.EdgeSettings
 import redwingcross.process.edge.EventLog
@@ -41,6 +43,7 @@
 import redwingcross.process.edge.WatchLagDetector
 import redwingcross.process.edge.WatchProgress
 import redwingcross.process.edge.configurationPause
+import redwingcross.process.edge.waitingModels
 import redwingcross.request.BackendServer
 import redwingcross.request.Checked
 import redwingcross.request.GroupId
@@ -218,6 +221,21 @@
         events.info,
     )
     private val engines = EngineControl(controlClient::call, orderClient::call, clock, controllerPost, events.info)
+    private val demandFollower: DemandFollower? =
+        if (EdgeFeature.DEMAND_FORMATION in settings.features) {
+            DemandFollower(
+                DemandDependencies(
+                    { fleet.table },
+                    gateway::fleetLoad,
+                    { peers.isMajorityReachable },
+                    { demand?.currentView?.waitingModels().orEmpty() },
+                ),
+                clock,
+                events.info,
+            )
+        } else {
+            null
+        }
     private val controller = ControllerTask(
         settings.node,
         "$startMillis",
@@ -246,6 +264,7 @@
             announce = relay::announce,
             stepLater = { delay -> runLater(delay) { controllerPost(ControllerMessage.Step) } },
             becameController = { peerPost(PeerTaskMessage.StateChanged) },
+            demandPlan = { service, pool, formation -> demandFollower?.plan(service, pool, formation) },
         ),
         clock,
         events.info,
@@ -321,6 +340,7 @@
         Signal.handle(Signal("HUP")) { loop.execute { reload.check(signalled = true) } }
         peerSocket.start(InetSocketAddress(settings.ip, settings.internalPorts.first))
         observer.register(metrics, backendConnections)
+        demandFollower?.let { metrics.gauge("redwingcross_group_moves") { it.movesInProgress } }
         listeners.start()
         loop.execute(::startTasks)
         stopped.await()
