--- a/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
@@ -115,7 +115,10 @@
         if (backend.group !in marks.at(now)) return
         val request = MovableRequest(task.hasProgressed, now - task.progressAt)
         if (!task.canBeMoved || !MoveDecision.shouldMove(request) || !dependencies.canMove(task)) return
-        if (!request.hasEvents) moved += MovedRequest(backend, task.inbound, now)
+        if (!request.hasEvents) {
+            moved.removeAll { now - it.at >= MOVED_LIFETIME }
+            moved += MovedRequest(backend, task.inbound, now)
+        }
         task.abandonStalled(if (request.hasEvents) OfferResult.Stalled else OfferResult.GroupLost, "group_stalled")
     }
 
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayStallTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayStallTest.kt
@@ -3,6 +3,7 @@
 import redwingcross.connection.http.CallerExchange
 import redwingcross.request.GroupId
 import redwingcross.request.ProcessName
+import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
@@ -25,7 +26,17 @@
 
     private fun nextGroup() = assertNotNull(assertNotNull(sends.poll(5, TimeUnit.SECONDS)).group)
 
-    private fun assertNotMoved() = assertNull(arrivals.poll(300, TimeUnit.MILLISECONDS), "the request was sent again")
+    private val all = setOf(GroupId("m.1-0"), GroupId("m.1-1"))
+
+    /** Marks the group of a request, or [marked], and checks that the group answers it. */
+    private fun assertStays(marked: Set<GroupId>? = null, request: () -> Socket) {
+        val caller = request()
+        mark(marked ?: setOf(nextGroup()))
+        val arrival = nextArrival()
+        assertNull(arrivals.poll(300, TimeUnit.MILLISECONDS), "the request was sent again")
+        arrival.respondSigned("id: 1\ndata: a\n\n")
+        assertTrue("data: a" in caller.readAnswer())
+    }
 
     private fun CallerExchange.beginEvents() = onLoop {
         beginStream(200, headers("Id" to "7", "Signed" to "1", "Content-Type" to "text/event-stream"))
@@ -49,35 +60,20 @@
     fun `a request stays at a marked group if no retry is left`() {
         retryExtra = 0.0
         startEngines(2)
-        val caller = generate("p1")
-        mark(setOf(nextGroup()))
-        val arrival = nextArrival()
-        assertNotMoved()
-        arrival.respondSigned("id: 1\ndata: a\n\n")
-        assertTrue("data: a" in caller.readAnswer())
+        assertStays { generate("p1") }
     }
 
     @Test
     fun `a request that must not run twice stays at a marked group`() {
         startEngines(2)
-        val caller = call("non-idempotent", fields = "Model: m\r\n")
-        mark(setOf(nextGroup()))
-        val arrival = nextArrival()
-        assertNotMoved()
-        arrival.respondSigned("done")
-        assertTrue("done" in caller.readAnswer())
+        assertStays { call("non-idempotent", fields = "Model: m\r\n") }
     }
 
     @Test
     fun `if all groups are marked they are used and nothing is moved`() {
         startEngines(2)
-        mark(setOf(GroupId("m.1-0"), GroupId("m.1-1")))
-        val caller = generate("p1")
-        val arrival = nextArrival()
-        mark(setOf(GroupId("m.1-0"), GroupId("m.1-1")))
-        assertNotMoved()
-        arrival.respondSigned("id: 1\ndata: a\n\n")
-        assertTrue("data: a" in caller.readAnswer())
+        mark(all)
+        assertStays(all) { generate("p1") }
     }
 
     @Test
--- a/process/src/test/kotlin/redwingcross/process/edge/SharedStallTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/SharedStallTest.kt
@@ -1,6 +1,7 @@
 package redwingcross.process.edge
 
 import redwingcross.request.GroupId
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -61,40 +62,20 @@
         }
     }
 
-    @Test
-    fun `a group that reads long prompts is marked for no longer than its silence lasts`() {
-        val replay = StallReplay(
-            ReplayedFleet(75, stepTime = { random ->
-                when (random.nextInt(20)) {
-                    0 -> 100.milliseconds + 50.milliseconds * random.nextDouble()
-                    1 -> 200.milliseconds + 100.milliseconds * random.nextDouble()
-                    else -> 40.milliseconds
-                }
-            }),
-            seed = 1,
-        )
-        replay.runUntil(10.seconds)
-        val times = replay.markTimes()
-        assertTrue(times.isNotEmpty() && times.max() < 300.milliseconds - SilenceDecision.SILENCE_LIMIT + SLACK)
-        assertEquals(emptySet(), (0 until 75).filter { replay.marked(it).size > 2 }.toSet())
+    /** A replay of ten seconds in which one of [oneOf] steps is a pause of the given time. */
+    private fun promptPauses(oneOf: Int, from: Duration, to: Duration): StallReplay {
+        val stepTime = { random: Random ->
+            if (random.nextInt(oneOf) == 0) from + (to - from) * random.nextDouble() else 40.milliseconds
+        }
+        return StallReplay(ReplayedFleet(109, stepTime = stepTime), seed = 1).also { it.runUntil(10.seconds) }
     }
 
     @Test
-    fun `prompts that delay events by up to 150 ms mark no group`() {
-        val replay = StallReplay(
-            ReplayedFleet(109, stepTime = { random ->
-                if (random.nextInt(5) ==
-                    0
-                ) {
-                    100.milliseconds + 50.milliseconds * random.nextDouble()
-                } else {
-                    40.milliseconds
-                }
-            }),
-            seed = 2,
-        )
-        replay.runUntil(10.seconds)
-        assertEquals(emptyList(), replay.logged.filter { it.second == "group_stalled" })
+    fun `a group that reads long prompts is marked for no longer than its silence lasts, and not below the limit`() {
+        val usual = promptPauses(oneOf = 5, 100.milliseconds, 150.milliseconds)
+        assertEquals(emptyList(), usual.logged.filter { it.second == "group_stalled" })
+        val times = promptPauses(oneOf = 20, 200.milliseconds, 300.milliseconds).markTimes()
+        assertTrue(times.isNotEmpty() && times.max() < 300.milliseconds - SilenceDecision.SILENCE_LIMIT + SLACK)
     }
 
     @Test
--- a/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
@@ -68,7 +68,6 @@
     )
 
     var now = Duration.ZERO
-        private set
     val requests = mutableListOf<Request>()
 
     /** Requests sent to each group, with the time. */
@@ -164,8 +163,7 @@
 
     private fun arrive() {
         runLater((1.seconds / REQUESTS_PER_SECOND) * -ln(1 - random.nextDouble())) {
-            val gateway = gateways.random(random)
-            Request(gateway).also { requests += it }.send()
+            Request(gateways.random(random)).also { requests += it }.send()
             arrive()
         }
     }
@@ -241,11 +239,8 @@
     inner class Request(private val gateway: Gateway) : WatchedRequest {
         val arrivedAt = now
         var sentAt = now
-            private set
         var firstEventAt: Duration? = null
-            private set
-        var sends = 0
-            private set
+        private var sends = 0
         private var received = 0
         private var current: Group? = null
         override val inbound = INBOUND
@@ -256,7 +251,9 @@
         override val canBeMoved get() = sends < 2
 
         internal fun send() {
-            val next = gateway.choose(setOfNotNull(group)) ?: return
+            val next = gateway.choose(setOfNotNull(group))
+            release()
+            if (next == null) return
             sends++
             sentAt = now
             progressAt = now
@@ -275,25 +272,19 @@
             hasProgressed = true
             progressAt = now
             if (firstEventAt == null) firstEventAt = now
-            if (++received == EVENTS) leave()
-        }
-
-        private fun leave() {
-            release()
-            gateway.tasks -= this
-            current = null
+            if (++received == EVENTS) release()
         }
 
         override fun abandonStalled(end: OfferResult, detail: String) {
-            if (!canBeMoved) return
-            release()
-            send()
+            if (canBeMoved) send()
         }
 
         private fun release() {
             val left = current ?: return
             left.running -= this
             gateway.running.merge(left.id, -1, Int::plus)
+            gateway.tasks -= this
+            current = null
         }
     }
 
