--- a/process/src/main/kotlin/redwingcross/process/edge/EdgeFeatures.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/EdgeFeatures.kt
@@ -8,7 +8,7 @@
     /** Name in the option and the environment variable that override the settings file. */
     val label: String,
 ) {
-    /** Groups are chosen from estimates that account for the age of the reported load. */
+    /** The active controller grants the slots of all groups, one for each request of a gateway. */
     EVEN_PLACEMENT("even-placement"),
 
     /** Waiting and refusing are decided from the demand of the whole fleet. */
