Count requests by customer and report them to the platform

Cause: the platform wants, for each window, the number of requests of each customer that back ends began to run, once and never in two versions. Change: gateways count runs, send cumulative counts to the holder of the controller lease, and the holder fixes each report in the store before it sends it.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -156,6 +156,12 @@
     /** Whether this process is the active controller. */
     val isActiveController: Boolean get() = activeEpoch != null
 
+    /**
+     * Epoch of the lease while it is valid by this process's clock; null otherwise, also while the store is unavailable
+     * and the process goes on as active controller.
+     */
+    val validEpoch: LeaseEpoch? get() = lease.validEpoch(clock.now())?.takeIf { it >= newestEpoch }
+
     /** Processes one message; called on the event loop only. */
     fun handle(message: ControllerMessage) {
         when (message) {
--- a/process/src/main/kotlin/redwingcross/process/edge/EdgeSettings.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/EdgeSettings.kt
@@ -1,5 +1,6 @@
 package redwingcross.process.edge
 
+import redwingcross.process.usage.UsageSettings
 import redwingcross.request.AvailabilityZone
 import redwingcross.request.ProcessName
 import redwingcross.request.forward.RetryBudgetLimits
@@ -28,6 +29,8 @@
     /** Whether the whole system starts for the first time. */
     val isFirstStart: Boolean = false,
     val features: EdgeFeatures = EdgeFeatures(),
+    /** Null unless the file has a `cloud` section. */
+    val usage: UsageSettings? = null,
 )
 
 /** Limits that the operator configures; they apply without a restart. The log contains its `toString`. */
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -59,6 +59,8 @@
     /** Called once for each forwarded request when it has ended. */
     val recordOutcome: (ForwardOutcome) -> Unit,
     val log: LogEvent,
+    /** Called when a back end's response shows that it began to run a request, once for each back end. */
+    val runBegan: (ForwardJob) -> Unit = {},
 )
 
 /** Admits requests from callers, chooses their back ends and monitors the progress of the streams in flight. */
@@ -115,6 +117,7 @@
         shutdown = shutdown,
         finished = ::finished,
         log = { event, pairs -> dependencies.log(event, pairs) },
+        runBegan = dependencies.runBegan,
     )
 
     /** Whether this gateway has received a request from a caller since its start. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -98,6 +98,8 @@
     /** The controller lease that the sender holds; null unless it is the active controller. */
     @SerialName("duty")
     val controllerLease: HeldControllerLease? = null,
+    /** The sender's clock, each second while usage is reported. */
+    val clock: ProcessClock? = null,
 ) : PeerMessage
 
 /**
@@ -123,6 +125,8 @@
     /** Progress of the sender's watches of the store. */
     val watchProgress: Map<UpdateSource, WatchProgress>,
     val controllerLease: HeldControllerLease?,
+    /** True time in Unix milliseconds; null unless usage is reported. */
+    val fleetMillis: Long? = null,
 ) : PeerMessage
 
 /** The controller lease that the sender of a heartbeat holds, with the version of its [record] in the store. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -64,6 +64,7 @@
     /** What this process knows of ended engines; a process that starts receives it from the active controller. */
     val crashEvidence: () -> CrashEvidence,
     val onCrashEvidence: (CrashEvidence) -> Unit,
+    val usage: UsageReception = UsageReception.none,
 )
 
 /** Owns this process's view of the other processes: sends heartbeats and passes received messages to other tasks. */
@@ -104,6 +105,9 @@
         .maxByOrNull { it.heartbeat?.controllerLease?.record?.epoch?.value ?: 0 }
         ?.record
 
+    /** Other processes that are next in line for the controller role, the first one first. */
+    val standbys: List<GatewayRecord> get() = table.standbys(clock.now())
+
     /** Other processes that sent a heartbeat recently. */
     fun alivePeers(): List<Peer> = table.alive(clock.now())
 
@@ -174,6 +178,7 @@
         if (digest.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(digest.watchProgress)
         digest.controllerLease?.let(::leaseReceived)
+        digest.fleetMillis?.let(dependencies.usage.onFleetMillis)
     }
 
     private fun leaseReceived(lease: HeldControllerLease) {
@@ -222,6 +227,7 @@
 
     private fun nextDigest(own: Heartbeat, lease: HeldControllerLease): FleetDigest =
         table.digest(own, lease, dependencies.fleetLoad(), ++digestsSent, clock.now())
+            .copy(fleetMillis = dependencies.usage.fleetMillis())
 
     /**
      * Tells a process that has just started who the active controller is, so that it can request its routes, and which
@@ -272,6 +278,7 @@
             is RoutesRequest -> dependencies.onRoutesRequest(message)
             is GroupSuspicion -> dependencies.onSuspicion(GroupId(message.group))
             is CrashReports -> dependencies.onCrashEvidence(message.evidence)
+            is UsageCounts -> dependencies.usage.onCounts(message)
         }
     }
 
@@ -288,6 +295,7 @@
         if (heartbeat.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(heartbeat.watchProgress)
         heartbeat.controllerLease?.let(::leaseReceived)
+        heartbeat.clock?.let { dependencies.usage.onClock(heartbeat.sender, it) }
     }
 
     private companion object {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMetrics.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMetrics.kt
@@ -25,6 +25,10 @@
         metrics.count("redwingcross_store_calls", mapOf("purpose" to purpose, "outcome" to outcome))
     }
 
+    /** Counts windows of the usage reports by outcome. */
+    fun countUsageWindows(outcome: String, windows: Int): Unit =
+        repeat(windows) { metrics.count("redwingcross_usage_windows", mapOf("outcome" to outcome)) }
+
     /** Records the delay between the scheduled and the actual run of a periodic action of the event loop. */
     fun recordLoopDelay(delay: Duration): Unit = metrics.record("redwingcross_loop_delay", emptyMap(), delay)
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -36,6 +36,7 @@
 import redwingcross.process.edge.PostMessage
 import redwingcross.process.edge.SettingsReload
 import redwingcross.process.edge.StartView
+import redwingcross.process.edge.UsageReception
 import redwingcross.process.edge.WatchLagDetector
 import redwingcross.process.edge.WatchProgress
 import redwingcross.process.edge.configurationPause
@@ -173,6 +174,7 @@
                 )
             },
             log = events.info,
+            runBegan = { usage?.runBegan(it) },
         ),
         crashes,
         { bounds },
@@ -230,6 +232,20 @@
         clock,
         events.info,
     )
+    private val usage: UsageReports? = UsageReports.create(
+        UsageEnvironment(
+            settings,
+            self,
+            loop as io.netty.channel.EventLoop,
+            clock,
+            events,
+            metrics,
+            controlClient::call,
+            platform,
+            { controller },
+            { peers },
+        ),
+    )
     private val peers: PeerTask = PeerTask(
         self,
         PeerDependencies(
@@ -256,6 +272,7 @@
             onLease = postLease,
             crashEvidence = crashes::evidence,
             onCrashEvidence = { if (crashes.received(it)) crashRelay.onReceivedChange() },
+            usage = usage?.reception ?: UsageReception.none,
         ),
         clock,
         random,
@@ -322,6 +339,7 @@
         relay.updateServerSource(peers.rank, controller.isActiveController)
         gateway.checkProgress()
         crashRelay.sendIfDue()
+        usage?.check()
     }
 
     private fun startView() = StartView(
@@ -360,6 +378,7 @@
         watchProgress = platform.progress(),
         load = gateway.reportLoad().entries.associate { (server, count) -> server.value to count },
         controllerLease = controller.heldLease,
+        clock = usage?.clockIfDue(),
     )
 
     private fun restartLaggingWatches(other: Map<UpdateSource, WatchProgress>) {
@@ -411,6 +430,7 @@
         controllerPost(ControllerMessage.Release)
         peerPost(PeerTaskMessage.StateChanged)
         val end = {
+            usage?.flush()
             stopped.countDown()
             Runtime.getRuntime().halt(0)
         }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/FleetUpdateLog.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/FleetUpdateLog.kt
@@ -2,16 +2,22 @@
 
 import redwingcross.process.edge.EventLog
 import redwingcross.process.edge.FleetState
+import redwingcross.request.ServiceName
 import redwingcross.version.fleet.FleetUpdate
+import redwingcross.version.fleet.ServiceSpec
 import kotlin.time.Duration
 
 /** Logs what an update from the store changed in the view of the fleet. */
 internal class FleetUpdateLog(private val events: EventLog) {
+    private val scalingLogged = HashSet<ServiceName>()
+
     fun record(update: FleetUpdate, before: FleetState, after: FleetState, now: Duration) {
         val lostAt = before.storeLostAt
         when {
-            before.configuration !== after.configuration ->
+            before.configuration !== after.configuration -> {
                 events.info("configuration_adopted", arrayOf("version" to after.configuration?.version?.value))
+                after.configuration?.services?.values?.forEach(::recordScaling)
+            }
             before.table.evacuatedZones != after.table.evacuatedZones ->
                 events.info("zones_out", arrayOf("zones" to after.table.evacuatedZones.joinToString(",")))
             lostAt == null && after.storeLostAt != null -> events.warn("store_lost", arrayOf("news" to update))
@@ -23,4 +29,14 @@
             else -> Unit
         }
     }
+
+    private fun recordScaling(service: ServiceSpec) {
+        val scaling = service.scaling ?: return
+        if (!scalingLogged.add(service.name)) return
+        val detail = "back ends are not scaled by this version"
+        events.warn(
+            "scaling_not_supported",
+            arrayOf("service" to service.name, "scaling" to scaling, "detail" to detail),
+        )
+    }
 }
--- a/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
@@ -1,5 +1,6 @@
 package redwingcross.version.fleet
 
+import redwingcross.request.AvailabilityZone
 import redwingcross.request.Customer
 import redwingcross.request.ModelName
 import redwingcross.request.ServiceName
@@ -92,6 +93,8 @@
     val coldRequestsPerSecond: Double,
     /** Null unless the back ends are model engines. */
     val pool: ModelPool?,
+    /** Null unless the platform offers to change the number of back ends; the product does not use it. */
+    val scaling: ScalingSpec? = null,
 ) {
     /**
      * Number of idle connections that each of [gateways] gateways may keep open to a back end. Half of the back end's
@@ -100,6 +103,15 @@
     fun idleConnections(gateways: Int): Int = maximumConnections / 2 / gateways.coerceAtLeast(1)
 }
 
+/** Limits within which the platform would change the number of back ends of a service. */
+data class ScalingSpec(
+    /** By zone; the key null stands for each zone. */
+    val minimum: Map<AvailabilityZone?, Int>,
+    val maximum: Map<AvailabilityZone?, Int>,
+    /** Time until a new back end can be used; null if not stated. */
+    val bootTime: Duration?,
+)
+
 /** Properties common to all engines of a service. Slots and times apply to a whole serving group. */
 data class ModelPool(
     /** Requests that a group serves at the same time. */
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -54,4 +54,6 @@
     val shutdown: ShutdownAdmission,
     val finished: (ForwardTask, ForwardOutcome) -> Unit,
     val log: (event: String, pairs: Array<Pair<String, Any?>>) -> Unit,
+    /** Called when a back end's response shows that it began to run the request, once for each back end. */
+    val runBegan: (ForwardJob) -> Unit = {},
 )
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -10,6 +10,7 @@
 import redwingcross.request.forward.ForwardState
 import redwingcross.request.forward.ForwardStep
 import redwingcross.request.forward.OfferResult
+import redwingcross.request.stream.EventBatch
 import redwingcross.request.stream.EventSplitter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -272,6 +273,7 @@
             metadata.coldFor?.let { context.coldReported(backend.server, it) }
             metadata.faultyEngine?.let { context.faultReported(backend, it) }
             val rejection = ResponseCheck.ofHead(head, metadata, state, response.begunHead)
+            if (!isStream && ResponseCheck.showsRun(head, metadata)) context.runBegan(job)
             if (rejection != null) reject(rejection) else isError = !ResponseCheck.isSuccess(head)
         }
 
@@ -306,6 +308,7 @@
             val batch = splitter.accept(bytes)
             if (splitter.pendingBytes > MAX_COLLECTED_BYTES) return reject(OfferResult.Lost, "event_too_long")
             if (batch == null) return
+            countRun(batch)
             val now = context.clock.now()
             ResponseCheck.ofEvents(batch, lastEventId, isFirst = !hasEvents)?.let { return reject(it) }
             if (hasEvents) context.health.recordPause(backend.server, backend.kind, now - progressAt)
@@ -322,6 +325,10 @@
             if (!exchange.isWritable) pending?.pauseReading()
         }
 
+        private fun countRun(batch: EventBatch) {
+            if (!hasEvents && batch.events > 0) context.runBegan(job)
+        }
+
         // An engine may send comments before it ends under the request, so they don't begin the response.
         private fun holdComments(bytes: ByteArray) {
             response.collect(bytes)
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ResponseCheck.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ResponseCheck.kt
@@ -14,6 +14,15 @@
 
     fun isSuccess(head: ResponseHead): Boolean = head.status in SUCCESS
 
+    /**
+     * Whether the response of a plain service shows that the back end ran the request: it is certainly this request's,
+     * comes from the back end, and doesn't state that the request was not run.
+     */
+    fun showsRun(head: ResponseHead, metadata: ResponseMetadata): Boolean = metadata.isIdentified &&
+        !metadata.declined &&
+        !metadata.misdirected &&
+        (metadata.signed || !isSuccess(head))
+
     /**
      * Checks the head of a response. [begunHead] is the head of the response whose stream was begun to the caller; null
      * if none was begun.
