--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -47,6 +47,7 @@
 import redwingcross.version.forwarding.BackendNotice
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.forwarding.ChosenBackend
+import redwingcross.version.forwarding.ForwardJob
 import redwingcross.version.forwarding.ForwardOutcome
 import redwingcross.version.forwarding.RequestCodec
 import redwingcross.version.forwarding.ResponseMetadata
@@ -79,6 +80,9 @@
     private val app = ServiceName("app")
     protected val arrivals = LinkedBlockingQueue<CallerExchange>()
     protected val outcomes = LinkedBlockingQueue<ForwardOutcome>()
+
+    /** Requests that back ends began to run. */
+    protected val begun = LinkedBlockingQueue<ForwardJob>()
     private val listeners = mutableListOf<CallerListener>()
     private val rawArrivals = LinkedBlockingQueue<RawArrival>()
 
@@ -146,6 +150,7 @@
         coldReported = { _, _ -> },
         recordOutcome = outcomes::put,
         log = { _, _ -> },
+        runBegan = begun::put,
     )
 
     private fun recording(listener: ResponseListener) = object : ResponseListener by listener {
--- a/process/src/test/kotlin/redwingcross/process/edge/MalformedPeerMessageProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/MalformedPeerMessageProperties.kt
@@ -10,6 +10,7 @@
 import redwingcross.process.crash.CrashReport
 import redwingcross.process.crash.LiftReport
 import redwingcross.process.crash.RequestReport
+import redwingcross.process.usage.UsageSettings
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
@@ -53,6 +54,7 @@
             watchProgress = progress,
             load = mapOf("e1" to 9),
             controllerLease = lease,
+            clock = ProcessClock(1_800_000_000_000, 5_000),
         ),
         FleetDigest(
             sender,
@@ -63,6 +65,7 @@
             trafficSeen = true,
             watchProgress = progress,
             controllerLease = lease,
+            fleetMillis = 1_800_000_000_000,
         ),
         GroupAnnouncement(
             sender,
@@ -84,6 +87,25 @@
         RoutesRequest(sender, "pool"),
         GroupSuspicion(sender, "m.3-1"),
         CrashReports(sender, evidence),
+        UsageCounts(sender, listOf(WindowCounts(360_000_000, mapOf("ana" to 3)))),
+    )
+
+    private val usage = UsageTask(
+        self,
+        UsageSettings(null),
+        isFirstStart = false,
+        UsageDependencies(
+            wallMillis = { 1_800_000_000_000 },
+            validEpoch = { LeaseEpoch(1) },
+            isActiveController = { true },
+            fleetSize = { 1 },
+            receivers = { emptyList() },
+            send = { _, _ -> },
+            call = {},
+            countWindows = { _, _ -> },
+            log = { event, _ -> logged += event },
+        ),
+        MonotonicClock { now },
     )
 
     private val task = PeerTask(
@@ -105,6 +127,12 @@
             onLease = {},
             crashEvidence = { CrashAttribution.evidence(ledger, now) },
             onCrashEvidence = { ledger = CrashAttribution.merged(ledger, it, now) },
+            usage = UsageReception(
+                { sender, clock -> usage.handle(UsageTaskMessage.ClockHeard(sender, clock)) },
+                { usage.handle(UsageTaskMessage.TimeAnnounced(it)) },
+                { usage.handle(UsageTaskMessage.CountsReceived(it)) },
+                { usage.fleetMillis() },
+            ),
         ),
         MonotonicClock { now },
         Random(1),
@@ -147,6 +175,7 @@
             receive(random.nextBytes(random.nextInt(64)))
             now += 20.milliseconds
             task.handle(PeerTaskMessage.Tick)
+            usage.handle(UsageTaskMessage.Check)
         }
         CrashAttribution.blocked(ledger, now)
         assertHandlesMessages()
--- a/process/src/test/kotlin/redwingcross/process/usage/UsageProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/usage/UsageProperties.kt
@@ -7,6 +7,7 @@
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
 import net.jqwik.api.ShrinkingMode
+import kotlin.random.Random
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -64,6 +65,37 @@
         assertTrue(simulation.checkReported(calmFrom + 5.seconds) >= 3)
     }
 
+    @Property(seed = "6103", tries = 60, shrinking = ShrinkingMode.OFF)
+    fun `holders that follow each other quickly never act in turn`(@ForAll seed: Long) {
+        val random = Random(seed)
+        val simulation = UsageSimulation(seed)
+        simulation.run(12.seconds)
+        simulation.cloudBusyUntil = simulation.now + 30.seconds
+        simulation.cloudLosesUntil = simulation.cloudBusyUntil
+        while (simulation.now < simulation.cloudBusyUntil) {
+            simulation.run(random.nextInt(4, 80).times(100).milliseconds)
+            simulation.processes.forEach { it.release() }
+        }
+        simulation.run(30.seconds)
+        assertTrue(simulation.checkReported(44.seconds) >= 2)
+    }
+
+    @Property(seed = "6104", tries = 60, shrinking = ShrinkingMode.OFF)
+    fun `the end of the holder loses no counts that are older than a second`(@ForAll seed: Long) {
+        val simulation = UsageSimulation(seed)
+        simulation.run(10.seconds)
+        repeat(4) {
+            val holder = simulation.processes.first { it.isHolder }
+            holder.isIdle = true
+            simulation.run(1300.milliseconds)
+            holder.restart(2.seconds)
+            holder.isIdle = false
+            simulation.run(13.seconds)
+        }
+        simulation.run(15.seconds)
+        assertTrue(simulation.checkReported(5.seconds) >= 10)
+    }
+
     @Property(seed = "6102", tries = 60, shrinking = ShrinkingMode.OFF)
     fun `planned restarts, takeovers and a clock that is set lose no request`(@ForAll seed: Long) {
         val simulation = UsageSimulation(seed)
--- /dev/null
+++ b/process/src/test/kotlin/redwingcross/process/usage/UsageReporterTest.kt
@@ -0,0 +1,140 @@
+package redwingcross.process.usage
+
+import redwingcross.request.Customer
+import redwingcross.version.placement.LeaseEpoch
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against single decisions of the holder that the simulation reaches only by chance. */
+class UsageReporterTest {
+    private val bounds = UsageBounds()
+    private val length = bounds.windowLength
+    private val offset = ClockOffset(1_800_000_000_000)
+    private val window = UsageWindow(360_000_000)
+    private val process = CountingProcess("n", 1)
+    private val customer = Customer("ana")
+    private var ledger = UsageLedger(length)
+    private var state = UsageReporterState(bounds, 20.milliseconds)
+    private var now = Duration.ZERO
+
+    private fun count(window: UsageWindow, count: Int, at: Duration) {
+        val counts = ReportedCounts(process, mapOf(window to mapOf(customer to count)))
+        ledger = checkNotNull(ledger.merged(counts, offset.timeAt(at), at))
+    }
+
+    private var epoch = LeaseEpoch(4)
+
+    private fun step(message: UsageMessage, at: Duration = now): List<UsageEffect> {
+        now = at
+        val view = UsageView(epoch, offset.timeAt(now), ledger)
+        val transition = UsageReporter.step(state, message, view, now)
+        state = transition.state
+        return transition.effects
+    }
+
+    private fun tick(at: Duration) = step(UsageMessage.Tick, at)
+
+    /** Takes the lease and answers the reads; no report is stored but that of [stored]. Returns the last effects. */
+    private fun takeOver(since: Duration = -10.seconds, stored: UsageWindow? = null): List<UsageEffect> {
+        ledger = ledger.heard(process, offset.timeAt(since), now)
+        tick(now)
+        var effects = tick(now + 3.seconds)
+        while (true) {
+            val read = effects.filterIsInstance<UsageEffect.Read>().firstOrNull() ?: return effects
+            val found = StoredReport(UsageReport(read.window, emptyMap()), read.window)
+            val isFound = read.window == stored
+            effects = step(if (isFound) UsageMessage.Existed(read.call, found) else UsageMessage.Absent(read.call))
+        }
+    }
+
+    /** The send of the only report that is due now. */
+    private fun sendAfterCreate(at: Duration): UsageEffect.Send {
+        val create = assertIs<UsageEffect.Create>(tick(at).single())
+        return assertIs<UsageEffect.Send>(step(UsageMessage.Created(create.call)).last())
+    }
+
+    @Test
+    fun `a window waits for its gateways and is fixed without one that stays silent`() {
+        takeOver()
+        count(window, 3, at = 4.seconds)
+        assertEquals(emptyList(), tick(7.6.seconds), "the gateway was not heard since the end of the window")
+        assertEquals(emptyList(), tick(9.9.seconds))
+        assertEquals(mapOf(customer to 3), sendAfterCreate(10.seconds).report.counts)
+    }
+
+    @Test
+    fun `a report is repeated with growing pauses and given up after its expiry`() {
+        takeOver()
+        count(window, 3, at = 7.3.seconds)
+        var send = sendAfterCreate(7.6.seconds)
+        for ((sends, pause) in listOf(250, 500, 1000, 2000, 2000).withIndex()) {
+            step(UsageMessage.SendFailed(send.call))
+            assertEquals(emptyList(), tick(now + (pause - 10).milliseconds))
+            send = assertIs(tick(now + 10.milliseconds).single())
+            assertEquals(sends + 2, send.sends)
+        }
+        step(UsageMessage.SendFailed(send.call))
+        assertEquals(listOf(UsageEffect.Missed(window, fixed = true, sends = 6)), tick(65.1.seconds))
+    }
+
+    @Test
+    fun `a report that the platform refuses does not hold up the others`() {
+        takeOver()
+        count(window, 3, at = 7.3.seconds)
+        val first = sendAfterCreate(7.6.seconds)
+        count(window + 1, 5, at = 12.3.seconds)
+        val others = step(UsageMessage.SendRejected(first.call), 12.6.seconds)
+        val create = others.filterIsInstance<UsageEffect.Create>().single()
+        val second = assertIs<UsageEffect.Send>(step(UsageMessage.Created(create.call)).last())
+        assertEquals(window + 1, second.report.window)
+        assertEquals(window, create.stored.settledBefore, "the first report is not settled")
+        val reported = step(UsageMessage.Acknowledged(second.call), 13.seconds).first()
+        assertEquals(UsageEffect.Reported(second.report, 1, 3.seconds, isLate = false), reported)
+        assertEquals(window, assertIs<UsageEffect.Send>(tick(14.7.seconds).single()).report.window)
+    }
+
+    @Test
+    fun `requests that are counted after the report are stated as a difference`() {
+        takeOver()
+        count(window, 3, at = 7.3.seconds)
+        val send = sendAfterCreate(7.6.seconds)
+        step(UsageMessage.Acknowledged(send.call))
+        count(window, 5, at = 9.seconds)
+        assertEquals(listOf(UsageEffect.Difference(window, counted = 5, reported = 3)), tick(65.1.seconds))
+    }
+
+    @Test
+    fun `a process that holds the lease again reads what others have stored meanwhile`() {
+        takeOver()
+        count(window, 3, at = 7.3.seconds)
+        val send = sendAfterCreate(7.6.seconds)
+        epoch = LeaseEpoch(6)
+        assertEquals(listOf(UsageEffect.HolderStarted(epoch, 3.seconds)), tick(8.seconds))
+        assertEquals(emptyList(), step(UsageMessage.Acknowledged(send.call)), "a call of the former epoch")
+        assertEquals(emptyList(), tick(10.9.seconds))
+        assertIs<UsageEffect.Read>(tick(11.seconds).single())
+    }
+
+    @Test
+    fun `a window with an unreadable object is never sent with another content`() {
+        takeOver()
+        count(window, 3, at = 7.3.seconds)
+        val create = assertIs<UsageEffect.Create>(tick(7.6.seconds).single())
+        val missed = UsageEffect.Missed(window, fixed = true, sends = 0)
+        assertEquals(listOf(missed), step(UsageMessage.Existed(create.call, null)))
+        assertEquals(emptyList(), tick(20.seconds))
+    }
+
+    @Test
+    fun `windows whose counts were lost with all processes are logged and not reported`() {
+        val effects = takeOver(since = 1.seconds, stored = window + -3)
+        assertTrue(UsageEffect.Lost(window + -2, window) in effects, "$effects")
+        count(window, 3, at = 7.3.seconds)
+        assertEquals(emptyList(), tick(8.seconds).filterIsInstance<UsageEffect.Create>())
+    }
+}
--- a/process/src/test/kotlin/redwingcross/process/usage/UsageSimulation.kt
+++ b/process/src/test/kotlin/redwingcross/process/usage/UsageSimulation.kt
@@ -96,6 +96,10 @@
         private var ownEpoch = 0L
         private var ticks = 0
         private var isStopping = false
+
+        /** Whether no requests begin at this process. */
+        var isIdle = false
+        val isHolder get() = holder === this
         private var isRunning = true
         private val inbox = ArrayDeque<() -> Unit>()
         private var usage = newTask()
@@ -145,11 +149,19 @@
             pause(pause)
         }
 
+        /** Gives up the lease, which the next process may then take at once. */
+        fun release() {
+            if (holder !== this) return
+            validUntil = Duration.ZERO
+            ownEpoch = 0
+            renewedAt = now - 1100.milliseconds
+        }
+
         /** A planned stop: the process releases the lease, serves for 2 s more and sends its last counts. */
         fun restartGracefully() {
             isStopping = true
+            release()
             validUntil = Duration.ZERO
-            if (holder === this) renewedAt = -Duration.INFINITE
             after(2.seconds) {
                 isStopping = false
                 if (isRunning) usage.handle(UsageTaskMessage.Flush)
@@ -177,10 +189,10 @@
 
         private fun renewLease() {
             if (isStopping || now < cutOffUntil || now < storeDownUntil) return
-            val isHolder = holder === this && holderStart == starts && ownEpoch == epoch
-            if (isHolder && now - renewedAt >= 500.milliseconds) {
+            val holdsLease = holder === this && holderStart == starts && ownEpoch == epoch
+            if (holdsLease && now - renewedAt >= 500.milliseconds) {
                 renewedAt = now
-            } else if (!isHolder && now - renewedAt >= 1200.milliseconds + 100.milliseconds * index) {
+            } else if (!holdsLease && now - renewedAt >= 1200.milliseconds + 100.milliseconds * index) {
                 holder = this
                 holderStart = starts
                 ownEpoch = ++epoch
@@ -194,7 +206,7 @@
         private fun beginRequests() {
             val age = trueTime() - length.startOf(length.windowAt(trueTime()))
             // The median is known to some milliseconds only, so nothing begins next to a change of windows.
-            if (age < 200.milliseconds || age > 4800.milliseconds) return
+            if (isIdle || age < 200.milliseconds || age > 4800.milliseconds) return
             repeat(random.nextInt(0, 3)) {
                 val customer = Customer("c${random.nextInt(3)}")
                 truth.getOrPut(length.windowAt(trueTime()), ::HashMap).merge(customer, 1, Int::plus)
--- a/programs/edge/src/main/kotlin/redwingcross/edge/TrainingMain.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/TrainingMain.kt
@@ -32,6 +32,7 @@
     "redwingcross.process.crash.",
     "redwingcross.process.edge.",
     "redwingcross.process.metrics.",
+    "redwingcross.process.usage.",
     "redwingcross.request.",
     "redwingcross.version.fleet.",
     "redwingcross.version.forwarding.",
--- a/programs/edge/src/main/kotlin/redwingcross/edge/UsageReports.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/UsageReports.kt
@@ -115,7 +115,7 @@
             }
             val endpoint = RemoteEndpoint(cloud.toSocketAddress(), cloud.value)
             val count: CountStoreCall = environment.metrics.countStoreCall
-            val store = environment.platform.usageReports()
+            val store = environment.platform.usageReports
             val calls = UsageCalls(environment.settings.node, endpoint, environment.httpCall, store, count)
             return UsageReports(environment, settings, calls)
         }
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/EdgeNode.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/EdgeNode.kt
@@ -10,7 +10,14 @@
 import java.nio.file.Path
 
 /** Simulated edge VM: the settings of its process, its link to the store and the current process. */
-internal class EdgeNode(index: Int, subnet: Int, private val folder: Path, val storeLink: LinkProxy) : AutoCloseable {
+internal class EdgeNode(
+    index: Int,
+    subnet: Int,
+    private val folder: Path,
+    val storeLink: LinkProxy,
+    /** Further lines of the settings file. */
+    private val furtherSettings: String = "",
+) : AutoCloseable {
     val name = "edge-$index"
     val ip = "127.0.$subnet.${index + 1}"
     private val settings = folder.resolve("$name.yaml")
@@ -78,7 +85,7 @@
           stall-ms: ${EngineStandin.STALL_MILLIS}
           ttl_max_s: 5
         platform: { addr: "127.0.0.1:${storeLink.address.port}", writes-per-s: 400, reads-per-s: 2000 }
-    """.trimIndent()
+    """.trimIndent() + "\n$furtherSettings\n"
 
     companion object {
         const val CALLER_PORT = 8227
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.nio.NioEventLoopGroup
 import kotlinx.serialization.json.Json
+import redwingcross.connection.http.CallerExchange
 import redwingcross.systemtests.platform.EngineAddress
 import redwingcross.systemtests.platform.EngineEntry
 import redwingcross.systemtests.platform.EngineStandin
@@ -22,7 +23,13 @@
  * Runs edge processes against stand-ins for the platform's store and engines. Concurrent deployments need different
  * values of `subnet`, the third octet of their loopback addresses.
  */
-internal class SoakDeployment(private val logs: Path, subnet: Int, nodeCount: Int) : AutoCloseable {
+internal class SoakDeployment(
+    private val logs: Path,
+    subnet: Int,
+    nodeCount: Int,
+    /** Serves the calls to the platform's usage reports; null if the settings of the edges state none. */
+    cloud: ((CallerExchange) -> Unit)? = null,
+) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
     private val store = StoreStandin(loop)
@@ -36,7 +43,10 @@
         // exceptions() would otherwise report log lines of an earlier run.
         logs.toFile().deleteRecursively()
         Files.createDirectories(logs)
-        nodes = List(nodeCount) { EdgeNode(it, subnet, logs, LinkProxy(loop, storeAddress)) }
+        val settings = cloud?.let { serve ->
+            "cloud: { addr: \"127.0.0.1:${fabric.listen(serve).port}\", duties: [usage_report] }"
+        }
+        nodes = List(nodeCount) { EdgeNode(it, subnet, logs, LinkProxy(loop, storeAddress), settings.orEmpty()) }
     }
 
     /** Caller addresses from the latest successful lookup; empty if no edge responded to it. */
