--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -60,6 +60,8 @@
     val sharedHealth: SharedHealthDependencies? = null,
     /** Reaches the owner of the places; null if groups are chosen without it. */
     val places: PlaceNetwork? = null,
+    /** Called when a back end's response shows that it began to run a request, once for each back end. */
+    val runBegan: (ForwardJob) -> Unit = {},
 )
 
 /** Admits requests from callers, chooses their back ends and monitors the progress of the streams in flight. */
@@ -152,6 +154,7 @@
             sharedHealth?.progressed(backend, pause, isFirst)
         },
         log = { event, pairs -> dependencies.log(event, pairs) },
+        runBegan = dependencies.runBegan,
     )
 
     /** What this gateway shares of the health of groups; null if the feature is off. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -104,6 +104,8 @@
     /** What the sender measured of groups since its last heartbeat, see [PaceExchange]; null if nothing. */
     @ByteString
     val health: ByteArray? = null,
+    /** The sender's clock, each second while usage is reported. */
+    val clock: ProcessClock? = null,
 ) : PeerMessage
 
 /**
@@ -137,6 +139,8 @@
     /** Merged pace of the groups that don't need the usual time, by head, in eighths, as [CompactCounts]. */
     @ByteString
     val health: ByteArray? = null,
+    /** True time in Unix milliseconds; null unless usage is reported. */
+    val fleetMillis: Long? = null,
 ) : PeerMessage
 
 /** The controller lease that the sender of a heartbeat holds, with the version of its [record] in the store. */
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -77,6 +77,7 @@
     /** Called when the active controller announces the groups that make no progress. */
     val onStalledGroups: (StalledGroups) -> Unit = {},
     val onPlaceMessage: (PlaceMessage) -> Unit = {},
+    val usage: UsageReception = UsageReception.none,
 )
 
 /** Owns this process's view of the other processes: sends heartbeats and passes received messages to other tasks. */
@@ -120,6 +121,9 @@
         .maxByOrNull { it.heartbeat?.controllerLease?.record?.epoch?.value ?: 0 }
         ?.record
 
+    /** Other processes that are next in line for the controller role, the first one first. */
+    val standbys: List<GatewayRecord> get() = table.standbys(clock.now())
+
     /** Other processes that sent a heartbeat recently. */
     fun alivePeers(): List<Peer> = table.alive(clock.now())
 
@@ -194,6 +198,7 @@
         if (digest.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(digest.watchProgress)
         digest.controllerLease?.let(::leaseReceived)
+        digest.fleetMillis?.let(dependencies.usage.onFleetMillis)
     }
 
     private fun leaseReceived(lease: HeldControllerLease) {
@@ -242,7 +247,7 @@
 
     private fun nextDigest(own: Heartbeat, lease: HeldControllerLease): FleetDigest =
         table.digest(own, lease, dependencies.fleetLoad(), ++digestsSent, clock.now())
-            .copy(health = dependencies.fleetHealth())
+            .copy(health = dependencies.fleetHealth(), fleetMillis = dependencies.usage.fleetMillis())
             .let { dependencies.demand?.complete(it) ?: it }
 
     /**
@@ -299,6 +304,7 @@
             is CrashReports -> dependencies.onCrashEvidence(message.evidence)
             is StallEvidence -> dependencies.onStallEvidence(message)
             is StalledGroups -> dependencies.onStalledGroups(message)
+            is UsageCounts -> dependencies.usage.onCounts(message)
         }
     }
 
@@ -317,6 +323,7 @@
         if (heartbeat.trafficSeen) dependencies.onTrafficSeen()
         dependencies.onWatchProgress(heartbeat.watchProgress)
         heartbeat.controllerLease?.let(::leaseReceived)
+        heartbeat.clock?.let { dependencies.usage.onClock(heartbeat.sender, it) }
     }
 
     private companion object {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -40,6 +40,7 @@
 import redwingcross.process.edge.PostMessage
 import redwingcross.process.edge.SettingsReload
 import redwingcross.process.edge.StartView
+import redwingcross.process.edge.UsageReception
 import redwingcross.process.edge.WatchLagDetector
 import redwingcross.process.edge.WatchProgress
 import redwingcross.process.edge.configurationPause
@@ -192,6 +193,7 @@
                 { peers },
                 metrics.countPlace,
             ).takeIf { EdgeFeature.EVEN_PLACEMENT in settings.features },
+            runBegan = { usage?.runBegan(it) },
         ),
         crashes,
         { bounds },
@@ -269,6 +271,20 @@
         clock,
         events.info,
     )
+    private val usage: UsageReports? = UsageReports.create(
+        UsageEnvironment(
+            settings,
+            self,
+            loop as io.netty.channel.EventLoop,
+            clock,
+            events,
+            metrics,
+            controlClient::call,
+            platform,
+            { controller },
+            { peers },
+        ),
+    )
     private val peers: PeerTask = PeerTask(
         self,
         PeerDependencies(
@@ -302,6 +318,7 @@
             onStallEvidence = { stalls?.onEvidence(it) },
             onStalledGroups = { stalls?.onStalledGroups(it) },
             onPlaceMessage = gateway::placeMessageReceived,
+            usage = usage?.reception ?: UsageReception.none,
         ),
         clock,
         random,
@@ -370,6 +387,7 @@
         relay.updateServerSource(peers.rank, controller.isActiveController)
         gateway.checkProgress()
         crashRelay.sendIfDue()
+        usage?.check()
     }
 
     private fun startView() = StartView(
@@ -410,6 +428,7 @@
         controllerLease = controller.heldLease,
         demand = gateway.sharedWaiting?.report(),
         health = gateway.sharedHealth?.pace?.report(),
+        clock = usage?.clockIfDue(),
     ).also { demand?.heartbeatReceived(it) }
 
     private fun restartLaggingWatches(other: Map<UpdateSource, WatchProgress>) {
@@ -461,6 +480,7 @@
         controllerPost(ControllerMessage.Release)
         peerPost(PeerTaskMessage.StateChanged)
         val end = {
+            usage?.flush()
             stopped.countDown()
             Runtime.getRuntime().halt(0)
         }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -58,4 +58,6 @@
     /** Called for each event of a stream, with the time since the event before it or since the request was sent. */
     val progressed: (ChosenBackend, pause: Duration, isFirst: Boolean) -> Unit,
     val log: (event: String, pairs: Array<Pair<String, Any?>>) -> Unit,
+    /** Called when a back end's response shows that it began to run the request, once for each back end. */
+    val runBegan: (ForwardJob) -> Unit = {},
 )
