Hold requests that arrive before a started process can serve

Cause: after a loss of power of all processes, callers are refused by processes that have started and don't know the configuration yet, and use up their retries at others in the same state. Ruled out: a longer Retry-After, since callers honour at most a third of their remaining time and retry once. Change: with shared admission a process holds such requests for at most 1.5 s and a third of the caller's time, then refuses them as not run.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -105,6 +105,17 @@
     } else {
         null
     }
+    private val startup: StartupRequests? = if (isAdmissionShared) {
+        StartupRequests(
+            dependencies.clock,
+            { dependencies.fleet().isUsable },
+            { held, arrivedAt -> serve(held.exchange, held.request, arrivedAt) },
+            { refuse(it.exchange, it.request, SERVICE_UNAVAILABLE, "no_configuration") },
+            dependencies.log,
+        )
+    } else {
+        null
+    }
     private val waiting = sharedWaiting?.operations ?: WaitingOperations.of(localWaiting)
     private val progress =
         StreamProgress(dependencies.clock, dependencies.reportSuspectedGroup, dependencies.log)
@@ -182,7 +193,7 @@
         private set
 
     /** Number of requests in flight. */
-    val runningRequests: Int get() = forwardTasks.size
+    val runningRequests: Int get() = forwardTasks.size + (startup?.size ?: 0)
 
     /** Number of requests that wait for a place. */
     val waitingRequests: Int get() = waiting.size()
@@ -191,7 +202,7 @@
     fun reportLoad(): Map<BackendServer, Int> = load.report()
 
     /** Requests of all gateways in flight by back end, from the reports of single gateways. */
-    fun fleetLoad(): Map<BackendServer, Int> = load.totals()
+    val fleetLoad: () -> Map<BackendServer, Int> = load::totals
 
     /** Sets the requests in flight of all gateways; null if only the reports of single gateways are known. */
     fun fleetLoadReceived(counts: CompactCounts?) {
@@ -226,6 +237,11 @@
         hasSeenRequests = true
         val request = dependencies.codec.decode(exchange.head)
             ?: return refuse(exchange, null, BAD_REQUEST, "no_attempt_id")
+        if (!dependencies.fleet().isUsable && !shutdown.isEnding && startup?.hold(exchange, request) == true) return
+        serve(exchange, request, dependencies.clock.now())
+    }
+
+    private fun serve(exchange: CallerExchange, request: InboundRequest, arrivedAt: Duration) {
         val configuration = dependencies.fleet().takeIf { it.isUsable }?.configuration
             ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_configuration")
         val route = configuration.route(request.host, request.path)
@@ -234,11 +250,17 @@
         if (tenant == null && configuration.requiresKeys && !route.anonymous) {
             refuse(exchange, request, UNAUTHORIZED, "unknown_key", configuration)
         } else {
-            admit(exchange, request, route, tenant)
+            admit(exchange, request, route, tenant, arrivedAt)
         }
     }
 
-    private fun admit(exchange: CallerExchange, request: InboundRequest, route: Route, tenant: Tenant?) {
+    private fun admit(
+        exchange: CallerExchange,
+        request: InboundRequest,
+        route: Route,
+        tenant: Tenant?,
+        arrivedAt: Duration,
+    ) {
         if (crashes.isBlocked(request)) {
             val delay = CrashSignals.BLOCKED_RETRY_DELAY
             return refuse(exchange, request, SERVICE_UNAVAILABLE, ForwardTask.BLOCKED_PART, retryDelay = delay)
@@ -247,7 +269,8 @@
         val service = route.pickService(random) ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service")
         budgets[service].recordRequest(now)
         val priority = tenant?.priority ?: route.priority
-        val task = ForwardTask(ForwardJob(exchange, request, route, service, tenant?.name, priority, now), context)
+        val task =
+            ForwardTask(ForwardJob(exchange, request, route, service, tenant?.name, priority, arrivedAt), context)
         forwardTasks += task
         task.start()
     }
@@ -339,6 +362,7 @@
     /** Serves waiting requests and finds groups whose streams make no progress; called several times a second. */
     fun checkProgress() {
         crashes.check()
+        startup?.check()
         places?.check()
         waiting.serve()
         endUnsendableRequests()
@@ -348,6 +372,7 @@
     /** From now on refuses requests that can't be completed before the process ends all requests at [time]. */
     fun stopAt(time: Duration) {
         shutdown.endsAt = time
+        startup?.refuseAll()
     }
 
     /** Answers all requests in flight as their state allows and refuses further ones. */
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -3,11 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.nio.NioEventLoopGroup
 import redwingcross.connection.datagram.DatagramSocket
-import redwingcross.connection.http.BufferedHttpClient
-import redwingcross.connection.http.HttpConnections
-import redwingcross.connection.http.OutgoingConnectionLimits
 import redwingcross.connection.http.RemoteEndpoint
-import redwingcross.connection.http.ResponseHead
 import redwingcross.connection.http.runEach
 import redwingcross.platform.PlatformFleet
 import redwingcross.platform.RequestFormat
@@ -45,17 +41,14 @@
 import redwingcross.process.edge.WatchProgress
 import redwingcross.process.edge.configurationPause
 import redwingcross.process.edge.waitingModels
-import redwingcross.request.BackendServer
 import redwingcross.request.Checked
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ServiceName
 import redwingcross.version.fleet.CallerLimits
-import redwingcross.version.fleet.EngineStart
 import redwingcross.version.fleet.FleetUpdate
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.forwarding.CancelTimer
-import redwingcross.version.forwarding.SendToBackend
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.placement.LeaseEpoch
 import redwingcross.version.places.GatewayStart
@@ -95,19 +88,20 @@
     private var bounds = settings.bounds
     private val reload =
         SettingsReload(readSettings, decodeSettings, settingsText, settings, events.info) { bounds = it.bounds }
-    private val backendConnections =
-        HttpConnections(group, clock, BACKEND_CONNECTION_LIMITS, ::idleConnectionLimit, ::onBackendResponse)
-    private val controlConnections =
-        HttpConnections(group, clock, CONTROL_CONNECTION_LIMITS, onResponse = ::onBackendResponse)
-    private val controlClient = BufferedHttpClient(controlConnections, loop as io.netty.channel.EventLoop)
-    private val orderConnections =
-        HttpConnections(group, clock, EngineControl.ORDER_CONNECTION_LIMITS, onResponse = ::onBackendResponse)
-    private val orderClient = BufferedHttpClient(orderConnections, loop as io.netty.channel.EventLoop)
     private val storeEndpoint = RemoteEndpoint(settings.store.toSocketAddress(), settings.store.value)
+    private val network: BackendNetwork = BackendNetwork(
+        group,
+        loop as io.netty.channel.EventLoop,
+        clock,
+        storeEndpoint,
+        { fleet },
+        { peers.gatewayShare.count },
+        { server, start, notice -> gateway.backendAnswered(server, start, notice) },
+    )
     private val platform =
         PlatformFleet(
             storeEndpoint,
-            controlClient::call,
+            network.controlClient::call,
             { delay, action -> runLater(delay, action) },
             metrics.countStoreCall,
         ) { event, pairs -> events.warn(event, pairs.toTypedArray()) }
@@ -163,7 +157,7 @@
             codec = RequestFormat.codec,
             fleet = { fleet },
             gatewayShare = { peers.gatewayShare },
-            send = sendToBackend(),
+            send = network.send,
             runLater = ::runLater,
             reportSuspectedGroup = ::reportSuspectedGroup,
             coldReported = { server, remaining ->
@@ -171,19 +165,7 @@
             },
             recordOutcome = { outcome ->
                 metrics.recordRequest(outcome)
-                events.info(
-                    "request_finished",
-                    arrayOf(
-                        "attempt" to outcome.job.request.attempt,
-                        "route" to outcome.job.route.name,
-                        "outcome" to outcome.outcome,
-                        "reason" to outcome.reason,
-                        "sends" to outcome.sends,
-                        "first" to outcome.firstEvent?.inWholeMilliseconds,
-                        "waited" to outcome.waited.inWholeMilliseconds,
-                        "total" to outcome.total.inWholeMilliseconds,
-                    ),
-                )
+                events.requestFinished(outcome)
             },
             log = events.info,
             sharedHealth = stalls?.dependencies,
@@ -222,13 +204,14 @@
         random,
         events.info,
     )
-    private val engines = EngineControl(controlClient::call, orderClient::call, clock, controllerPost, events.info)
+    private val engines =
+        EngineControl(network.controlClient::call, network.orderClient::call, clock, controllerPost, events.info)
     private val demandFollower: DemandFollower? =
         if (EdgeFeature.DEMAND_FORMATION in settings.features) {
             DemandFollower(
                 DemandDependencies(
                     { fleet.table },
-                    gateway::fleetLoad,
+                    gateway.fleetLoad,
                     { peers.isMajorityReachable },
                     { demand?.currentView?.waitingModels().orEmpty() },
                 ),
@@ -279,7 +262,7 @@
             clock,
             events,
             metrics,
-            controlClient::call,
+            network.controlClient::call,
             platform,
             { controller },
             { peers },
@@ -296,7 +279,7 @@
             },
             onLoad = gateway::peerLoadReceived,
             onFleetLoad = gateway::fleetLoadReceived,
-            fleetLoad = gateway::fleetLoad,
+            fleetLoad = gateway.fleetLoad,
             onTrafficSeen = { peersReportedTraffic = true },
             onWatchProgress = ::restartLaggingWatches,
             onGroupAnnouncement = {
@@ -356,7 +339,7 @@
         for (name in listOf("TERM", "INT")) Signal.handle(Signal(name)) { loop.execute { stop(name) } }
         Signal.handle(Signal("HUP")) { loop.execute { reload.check(signalled = true) } }
         peerSocket.start(InetSocketAddress(settings.ip, settings.internalPorts.first))
-        observer.register(metrics, backendConnections)
+        observer.register(metrics, network.requests)
         demandFollower?.let { metrics.gauge("redwingcross_group_moves") { it.movesInProgress } }
         listeners.start()
         loop.execute(::startTasks)
@@ -365,8 +348,7 @@
 
     private fun startTasks() {
         platform.startWatches(::watchIntervals, fleetTask.post)
-        backendConnections.startExpiry()
-        controlConnections.startExpiry()
+        network.startExpiry()
         peerTask.post(PeerTaskMessage.Tick)
         peerTask.postPeriodically(HEARTBEAT_INTERVAL, PeerTaskMessage.Tick)
         loop.runEach(RELOAD_INTERVAL) {
@@ -449,30 +431,6 @@
         }
     }
 
-    private fun sendToBackend(): SendToBackend = { backend, head, body, repeatability, matches, listener ->
-        val maximumIdle = if (repeatability.isRepeatable) Duration.INFINITE else MAXIMUM_IDLE_FOR_UNREPEATABLE
-        backendConnections.exchange(
-            RemoteEndpoint(backend.address.toSocketAddress(), backend.server.value, backend.start?.unixMillis),
-            head,
-            body,
-            matches,
-            listener,
-            maximumIdle,
-        )
-    }
-
-    private fun onBackendResponse(endpoint: RemoteEndpoint, head: ResponseHead) {
-        if (endpoint == storeEndpoint) return
-        val start = endpoint.start?.let(::EngineStart)
-        gateway.backendAnswered(BackendServer(endpoint.identity), start, RequestFormat.notice(head))
-    }
-
-    private fun idleConnectionLimit(endpoint: RemoteEndpoint): Int {
-        val service = fleet.table.engines[BackendServer(endpoint.identity)]?.status?.service
-        val spec = service?.let { fleet.configuration?.services?.get(it) }
-        return spec?.idleConnections(peers.gatewayShare.count) ?: Int.MAX_VALUE
-    }
-
     private fun stop(signal: String) {
         if (stopping) return
         stopping = true
@@ -503,14 +461,6 @@
         /** Maximum number of messages queued for a task; further messages are dropped and counted in the log. */
         const val MAILBOX_CAPACITY = 4096
         const val LOG_LINES_PER_SECOND = 150
-        val BACKEND_CONNECTION_LIMITS = OutgoingConnectionLimits(connectTimeout = 300.milliseconds, maximumIdle = 16)
-        val CONTROL_CONNECTION_LIMITS = OutgoingConnectionLimits(connectTimeout = 300.milliseconds, maximumIdle = 4)
-
-        /**
-         * Maximum idle time of a connection that is reused for a request that must not be retried. Back ends close
-         * idle connections after 300 ms at the earliest, so a longer idle connection may be closed during the send.
-         */
-        val MAXIMUM_IDLE_FOR_UNREPEATABLE = 250.milliseconds
         val HEARTBEAT_INTERVAL = 250.milliseconds
 
         /** Interval of the checks of the fleet, of the streams and of the controller lease; one wake-up serves all. */
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ShutdownAdmission.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ShutdownAdmission.kt
@@ -18,6 +18,9 @@
     /** Clock reading at which the process ends all requests; infinite while it isn't stopping. */
     var endsAt: Duration = Duration.INFINITE
 
+    /** Whether the process is about to end all requests. */
+    val isEnding: Boolean get() = endsAt < Duration.INFINITE
+
     /** Records that a request of [route] was served [total] after its arrival. */
     fun recordServed(route: Route, total: Duration, now: Duration) {
         longest.getOrPut(route.name, ::RecentMaximum).record(total, now)
