Take back the controller lease of the earlier start after a restart

Ruled out: a shorter lease, which live holders could lose in a pause; reading the list of back ends earlier alone, since the lease is what is awaited. Change: with the feature lease-reclaim a process takes over at once the lease that an earlier start of the same process acquired: that start has ended. The write stays conditional on the version that was read. Only a later start takes over, so that two processes of one name can't take the lease from each other in turns.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -128,8 +128,9 @@
     private val dependencies: ControllerDependencies,
     private val clock: MonotonicClock,
     private val log: LogEvent,
+    reclaimsLease: Boolean = false,
 ) {
-    private var lease = LeaseState(self, incarnation, LEASE_SETTINGS)
+    private var lease = LeaseState(self, incarnation, LEASE_SETTINGS.copy(reclaimsAfterRestart = reclaimsLease))
     private var formations = emptyMap<ServiceName, FormationState>()
     private var activeEpoch: LeaseEpoch? = null
     private var lastGroupEpoch = GroupEpoch(0)
--- a/process/src/main/kotlin/redwingcross/process/edge/EdgeFeatures.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/EdgeFeatures.kt
@@ -20,6 +20,9 @@
     /** The number of groups of each model follows the demand. */
     DEMAND_FORMATION("demand-formation"),
 
+    /** A restarted process takes back at once the controller lease that its earlier start held. */
+    LEASE_RECLAIM("lease-reclaim"),
+
     /** The requests of each customer are counted and reported to the platform. */
     USAGE_REPORTS("usage-reports"),
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -253,6 +253,7 @@
         ),
         clock,
         events.info,
+        EdgeFeature.LEASE_RECLAIM in settings.features,
     )
     private val usage: UsageReports? = UsageReports.create(
         UsageEnvironment(
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseRecord.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseRecord.kt
@@ -53,4 +53,9 @@
     val confirmDelay: Duration = 2.seconds,
     /** Interval of reads that fail while the holder is heard: then the store is probably down for all processes. */
     val outageRetryInterval: Duration = 5.seconds,
+    /**
+     * Whether a process takes over without delay the lease that an earlier start of the same process held: that start
+     * has ended. Needs incarnations that are the times of the starts in milliseconds.
+     */
+    val reclaimsAfterRestart: Boolean = false,
 )
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseTimes.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseTimes.kt
@@ -12,7 +12,19 @@
 
 internal fun LeaseState.canTakeOver(now: Duration): Boolean {
     val current = seen ?: return false
-    return current.record.holder == null || now >= takeoverAt(now)
+    return current.record.holder == null || isOfEarlierStart(current.record) || now >= takeoverAt(now)
+}
+
+/**
+ * Whether an earlier start of this process acquired the lease. Answers the loss of power of all processes, after which
+ * the lease would otherwise have to expire before any process forms and announces groups. Only a later start takes over
+ * from an earlier one, so that two processes of the same name don't take the lease from each other in turns.
+ */
+private fun LeaseState.isOfEarlierStart(record: LeaseRecord): Boolean {
+    if (!settings.reclaimsAfterRestart || record.holder != self) return false
+    val holderStart = record.nonce.removePrefix("${self.value}-").substringBefore('-').toLongOrNull()
+    val ownStart = incarnation.toLongOrNull()
+    return holderStart != null && ownStart != null && holderStart < ownStart
 }
 
 /**
--- a/version/src/test/kotlin/redwingcross/version/lease/LeaseDecisionTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/lease/LeaseDecisionTest.kt
@@ -20,8 +20,8 @@
     private val standby = Process("standby")
 
     /** A process with an access to the store of its own; it sends what it holds to [listener] with each tick. */
-    private inner class Process(name: String) {
-        var state = LeaseState(ProcessName(name), "1", settings)
+    private inner class Process(name: String, incarnation: String = "1", reclaims: Boolean = false) {
+        var state = LeaseState(ProcessName(name), incarnation, settings.copy(reclaimsAfterRestart = reclaims))
         var isPaused = false
         var isTurnedAway = false
         var listener: Process? = null
@@ -158,6 +158,47 @@
         assertEquals(before, standby.state.calls)
     }
 
+    /** The holder ends, and its next start begins at the same moment. */
+    private fun restartedHolder(incarnation: String, reclaims: Boolean): Process {
+        startBoth()
+        holder.isPaused = true
+        return Process("holder", incarnation, reclaims).also { it.start() }
+    }
+
+    @Test
+    fun `a restarted holder takes back the lease of its earlier start without waiting for its expiry`() {
+        val restarted = restartedHolder("2", reclaims = true)
+        advance(300.milliseconds)
+        assertEquals(LeaseEpoch(2), restarted.state.held?.seen?.record?.epoch)
+        advance(3.seconds)
+        assertEquals(listOf(true, false), listOf(restarted.holds, standby.holds))
+    }
+
+    @Test
+    fun `a start that is not later than the holder's doesn't take the lease from it`() {
+        val other = restartedHolder("1", reclaims = true)
+        advance(900.milliseconds)
+        assertEquals(null, other.state.held)
+    }
+
+    @Test
+    fun `without the feature a restarted holder waits for the expiry`() {
+        val restarted = restartedHolder("2", reclaims = false)
+        advance(900.milliseconds)
+        assertEquals(null, restarted.state.held)
+    }
+
+    @Test
+    fun `a restarted holder doesn't take the lease from a standby that has it`() {
+        startBoth()
+        holder.isPaused = true
+        advance(1500.milliseconds)
+        val restarted = Process("holder", "2", reclaims = true).also { it.start() }
+        standby.listener = restarted
+        advance(3.seconds)
+        assertEquals(listOf(false, true), listOf(restarted.holds, standby.holds))
+    }
+
     private companion object {
         val settings = LeaseSettings(
             duration = 1.2.seconds,
--- a/version/src/test/kotlin/redwingcross/version/lease/LeaseProperties.kt
+++ b/version/src/test/kotlin/redwingcross/version/lease/LeaseProperties.kt
@@ -46,7 +46,17 @@
     fun `at most one holder acts at any time and the epoch increases with each new holder`(
         @ForAll("scripts") script: List<Step>,
     ) {
-        val simulation = LeaseSimulation()
+        checkScript(script, LeaseSimulation(LeaseSettings()))
+    }
+
+    @Property(seed = "5502", tries = 400)
+    fun `the same holds if restarted holders take back the leases of their earlier starts`(
+        @ForAll("scripts") script: List<Step>,
+    ) {
+        checkScript(script, LeaseSimulation(LeaseSettings(reclaimsAfterRestart = true)))
+    }
+
+    private fun checkScript(script: List<Step>, simulation: LeaseSimulation) {
         script.forEach(simulation::applyStep)
         simulation.clearFaults()
         simulation.time.advance(60.seconds, simulation::check)
@@ -57,14 +67,14 @@
         val rate = listOf(0.9, 1.0, 1.1)[index]
         var startCount = 0
         var pausedUntil = Duration.ZERO
-        var state = LeaseState(ProcessName("c$index"), "0")
+        var state = LeaseState(ProcessName("c$index"), "0", simulation.settings)
         val time get() = simulation.time
 
         fun now(): Duration = time.now * rate + (index * 1000).seconds
 
         fun restart() {
             startCount += 1
-            state = LeaseState(ProcessName("c$index"), "$startCount", rank = index)
+            state = LeaseState(ProcessName("c$index"), "$startCount", simulation.settings, rank = index)
         }
 
         fun tick() {
@@ -114,7 +124,7 @@
         }
     }
 
-    private class LeaseSimulation {
+    private class LeaseSimulation(val settings: LeaseSettings) {
         val time = VirtualTime()
         val store = FaultyObject<LeaseRecord>(time)
         private val controllers = List(3) { Controller(it, this) }
