--- a/version/src/main/kotlin/redwingcross/version/admission/AdmissionDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/admission/AdmissionDecision.kt
@@ -29,8 +29,8 @@
         demand: KindDemand?,
         now: Duration,
     ): Transition<AdmissionState<Task>, AdmissionEffect<Task>> {
-        val isHopeless = !request.isResuming && expectedWait(state, request, demand, now) > request.latestSend - now
-        if (isHopeless || request.latestSend <= now) return state.with(AdmissionEffect.Refuse(request))
+        val isTooLate = !request.isResuming && expectedWait(state, request, demand, now) > request.latestSend - now
+        if (isTooLate || request.latestSend <= now) return state.with(AdmissionEffect.Refuse(request))
         if (hasRoom(state, request)) return Transition(inserted(state, request, now))
         val displaced = state.queues.values.mapNotNull { it.late.lastOrNull() }.maxByOrNull { it.latestSend }
         val isMoreUrgent = displaced != null && isInTime(request, now) && hasRoom(state.removed(displaced), request)
