Close a caller's connection only after what it sent has been read

What callers saw: a whole request on a kept connection got neither an answer nor a refusal, beside a change of the configuration or a stop.

Cause: the timers decided from what had been read and from the current configuration. - A shorter idle time in a new configuration applied at once to connections whose wait had begun before it. Callers reuse connections within the time that they know, so their requests met closed connections. - When the event loop was late, a timer could run before the sockets were read, and closed a connection as idle, or at the start of a stop, whose request lay unread in the socket. Heads and bodies whose rest lay there were refused with 408. - A part of a head was closed on without a response if the idle time was shorter than the head timeout. A refusal that was still being sent was cut off when a stop began.

The tests run the check in the task that delays the event loop, because the order of a timer and the sockets after a pause can't be chosen otherwise.

Change: CallerWait, a plain state machine, keeps the limits under which a wait or a request began; a longer limit applies at once. If it says that a wait is over, the connection reads its socket and asks again before it closes or refuses. A graceful stop does the same. A connection that is being refused isn't idle.

What is left: a request that arrives between the read and the close, some microseconds, unless the process is paused just there.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -51,8 +51,7 @@
     private var exchange: CallerExchange? = null
     private var discarding = false
     private val refusal = RequestRefusal()
-    private var lastActivityAt = listener.now()
-    private var headStartedAt: Duration? = null
+    private var wait = CallerWait.forRequest(limits(), listener.now())
     private var isCloseReported = false
 
     /** Whether the connection closes after the response that is being sent. */
@@ -80,8 +79,7 @@
 
     /** Called for received bytes before they are decoded. */
     fun onBytesReceived() {
-        if (exchange == null && request == null && headStartedAt == null) headStartedAt = listener.now()
-        lastActivityAt = listener.now()
+        if (exchange == null) wait = wait.received(limits(), listener.now())
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -108,7 +106,7 @@
 
     private fun begin(part: HttpRequest) {
         request = part
-        headStartedAt = null
+        wait = wait.headReceived(listener.now())
         val declared = HttpUtil.getContentLength(part, 0L)
         when {
             part.protocolVersion().majorVersion() != 1 -> refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED)
@@ -169,8 +167,9 @@
      * if it is null.
      */
     fun finishWith(part: Any, close: CallerCloseReason?) {
+        // Before the write, because the caller may know only the limits in force until then.
+        wait = CallerWait.forRequest(limits(), listener.now())
         val written = context.writeAndFlush(part)
-        lastActivityAt = listener.now()
         if (close != null) {
             reportClose(close)
             discarding = true
@@ -182,7 +181,6 @@
 
     private fun serveNext() {
         exchange = null
-        headStartedAt = null
         while (exchange == null && !pipelined.isEmpty) accept(pipelined.removeFirst())
         if (!pipelined.isFull) context.channel().config().isAutoRead = true
     }
@@ -207,27 +205,35 @@
 
     /** Closes the connection if the caller takes too long to send a request head, a body or the next request. */
     fun checkTimeouts(now: Duration) {
-        if (refusal.isDraining && now - lastActivityAt > limits().idleTimeout) closeFor(CallerCloseReason.REFUSED)
-        if (exchange != null || discarding) return
-        val current = limits()
-        val partial = headStartedAt
-        when {
-            request == null && partial != null && now - partial > current.headTimeout ->
-                refuse(HttpResponseStatus.REQUEST_TIMEOUT)
-            now - lastActivityAt > current.idleTimeout ->
-                if (request != null) refuse(HttpResponseStatus.REQUEST_TIMEOUT) else closeFor(CallerCloseReason.IDLE)
-            else -> Unit
+        if (decide(now) == CallerWaitDecision.WAIT) return
+        context.channel().readPending()
+        when (decide(listener.now())) {
+            CallerWaitDecision.WAIT -> Unit
+            CallerWaitDecision.REFUSE -> refuse(HttpResponseStatus.REQUEST_TIMEOUT)
+            CallerWaitDecision.CLOSE -> {
+                reportClose(CallerCloseReason.IDLE)
+                context.close()
+            }
         }
     }
 
     /** Closes the connection if it is waiting for its next request. */
     fun closeIfIdle() {
-        if (exchange == null && request == null && headStartedAt == null) closeFor(CallerCloseReason.STOP)
+        if (!isIdle) return
+        context.channel().readPending()
+        if (!isIdle) return
+        reportClose(CallerCloseReason.STOP)
+        context.close()
     }
 
-    private fun closeFor(reason: CallerCloseReason) {
-        reportClose(reason)
-        context.close()
+    private val isIdle: Boolean
+        get() = exchange == null && !discarding && wait.stage == CallerWaitStage.NEXT_REQUEST
+
+    private fun decide(now: Duration): CallerWaitDecision = when {
+        exchange != null || !context.channel().isActive -> CallerWaitDecision.WAIT
+        !discarding -> wait.decide(limits(), now)
+        refusal.isDraining && now - wait.lastActivityAt > limits().idleTimeout -> CallerWaitDecision.CLOSE
+        else -> CallerWaitDecision.WAIT
     }
 
     private fun reportClose(reason: CallerCloseReason, cause: Throwable? = null) {
@@ -236,10 +242,12 @@
         val held = when {
             pipelined.hasWholeRequest || exchange?.isFinished == false || reason == CallerCloseReason.ABORTED ->
                 HeldRequest.WHOLE
-            request != null || headStartedAt != null || !pipelined.isEmpty -> HeldRequest.PART
-            else -> HeldRequest.NONE
+            exchange == null && wait.stage != CallerWaitStage.NEXT_REQUEST -> HeldRequest.PART
+            pipelined.isEmpty -> HeldRequest.NONE
+            else -> HeldRequest.PART
         }
-        listener.closing(CallerClose(reason, listener.now() - lastActivityAt, limits().idleTimeout, held, cause))
+        val limit = wait.effectiveLimits(limits()).idleTimeout
+        listener.closing(CallerClose(reason, listener.now() - wait.lastActivityAt, limit, held, cause))
     }
 
     private companion object {
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -97,7 +97,7 @@
 
     internal fun refused(status: Int): Unit = onRefused(status)
 
-    private fun checkTimeouts() {
+    internal fun checkTimeouts() {
         val now = clock.now()
         connections.toList().forEach { it.checkTimeouts(now) }
     }
--- /dev/null
+++ b/connection/src/main/kotlin/redwingcross/connection/http/PendingRead.kt
@@ -0,0 +1,14 @@
+package redwingcross.connection.http
+
+import io.netty.channel.Channel
+import io.netty.channel.nio.AbstractNioChannel
+
+/**
+ * Reads what has already arrived at the socket, at most a few buffers of it, as if it had become readable.
+ *
+ * After a pause of the process, timers can run before the sockets are read. Called on the event loop before a timer
+ * ends a connection, but not while the connection is being read.
+ */
+internal fun Channel.readPending() {
+    (unsafe() as AbstractNioChannel.NioUnsafe).read()
+}
--- /dev/null
+++ b/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
@@ -0,0 +1,92 @@
+package redwingcross.connection.http
+
+import java.net.Socket
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against connections that are closed as idle although the caller may send, or has sent, a request. */
+class IdleCloseTest {
+    private val fixture = ListenerFixture()
+
+    @AfterTest
+    fun close() = fixture.close()
+
+    private fun connectAndServe(): Socket = fixture.connect().also {
+        it.send(GET)
+        fixture.respond(fixture.nextExchange())
+        it.getInputStream().readHead()
+    }
+
+    private fun Socket.assertServed(): String {
+        fixture.respond(fixture.nextExchange())
+        val head = getInputStream().readHead()
+        assertTrue("200" in head, head)
+        return head
+    }
+
+    @Test
+    fun `a shorter idle time leaves connections open whose wait began before it`() {
+        connectAndServe().use { socket ->
+            fixture.limits = fixture.limits.copy(idleTimeout = 300.milliseconds)
+            sleep(1500.milliseconds)
+            socket.send(GET)
+            socket.assertServed()
+        }
+    }
+
+    @Test
+    fun `a request that arrived during a pause is served although the idle time is over`() {
+        fixture.limits = fixture.limits.copy(idleTimeout = SHORT)
+        connectAndServe().use { socket ->
+            fixture.delayLoop(afterwards = fixture::checkTimeouts) {
+                socket.send(GET)
+                sleep(PAUSE)
+            }
+            socket.assertServed()
+        }
+    }
+
+    @Test
+    fun `a request that arrived during a pause is served although the process has begun to stop`() {
+        connectAndServe().use { socket ->
+            fixture.delayLoop(afterwards = fixture.listener::closeGracefully) {
+                socket.send(GET)
+                sleep(SETTLE)
+            }
+            assertTrue("connection: close" in socket.assertServed().lowercase())
+        }
+    }
+
+    @Test
+    fun `the rest of a request that arrived during a pause is served although the time for it is over`() {
+        fixture.limits = fixture.limits.copy(headTimeout = SHORT, idleTimeout = SHORT)
+        val body = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+        for (sentBefore in listOf(20, body.length - 2)) {
+            fixture.connect().use { socket ->
+                socket.send(body.take(sentBefore))
+                sleep(SETTLE)
+                fixture.delayLoop(afterwards = fixture::checkTimeouts) {
+                    socket.send(body.drop(sentBefore))
+                    sleep(PAUSE)
+                }
+                socket.assertServed()
+            }
+        }
+    }
+
+    @Test
+    fun `an idle connection is closed after the idle time`() {
+        fixture.limits = fixture.limits.copy(idleTimeout = SHORT)
+        connectAndServe().use { assertEquals(-1, it.getInputStream().read()) }
+    }
+
+    private companion object {
+        val SHORT = 400.milliseconds
+        val PAUSE = 1.seconds
+        val SETTLE = 100.milliseconds
+    }
+}
--- a/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
@@ -46,18 +46,27 @@
         loop.submit(action).get()
     }
 
-    /** Delays the event loop until [CountDownLatch.countDown]; timers that are due by then run before sockets. */
-    fun delayLoop(): CountDownLatch {
+    /**
+     * Delays the event loop while [meanwhile] runs on this thread. [afterwards] then runs on the event loop before it
+     * reads its sockets, as a timer does that became due during a pause.
+     */
+    fun delayLoop(afterwards: () -> Unit, meanwhile: () -> Unit) {
         val started = CountDownLatch(1)
         val end = CountDownLatch(1)
-        loop.execute {
+        val done = loop.submit {
             started.countDown()
             end.await()
+            afterwards()
         }
         started.await()
-        return end
+        meanwhile()
+        end.countDown()
+        done.get()
     }
 
+    /** Checks the timeouts on the event loop. */
+    fun checkTimeouts(): Unit = listener.checkTimeouts()
+
     fun nextExchange(): CallerExchange = assertNotNull(exchanges.poll(5, TimeUnit.SECONDS), "no request was served")
 
     fun nextClose(): CallerClose = assertNotNull(closes.poll(5, TimeUnit.SECONDS), "no connection was closed")
