Read a caller's connection to its end after the last response

What callers would see: no response where one was written. A caller that still sends the body of a refused request, or a further request, gets a reset connection in place of 413, 431, 400, 408 or of the whole last response.

Cause: the connection was closed as soon as the last response was written. A socket that is closed with unread bytes is reset by the kernel, which discards what it has not delivered. Only refusals for lack of memory read the rest of the body first, up to the end of the request.

Received bytes are no longer decoded then. It takes the place of the earlier draining of refused bodies, whose bound between two parts was the idle time.

A stop doesn't wait for it: the connection has no unsent bytes and no running request. Pipelined requests that were read before a response with Connection: close stay unserved, as the RFC demands of the server; they have not run.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -50,7 +49,7 @@
     private var reservation = bodyBudget.Reservation()
     private var exchange: CallerExchange? = null
     private var discarding = false
-    private val refusal = RequestRefusal()
+    private val lingering = LingeringClose(listener::now)
     private var wait = CallerWait.forRequest(limits(), listener.now())
     private var isCloseReported = false
 
@@ -77,14 +76,16 @@
         context.fireChannelInactive()
     }
 
-    /** Called for received bytes before they are decoded. */
-    fun onBytesReceived() {
+    /** Called for received [bytes] before they are decoded; returns whether they are still needed. */
+    fun onBytesReceived(bytes: Int): Boolean {
+        if (lingering.isBegun) lingering.discarded(context.channel(), bytes)
         if (exchange == null) wait = wait.received(limits(), listener.now())
+        return !discarding
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val part = message as HttpObject
-        if (exchange == null && pipelined.isEmpty) return accept(part)
+        if (discarding || (exchange == null && pipelined.isEmpty)) return accept(part)
         pipelined.add(part)
         if (pipelined.isFull) context.channel().config().isAutoRead = false
     }
@@ -92,7 +93,7 @@
     private fun accept(part: HttpObject) {
         try {
             when {
-                discarding -> refusal.drain(context, part)
+                discarding -> Unit
                 part.decoderResult().isFailure -> refuse(statusFor(part.decoderResult().cause()))
                 else -> {
                     if (part is HttpRequest) begin(part)
@@ -154,12 +155,9 @@
         request = null
         body = BodyBuffer(0)
         reservation.release()
+        pipelined.clear()
         listener.refused(status.code())
-        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
-            refusal.refuseForLackOfMemory(context, bodyBudget.largestBody(limits()))
-        } else {
-            refusal.refuse(context, status)
-        }
+        lingering.begin(context.writeAndFlush(refusalResponse(status)))
     }
 
     /**
@@ -173,7 +171,8 @@
         if (close != null) {
             reportClose(close)
             discarding = true
-            written.addListener(ChannelFutureListener.CLOSE)
+            pipelined.clear()
+            lingering.begin(written)
             return
         }
         context.executor().execute(::serveNext)
@@ -230,10 +229,10 @@
         get() = exchange == null && !discarding && wait.stage == CallerWaitStage.NEXT_REQUEST
 
     private fun decide(now: Duration): CallerWaitDecision = when {
-        exchange != null || !context.channel().isActive -> CallerWaitDecision.WAIT
-        !discarding -> wait.decide(limits(), now)
-        refusal.isDraining && now - wait.lastActivityAt > limits().idleTimeout -> CallerWaitDecision.CLOSE
-        else -> CallerWaitDecision.WAIT
+        !context.channel().isActive -> CallerWaitDecision.WAIT
+        lingering.isOver(now) -> CallerWaitDecision.CLOSE
+        exchange != null || discarding -> CallerWaitDecision.WAIT
+        else -> wait.decide(limits(), now)
     }
 
     private fun reportClose(reason: CallerCloseReason, cause: Throwable? = null) {
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -1,6 +1,7 @@
 package redwingcross.connection.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -103,12 +104,16 @@
     }
 
     /**
-     * Reports received bytes before they are decoded, so that the head timeout starts with the first byte of a request.
+     * Reports received bytes before they are decoded, so that the head timeout starts with the first byte of a request,
+     * and discards those after the last response.
      */
     private class ReceiveTracker(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            connection.onBytesReceived()
-            context.fireChannelRead(message)
+            if (connection.onBytesReceived((message as ByteBuf).readableBytes())) {
+                context.fireChannelRead(message)
+            } else {
+                message.release()
+            }
         }
     }
 
