Keep the body limit under which a request began

What callers would see: 413 in the middle of a body that was within the limit when its head was sent, beside a change of the configuration that lowers the limit.

Cause: each part of a body was compared with the current limit.

Evidence: the new test of IdleCloseTest failed with "no request was served" before the change (mvn -o -pl connection -am -Dtest=IdleCloseTest test).

Change: the limit is the larger of the current one and that in force when the request began, as CallerWait keeps it for the timeouts. The budget of the process for bodies still applies.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -105,6 +105,8 @@
         }
     }
 
+    private val largestBodyBytes: Long get() = bodyBudget.largestBody(wait.effectiveLimits(limits()))
+
     private fun begin(part: HttpRequest) {
         request = part
         wait = wait.headReceived(listener.now())
@@ -112,7 +114,7 @@
         when {
             part.protocolVersion().majorVersion() != 1 -> refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED)
             part.headers().getAll(HttpHeaderNames.HOST).size > 1 -> refuse(HttpResponseStatus.BAD_REQUEST)
-            declared > bodyBudget.largestBody(limits()) -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            declared > largestBodyBytes -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             !reservation.extendTo(declared) -> refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
             else -> {
                 body = BodyBuffer(declared.toInt())
@@ -124,7 +126,7 @@
     private fun append(part: HttpContent) {
         val content: ByteBuf = part.content()
         val total = body.size().toLong() + content.readableBytes()
-        if (total > bodyBudget.largestBody(limits())) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        if (total > largestBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         // The declared length is reserved already, so this fails only for a body in chunks.
         if (!reservation.extendTo(total)) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
         content.readBytes(body, content.readableBytes())
--- a/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
@@ -78,6 +78,17 @@
         }
     }
 
+    @Test
+    fun `a request whose body was within the limit when it began is served after the limit is lowered`() {
+        fixture.connect().use { socket ->
+            socket.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nhalf")
+            sleep(SETTLE)
+            fixture.limits = fixture.limits.copy(bodyBytes = 4)
+            socket.send("half")
+            socket.assertServed()
+        }
+    }
+
     @Test
     fun `an idle connection is closed after the idle time`() {
         fixture.limits = fixture.limits.copy(idleTimeout = SHORT)
