--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -17,6 +16,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 import kotlin.time.Duration
 
 /**
@@ -43,16 +43,15 @@
     private val serve: ServeExchange,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
-    private val pipelined = ArrayDeque<HttpObject>()
-    private var pipelinedBytes = 0
+    private val pipelined = PipelinedParts()
     private var request: HttpRequest? = null
     private var body = BodyBuffer(0)
     private var reservation = bodyBudget.Reservation()
     private var exchange: CallerExchange? = null
     private var discarding = false
-    private val refusal = RequestRefusal()
-    private var lastActivityAt = listener.now()
-    private var headStartedAt: Duration? = null
+    private val lingering = LingeringClose(listener::now)
+    private var wait = CallerWait.forRequest(limits(), listener.now())
+    private var isCloseReported = false
 
     /** Whether the connection closes after the response that is being sent. */
     val isClosing: Boolean get() = listener.isClosing
@@ -71,35 +70,31 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         listener.closed(this)
-        pipelined.forEach(ReferenceCountUtil::release)
         pipelined.clear()
         reservation.release()
         exchange?.callerDisconnected()
         context.fireChannelInactive()
     }
 
-    /** Called for received bytes before they are decoded. */
-    fun onBytesReceived() {
-        if (exchange == null && headStartedAt == null) headStartedAt = listener.now()
-        lastActivityAt = listener.now()
+    /** Called for received [bytes] before they are decoded; returns whether they are still needed. */
+    fun onBytesReceived(bytes: Int): Boolean {
+        if (lingering.isBegun) lingering.discarded(context.channel(), bytes)
+        if (exchange == null) wait = wait.received(limits(), listener.now())
+        return !discarding
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val part = message as HttpObject
-        if (exchange == null && pipelined.isEmpty()) accept(part) else queuePipelined(part)
-    }
-
-    private fun queuePipelined(part: HttpObject) {
-        pipelined.addLast(part)
-        pipelinedBytes += (part as? HttpContent)?.content()?.readableBytes() ?: HEAD_ESTIMATE_BYTES
-        if (pipelinedBytes > MAXIMUM_PIPELINED_BYTES) context.channel().config().isAutoRead = false
+        if (discarding || (exchange == null && pipelined.isEmpty)) return accept(part)
+        pipelined.add(part)
+        if (pipelined.isFull) context.channel().config().isAutoRead = false
     }
 
     private fun accept(part: HttpObject) {
         try {
             when {
-                discarding -> refusal.drain(context, part)
-                part.decoderResult().isFailure -> reject(part.decoderResult().cause())
+                discarding -> Unit
+                part.decoderResult().isFailure -> refuse(statusFor(part.decoderResult().cause()))
                 else -> {
                     if (part is HttpRequest) begin(part)
                     if (part is HttpContent && request != null) append(part)
@@ -110,14 +105,16 @@
         }
     }
 
+    private val largestBodyBytes: Long get() = bodyBudget.largestBody(wait.effectiveLimits(limits()))
+
     private fun begin(part: HttpRequest) {
         request = part
-        headStartedAt = null
+        wait = wait.headReceived(listener.now())
         val declared = HttpUtil.getContentLength(part, 0L)
         when {
             part.protocolVersion().majorVersion() != 1 -> refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED)
             part.headers().getAll(HttpHeaderNames.HOST).size > 1 -> refuse(HttpResponseStatus.BAD_REQUEST)
-            declared > bodyBudget.largestBody(limits()) -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            declared > largestBodyBytes -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             !reservation.extendTo(declared) -> refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
             else -> {
                 body = BodyBuffer(declared.toInt())
@@ -129,7 +126,7 @@
     private fun append(part: HttpContent) {
         val content: ByteBuf = part.content()
         val total = body.size().toLong() + content.readableBytes()
-        if (total > bodyBudget.largestBody(limits())) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        if (total > largestBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         // The declared length is reserved already, so this fails only for a body in chunks.
         if (!reservation.extendTo(total)) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
         content.readBytes(body, content.readableBytes())
@@ -154,31 +151,30 @@
         serve(next)
     }
 
-    private fun reject(cause: Throwable?) {
-        val isTooLong = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
-        refuse(if (isTooLong) HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE else HttpResponseStatus.BAD_REQUEST)
-    }
-
     private fun refuse(status: HttpResponseStatus) {
+        reportClose(CallerCloseReason.REFUSED)
         discarding = true
         request = null
         body = BodyBuffer(0)
         reservation.release()
+        pipelined.clear()
         listener.refused(status.code())
-        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
-            refusal.refuseForLackOfMemory(context, bodyBudget.largestBody(limits()))
-        } else {
-            refusal.refuse(context, status)
-        }
+        lingering.begin(context.writeAndFlush(refusalResponse(status)))
     }
 
-    /** Writes the last part of a response, then closes the connection or serves the next request. */
-    fun finishWith(part: Any, close: Boolean) {
+    /**
+     * Writes the last part of a response, then closes the connection for the reason [close], or serves the next request
+     * if it is null.
+     */
+    fun finishWith(part: Any, close: CallerCloseReason?) {
+        // Before the write, because the caller may know only the limits in force until then.
+        wait = CallerWait.forRequest(limits(), listener.now())
         val written = context.writeAndFlush(part)
-        lastActivityAt = listener.now()
-        if (close) {
+        if (close != null) {
+            reportClose(close)
             discarding = true
-            written.addListener(ChannelFutureListener.CLOSE)
+            pipelined.clear()
+            lingering.begin(written)
             return
         }
         context.executor().execute(::serveNext)
@@ -186,18 +182,13 @@
 
     private fun serveNext() {
         exchange = null
-        headStartedAt = null
-        while (exchange == null && pipelined.isNotEmpty()) {
-            val part = pipelined.removeFirst()
-            pipelinedBytes -= (part as? HttpContent)?.content()?.readableBytes() ?: HEAD_ESTIMATE_BYTES
-            accept(part)
-        }
-        if (pipelined.isEmpty()) pipelinedBytes = 0
-        if (pipelinedBytes <= MAXIMUM_PIPELINED_BYTES) context.channel().config().isAutoRead = true
+        while (exchange == null && !pipelined.isEmpty) accept(pipelined.removeFirst())
+        if (!pipelined.isFull) context.channel().config().isAutoRead = true
     }
 
     /** Resets the connection, so that a partial response can't be taken for a complete one. */
     fun abort() {
+        reportClose(CallerCloseReason.ABORTED)
         discarding = true
         context.channel().closeWithReset()
     }
@@ -208,37 +199,59 @@
 
     @Deprecated("Netty still reports channel errors through this method.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        // The caller or the network ended the connection if reading or writing failed.
+        if (cause !is IOException) reportClose(CallerCloseReason.FAILED, cause)
         context.close()
     }
 
     /** Closes the connection if the caller takes too long to send a request head, a body or the next request. */
     fun checkTimeouts(now: Duration) {
-        if (refusal.isDraining && now - lastActivityAt > limits().idleTimeout) context.close()
-        if (exchange != null || discarding) return
-        val current = limits()
-        val partial = headStartedAt
-        when {
-            request == null && partial != null && now - partial > current.headTimeout ->
-                refuse(HttpResponseStatus.REQUEST_TIMEOUT)
-            now - lastActivityAt > current.idleTimeout ->
-                if (request != null) refuse(HttpResponseStatus.REQUEST_TIMEOUT) else context.close()
-            else -> Unit
+        if (decide(now) == CallerWaitDecision.WAIT) return
+        context.channel().readPending()
+        when (decide(listener.now())) {
+            CallerWaitDecision.WAIT -> Unit
+            CallerWaitDecision.REFUSE -> refuse(HttpResponseStatus.REQUEST_TIMEOUT)
+            CallerWaitDecision.CLOSE -> {
+                reportClose(CallerCloseReason.IDLE)
+                context.close()
+            }
         }
     }
 
     /** Closes the connection if it is waiting for its next request. */
     fun closeIfIdle() {
-        if (exchange == null && request == null && headStartedAt == null) context.close()
+        if (!isIdle) return
+        context.channel().readPending()
+        if (!isIdle) return
+        reportClose(CallerCloseReason.STOP)
+        context.close()
     }
 
-    private companion object {
-        /**
-         * Above this, reading stops until earlier requests have been served; further bytes stay in the socket buffer.
-         */
-        const val MAXIMUM_PIPELINED_BYTES = 65_536
+    private val isIdle: Boolean
+        get() = exchange == null && !discarding && wait.stage == CallerWaitStage.NEXT_REQUEST
+
+    private fun decide(now: Duration): CallerWaitDecision = when {
+        !context.channel().isActive -> CallerWaitDecision.WAIT
+        lingering.isOver(now) -> CallerWaitDecision.CLOSE
+        exchange != null || discarding -> CallerWaitDecision.WAIT
+        else -> wait.decide(limits(), now)
+    }
+
+    private fun reportClose(reason: CallerCloseReason, cause: Throwable? = null) {
+        if (isCloseReported) return
+        isCloseReported = true
+        val held = when {
+            pipelined.hasWholeRequest || exchange?.isFinished == false || reason == CallerCloseReason.ABORTED ->
+                HeldRequest.WHOLE
+            exchange == null && wait.stage != CallerWaitStage.NEXT_REQUEST -> HeldRequest.PART
+            pipelined.isEmpty -> HeldRequest.NONE
+            else -> HeldRequest.PART
+        }
+        val limit = wait.effectiveLimits(limits()).idleTimeout
+        listener.closing(CallerClose(reason, listener.now() - wait.lastActivityAt, limit, held, cause))
+    }
 
-        /** Estimated size of a queued request head. */
-        const val HEAD_ESTIMATE_BYTES = 512
+    private companion object {
         val CONTINUE_RESPONSE = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.CONTINUE,
@@ -246,3 +259,9 @@
         )
     }
 }
+
+/** Status with which a request is refused that could not be decoded because of [cause]. */
+private fun statusFor(cause: Throwable?): HttpResponseStatus {
+    val isTooLong = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
+    return if (isTooLong) HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE else HttpResponseStatus.BAD_REQUEST
+}
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -1,6 +1,7 @@
 package redwingcross.connection.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -20,6 +21,7 @@
  *
  * [onRefused] receives the status of each request that is refused before it reaches [serve]. A process passes the same
  * [bodyBudget] to all its listeners; a request whose body doesn't fit gets 503 with `Retry-After` and is not served.
+ * [onClosing] is called once for each connection that is closed from this side.
  */
 class CallerListener(
     private val group: EventLoopGroup,
@@ -29,6 +31,7 @@
     private val onRefused: (status: Int) -> Unit,
     private val serve: ServeExchange,
     private val bodyBudget: RequestBodyBudget = RequestBodyBudget(),
+    private val onClosing: ObserveCallerClose = {},
 ) {
     private val connections = HashSet<CallerConnection>()
     private var channel: Channel? = null
@@ -91,20 +94,26 @@
         connections -= connection
     }
 
+    internal fun closing(close: CallerClose): Unit = onClosing(close)
+
     internal fun refused(status: Int): Unit = onRefused(status)
 
-    private fun checkTimeouts() {
+    internal fun checkTimeouts() {
         val now = clock.now()
         connections.toList().forEach { it.checkTimeouts(now) }
     }
 
     /**
-     * Reports received bytes before they are decoded, so that the head timeout starts with the first byte of a request.
+     * Reports received bytes before they are decoded, so that the head timeout starts with the first byte of a request,
+     * and discards those after the last response.
      */
     private class ReceiveTracker(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            connection.onBytesReceived()
-            context.fireChannelRead(message)
+            if (connection.onBytesReceived((message as ByteBuf).readableBytes())) {
+                context.fireChannelRead(message)
+            } else {
+                message.release()
+            }
         }
     }
 
