Leave a request at a silent engine unless it can go on elsewhere

What callers saw: a stream whose engine paused for about 1.5 s was reset in the middle, or answered with 502 before its first event, although the engine went on a moment later.

Cause: StreamProgress cancelled the exchange with the engine of a group that had been silent for 1.45 s, and only then was the retry budget asked and another back end chosen. Without a retry the request was broken off at once; without a free place it waited for 1.2 s and was broken off then. Only StallWatch looked at both before a move. The move after a reported loss of a member had the same order.

Evidence: GatewaySilenceTest on the code before: 5 of 6 tests fail (streams reset with and without a retry, 502 for a request without an event, a stream reset after a reported loss). The sixth, a silent stream that goes on at another group, passes before and after.

Change: ForwardTask.moveSilent is the one rule for every move because of silence, and StallWatch's own check is gone. A place is asked for, a back end that isn't silent itself is chosen and the retry is taken before the exchange is cancelled, and the request is sent to that back end in the same step, so nothing can take the place in between. A request that can't move stays, gives up the place that it asked for, and is looked at again at the next check.

A request of a group that is reported lost still moves at once, with a wait for a place if none is free, since its head can't complete it. Without a retry it now stays until its head or its caller ends it. To end it there would tell the caller up to 2 s sooner, but certainly fails the request, and the report is wrong where a member was paused: the controller waits for an answer for about 300 ms. A request with a blocked part is left to its back end as well; to cancel it could only end in an error.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayHealth.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayHealth.kt
@@ -4,10 +4,7 @@
 import redwingcross.request.GroupId
 import redwingcross.request.ProcessName
 import redwingcross.request.forward.OfferResult
-import redwingcross.request.forward.RetryBudgets
-import redwingcross.version.forwarding.BackendChoice
 import redwingcross.version.forwarding.BackendLoad
-import redwingcross.version.forwarding.ChooseBackend
 import redwingcross.version.forwarding.ChosenBackend
 import redwingcross.version.forwarding.CrashSignals
 import redwingcross.version.forwarding.ForwardTask
@@ -26,8 +23,6 @@
     val gateway: GatewayDependencies,
     val shared: SharedHealthDependencies,
     val load: BackendLoad,
-    val budgets: RetryBudgets,
-    val choose: ChooseBackend,
     /** Requests that have not ended. */
     val tasks: () -> Collection<ForwardTask>,
     val crashes: CrashSignals,
@@ -42,7 +37,6 @@
         StallWatchDependencies(
             tasks = dependencies.tasks,
             report = dependencies.shared.reportSilence,
-            canMove = ::canMove,
             inFlight = { inFlight(it.server) },
             freePlaces = ::freePlaces,
             crashes = dependencies.crashes,
@@ -80,13 +74,6 @@
     /** Requests of all gateways in flight at [server], as far as this process knows. */
     fun inFlight(server: BackendServer): Int = dependencies.load.total(server)
 
-    private fun canMove(task: ForwardTask): Boolean {
-        val gateways = dependencies.gateway.gatewayShare().count
-        if (!dependencies.budgets[task.job.service].canAcquire(clock.now(), gateways)) return false
-        val choice = dependencies.choose(task.choiceRequest())
-        return choice is BackendChoice.Chosen && choice.backend.group !in stalls.marked()
-    }
-
     private fun freePlaces(task: ForwardTask, except: Set<GroupId>): Int {
         val fleet = dependencies.gateway.fleet()
         val slots = fleet.configuration?.services?.get(task.job.service)?.pool?.slots ?: return 0
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -33,6 +33,7 @@
 import redwingcross.version.forwarding.ForwardJob
 import redwingcross.version.forwarding.ForwardOutcome
 import redwingcross.version.forwarding.ForwardTask
+import redwingcross.version.forwarding.MoveAdmission
 import redwingcross.version.forwarding.RequestCodec
 import redwingcross.version.forwarding.SendToBackend
 import redwingcross.version.forwarding.ShutdownAdmission
@@ -149,6 +150,11 @@
         },
         offerEnded = ::offerEnded,
         tryAcquireRetry = { budgets[it].tryAcquire(dependencies.clock.now(), dependencies.gatewayShare().count) },
+        moves = MoveAdmission(
+            { budgets[it].canAcquire(dependencies.clock.now(), dependencies.gatewayShare().count) },
+            placement::chooseMove,
+            { places?.ended(it) },
+        ),
         retryAfter = waiting.retryDelay,
         coldReported = dependencies.coldReported,
         faultReported = { backend, _ -> backend.group?.let(dependencies.reportSuspectedGroup) },
@@ -175,8 +181,6 @@
                 dependencies,
                 shared,
                 load,
-                budgets,
-                placement::choose,
                 { forwardTasks },
                 context.crashes,
             ),
--- a/process/src/main/kotlin/redwingcross/process/edge/RequestPlacement.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/RequestPlacement.kt
@@ -7,6 +7,7 @@
 import redwingcross.version.forwarding.BackendLoad
 import redwingcross.version.forwarding.ChoiceContext
 import redwingcross.version.forwarding.ChoiceRequest
+import redwingcross.version.forwarding.ChosenBackend
 import redwingcross.version.forwarding.ForwardTask
 import redwingcross.version.places.OwnedGroup
 import redwingcross.version.places.PlaceDecision
@@ -48,6 +49,10 @@
         return chooser.chooseGroup(terms, model, fleet.servingGroups(request.service, now), context, granted)
     }
 
+    /** Another back end for a request whose own is silent; null unless one that isn't silent itself has a place. */
+    fun chooseMove(request: ChoiceRequest): ChosenBackend? =
+        (choose(request) as? BackendChoice.Chosen)?.backend?.takeIf { it.group !in stalledGroups() }
+
     /** Asks for a place for [task], and calls [choose] when a back end is to be chosen. */
     fun beforeChoice(task: ForwardTask, choose: () -> Unit) {
         val request = places?.let { task.choiceRequest().toPlaceRequest(task.job.priority) }
--- a/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
@@ -20,8 +20,6 @@
     val tasks: () -> Collection<Task>,
     /** Reports to the active controller. */
     val report: (SilenceReport) -> Unit,
-    /** Whether the retry budget admits one more send of the request and another back end has a place for it. */
-    val canMove: (Task) -> Boolean,
     /** Requests of all gateways in flight at the back end of a request. */
     val inFlight: (ChosenBackend) -> Int,
     /** Free places at the groups other than those in the set that can run the request. */
@@ -114,12 +112,12 @@
         val backend = task.backend ?: return
         if (backend.group !in marks.at(now)) return
         val request = MovableRequest(task.hasProgressed, now - task.progressAt)
-        if (!task.canBeMoved || !MoveDecision.shouldMove(request) || !dependencies.canMove(task)) return
-        if (!request.hasEvents) {
+        if (!MoveDecision.shouldMove(request)) return
+        if (request.hasEvents) return task.moveSilent(OfferResult.Stalled, "group_stalled")
+        task.moveSilent(OfferResult.GroupLost, "group_stalled") {
             moved.removeAll { now - it.at >= MOVED_LIFETIME }
             moved += MovedRequest(backend, task.inbound, now)
         }
-        task.abandonStalled(if (request.hasEvents) OfferResult.Stalled else OfferResult.GroupLost, "group_stalled")
     }
 
     /** Called when groups have lost a member, before this is reported to the attribution of crashes. */
--- a/process/src/main/kotlin/redwingcross/process/edge/StreamProgress.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StreamProgress.kt
@@ -52,7 +52,7 @@
             log("group_suspected", arrayOf("group" to group, "stalled" to stalledFor, "streams" to members.size))
             reportSuspectedGroup(group)
         }
-        if (now - since > MOVE_AFTER) members.forEach { it.abandonStalled(OfferResult.Stalled, "stalled") }
+        if (now - since > MOVE_AFTER) members.forEach { it.moveSilent(OfferResult.Stalled, "stalled") }
     }
 
     private companion object {
@@ -65,7 +65,7 @@
          */
         val SUSPECT_AFTER = 350.milliseconds
 
-        /** Streams of a suspected group are moved after this time even if the controller reports no lost member. */
+        /** Streams of a suspected group may move after this time even if the controller reports no lost member. */
         val MOVE_AFTER = 1.2.seconds
 
         /** Added to the limits for a request that has no event yet. */
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayPlaceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayPlaceTest.kt
@@ -93,6 +93,31 @@
         assertEquals(emptySet(), last.open)
     }
 
+    @Test
+    fun `a silent stream for which the owner has no place stays at its group and gives the request for a place up`() {
+        startEngines(2)
+        val caller = generate("x")
+        grant(nextReport(), "e0")
+        val arrival = nextArrival()
+        onLoop {
+            arrival.beginStream(200, headers("Id" to "7", "Signed" to "1", "Content-Type" to "text/event-stream"))
+            arrival.write("id: 1\ndata: a\n\n".toByteArray())
+        }
+        caller.readThrough("data: a\n\n")
+        val asked = generateSequence {
+            onLoop(gateway::checkProgress)
+            listOfNotNull(reports.poll(100, TimeUnit.MILLISECONDS))
+        }.take(30).flatten().first { it.request != null }
+        answer(PlaceAnswer.Queued(PlaceNumber(asked.sequence)))
+        assertEquals(emptySet(), nextReport().open)
+        onLoop {
+            arrival.write("id: 2\ndata: b\n\n".toByteArray())
+            arrival.endStream()
+        }
+        val (rest, wasReset) = caller.readUntilClosed()
+        assertTrue("data: b" in rest && !wasReset, "'$rest', reset: $wasReset")
+    }
+
     @Test
     fun `without answers requests are soon sent without asking`() {
         startEngines(2)
--- /dev/null
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
@@ -0,0 +1,132 @@
+package redwingcross.process.edge
+
+import redwingcross.connection.http.CallerExchange
+import redwingcross.request.GroupId
+import java.net.Socket
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * Guards against streams that the gateway cancels at an engine that is silent for a second or two and then goes on,
+ * although they can't go on elsewhere.
+ */
+class GatewaySilenceTest : GatewayFixture() {
+    private fun checkProgressFor(time: Duration) {
+        val start = TimeSource.Monotonic.markNow()
+        while (start.elapsedNow() < time) {
+            onLoop(gateway::checkProgress)
+            Thread.sleep(CHECK_INTERVAL.inWholeMilliseconds)
+        }
+    }
+
+    private fun CallerExchange.beginEvents() = onLoop {
+        beginStream(200, headers("Id" to "7", "Signed" to "1", "Content-Type" to "text/event-stream"))
+        write("id: 1\ndata: a\n\n".toByteArray())
+    }
+
+    private fun assertGoesOn(caller: Socket, arrival: CallerExchange) {
+        onLoop {
+            arrival.write("id: 2\ndata: b\n\n".toByteArray())
+            arrival.endStream()
+        }
+        val (rest, wasReset) = caller.readUntilClosed()
+        assertTrue("data: b" in rest && rest.endsWith("0\r\n\r\n") && !wasReset, "'$rest', reset: $wasReset")
+        assertNull(arrivals.poll(), "the request was sent again")
+    }
+
+    private fun nextGroup(): GroupId = assertNotNull(assertNotNull(sends.poll(5, TimeUnit.SECONDS)).group)
+
+    @Test
+    fun `a stream that is silent for a while is not broken off if no retry is left`() {
+        retryExtra = 0.0
+        startEngines(2)
+        val caller = generate("p1")
+        val arrival = nextArrival()
+        arrival.beginEvents()
+        caller.readThrough("data: a\n\n")
+        checkProgressFor(LONG_SILENCE)
+        assertGoesOn(caller, arrival)
+    }
+
+    @Test
+    fun `a stream that is silent for a while is not broken off if no other group has a place`() {
+        startEngines(1)
+        val caller = generate("p1")
+        val arrival = nextArrival()
+        arrival.beginEvents()
+        caller.readThrough("data: a\n\n")
+        checkProgressFor(LONG_SILENCE)
+        assertGoesOn(caller, arrival)
+    }
+
+    @Test
+    fun `a request without an event that waits at a silent group is not answered with an error if no retry is left`() {
+        retryExtra = 0.0
+        startEngines(2)
+        val caller = generate("p1")
+        val arrival = nextArrival()
+        checkProgressFor(LONG_SILENCE)
+        arrival.beginEvents()
+        assertGoesOn(caller, arrival)
+    }
+
+    @Test
+    fun `a silent stream goes on at another group that has a place`() {
+        startEngines(2)
+        val caller = generate("p1")
+        nextArrival().beginEvents()
+        caller.readThrough("data: a\n\n")
+        checkProgressFor(LONG_SILENCE)
+        val second = nextArrival()
+        assertEquals("1", second.head.headers.get("Resume"))
+        onLoop {
+            second.beginStream(200, headers("Id" to "7", "Signed" to "2", "Content-Type" to "text/event-stream"))
+        }
+        assertGoesOn(caller, second)
+    }
+
+    @Test
+    fun `a silent stream that can't move yet moves once another group has a place`() {
+        startEngines(1)
+        val caller = generate("p1")
+        val arrival = nextArrival()
+        arrival.beginEvents()
+        caller.readThrough("data: a\n\n")
+        checkProgressFor(LONG_SILENCE)
+        assertFalse(onLoop { arrival.isFinished })
+        startEngines(2)
+        checkProgressFor(CHECK_INTERVAL * 2)
+        assertEquals("1", nextArrival().head.headers.get("Resume"))
+        caller.close()
+    }
+
+    @Test
+    fun `a stream of a group that is reported lost is not broken off if no retry is left`() {
+        retryExtra = 0.0
+        startEngines(2)
+        val caller = generate("p1")
+        val group = nextGroup()
+        val arrival = nextArrival()
+        arrival.beginEvents()
+        caller.readThrough("data: a\n\n")
+        onLoop { gateway.groupsLost(setOf(group)) }
+        assertGoesOn(caller, arrival)
+    }
+
+    private companion object {
+        /** The interval of the checks in a process. */
+        val CHECK_INTERVAL = 100.milliseconds
+
+        /** Longer than the time after which streams leave a silent group and, in the line, wait for a place. */
+        val LONG_SILENCE = 3.seconds
+    }
+}
--- a/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
@@ -192,7 +192,6 @@
             StallWatchDependencies(
                 tasks = { tasks.toList() },
                 report = { report -> toController { if (fleet.isShared) coordinator.received(name, report) } },
-                canMove = { task -> choose(setOf(task.group!!))?.let { it.id !in marked() } == true },
                 inFlight = { backend -> reported.getValue(backend.group!!) },
                 freePlaces = { _, except -> groups.filter { it.id !in except }.sumOf { SLOTS - it.running.size } },
                 crashes = CrashSignals({ false }, { _, _ -> false }, {}, { _, _, _ -> }),
@@ -221,9 +220,13 @@
         private fun load(group: GroupId): Int =
             reported.getValue(group) - (lastReported[group] ?: 0) + (running[group] ?: 0)
 
+        private fun avoided(): Set<GroupId> = progress.stalledGroups + marked()
+
+        fun canMove(from: GroupId?): Boolean = choose(setOfNotNull(from))?.let { it.id !in avoided() } == true
+
         fun choose(except: Set<GroupId> = emptySet()): Group? {
             val usable = groups.filter { it.id !in knownGone && it.id !in except }
-            val avoided = progress.stalledGroups + marked()
+            val avoided = avoided()
             val candidates = usable.filter { it.id !in avoided }.ifEmpty { usable }
                 .map { GroupCandidate(it, load(it.id), 1.0) }.filter { it.inFlight < SLOTS }
             return GroupPlacement.choose(candidates, SLOTS, fleet.gateways, random)?.group
@@ -231,7 +234,7 @@
 
         fun groupLost(group: GroupId) {
             knownGone += group
-            tasks.filter { it.group == group }.forEach { it.abandonStalled(OfferResult.Stalled, "group_lost") }
+            tasks.filter { it.group == group }.forEach(Request::moveFromLost)
         }
     }
 
@@ -248,7 +251,7 @@
         override val backend get() = current?.let { ChosenBackend(it.head, ADDRESS, it.id, "small") }
         override var progressAt = now
         override var hasProgressed = false
-        override val canBeMoved get() = sends < 2
+        private val canBeMoved get() = sends < 2
 
         internal fun send() {
             val next = gateway.choose(setOfNotNull(group))
@@ -275,7 +278,13 @@
             if (++received == EVENTS) release()
         }
 
-        override fun abandonStalled(end: OfferResult, detail: String) {
+        override fun moveSilent(end: OfferResult, detail: String, onMoved: () -> Unit) {
+            if (!canBeMoved || !gateway.canMove(group)) return
+            onMoved()
+            send()
+        }
+
+        internal fun moveFromLost() {
             if (canBeMoved) send()
         }
 
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -7,6 +7,8 @@
 import redwingcross.request.BackendServer
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ServiceName
+import redwingcross.request.forward.ForwardDecision
+import redwingcross.request.forward.ForwardState
 import redwingcross.request.forward.OfferResult
 import redwingcross.request.forward.Repeatability
 import kotlin.time.Duration
@@ -20,6 +22,16 @@
 typealias SendToBackend =
     (ChosenBackend, RequestHead, ByteArray, Repeatability, ResponseMatcher, ResponseListener) -> PendingExchange
 
+/** Decides with [ForwardTask.moveSilent] whether a request leaves a back end that is silent. */
+class MoveAdmission(
+    /** Whether the retry budget of a service has a retry left; takes nothing. */
+    val hasRetry: (ServiceName) -> Boolean,
+    /** Another back end that has a place for a request now and isn't silent itself; null if there is none. */
+    val choose: (ChoiceRequest) -> ChosenBackend?,
+    /** Called when a request for which a place was asked stays at its back end. */
+    val stayed: (ForwardTask) -> Unit = {},
+)
+
 /** Dependencies that all [ForwardTask]s of a process share. All functions run on the event loop. */
 @Suppress("LongParameterList")
 class ForwardContext(
@@ -46,6 +58,7 @@
     val offerEnded: (ChosenBackend, OfferResult?) -> Unit,
     /** Takes one retry from the retry budget of a service; false if the budget is used up. */
     val tryAcquireRetry: (ServiceName) -> Boolean,
+    val moves: MoveAdmission,
     /** Delay after which a refused caller may retry. */
     val retryAfter: (ForwardJob) -> Duration,
     /** Called when a back end reported for how long it will remain cold. */
@@ -60,4 +73,9 @@
     val log: (event: String, pairs: Array<Pair<String, Any?>>) -> Unit,
     /** Called when a back end's response shows that it began to run the request, once for each back end. */
     val runBegan: (ForwardJob) -> Unit = {},
-)
+) {
+    /** Whether a request that is at a back end would be sent again now if that one ended it. */
+    fun canSendAgain(state: ForwardState, job: ForwardJob): Boolean = ForwardDecision.canRedispatch(state) &&
+        moves.hasRetry(job.service) &&
+        !crashes.isBlocked(job.request)
+}
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -88,10 +88,10 @@
 
     private fun offer() = context.beforeChoice(this) { if (!finished) offerNow() }
 
-    private fun offerNow() {
+    private fun offerNow(target: ChosenBackend? = null) {
         val now = context.clock.now()
         reasonNotToSend(now)?.let { return finishWithout(it) }
-        val choice = context.choose(choiceRequest())
+        val choice = target?.let(BackendChoice::Chosen) ?: context.choose(choiceRequest())
         if (choice !is BackendChoice.Chosen) {
             noBackendChosen(choice)
             return
@@ -151,7 +151,8 @@
         finishWith(step, reason)
     }
 
-    private fun offerEnded(ended: Offer, end: OfferResult, detail: String) {
+    /** [target] is the back end to which the request moves with a retry that was taken already, if it does. */
+    private fun offerEnded(ended: Offer, end: OfferResult, detail: String, target: ChosenBackend? = null) {
         if (finished || offer !== ended) return
         releaseOffer()
         state = state.after(end)
@@ -162,7 +163,7 @@
             end,
             now,
             isSuspect = { context.crashes.isSuspect(sharedParts, ended.backend) },
-            acquireRetry = { context.tryAcquireRetry(job.service) },
+            acquireRetry = { target != null || context.tryAcquireRetry(job.service) },
         )
         context.log(
             "offer_ended",
@@ -177,7 +178,11 @@
                 "next" to step,
             ),
         )
-        if (step is ForwardStep.OfferAgain) offer() else finishWith(step, detail, ended)
+        when {
+            step !is ForwardStep.OfferAgain -> finishWith(step, detail, ended)
+            target != null -> offerNow(target)
+            else -> offer()
+        }
     }
 
     private fun finishWith(step: ForwardStep, reason: String, ended: Offer? = null) {
@@ -240,25 +245,40 @@
         if (sent) state = state.copy(sends = state.sends + 1, mayHaveRun = true)
     }
 
-    /** Moves the request to another back end, because its group has lost a member. */
+    /**
+     * Moves the request to another back end, because its group has lost a member. Without a retry it stays until its
+     * back end or its caller ends it: the loss may be a mistake, and ending it here would certainly fail it.
+     */
     fun onGroupLost() {
         val current = offer ?: return
-        if (!ForwardDecision.canRedispatch(state)) return
+        if (!context.canSendAgain(state, job)) return
         val isLoss = current.pending?.wasSent == true
         if (isLoss) context.crashes.connectionLost(current.backend, job.request, current.hasEvents)
-        abandon(if (isLoss && !current.hasEvents) OfferResult.GroupLost else OfferResult.Stalled, "group_lost")
+        abandon(current, if (isLoss && !current.hasEvents) OfferResult.GroupLost else OfferResult.Stalled, "group_lost")
     }
 
-    override val canBeMoved: Boolean get() = offer?.pending?.wasSent == true && ForwardDecision.canRedispatch(state)
-
-    override fun abandonStalled(end: OfferResult, detail: String) {
-        if (ForwardDecision.canRedispatch(state)) abandon(end, detail)
+    override fun moveSilent(end: OfferResult, detail: String, onMoved: () -> Unit) {
+        val from = offer ?: return
+        val silentSince = progressAt
+        val canLeave = {
+            progressAt == silentSince && from.pending?.wasSent == true && context.canSendAgain(state, job)
+        }
+        if (!canLeave()) return
+        context.beforeChoice(this) {
+            if (offer !== from) return@beforeChoice
+            val target = if (canLeave()) context.moves.choose(choiceRequest()) else null
+            if (target == null || !context.tryAcquireRetry(job.service)) {
+                context.moves.stayed(this)
+            } else {
+                onMoved()
+                abandon(from, end, detail, target)
+            }
+        }
     }
 
-    private fun abandon(end: OfferResult, detail: String) {
-        val current = offer ?: return
+    private fun abandon(current: Offer, end: OfferResult, detail: String, target: ChosenBackend? = null) {
         current.pending?.cancel()
-        offerEnded(current, end, detail)
+        offerEnded(current, end, detail, target)
     }
 
     private inner class Offer(val backend: ChosenBackend, val startedAt: Duration) : ResponseListener {
--- a/version/src/main/kotlin/redwingcross/version/forwarding/WatchedRequest.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/WatchedRequest.kt
@@ -24,12 +24,11 @@
     /** Whether the current back end has sent at least one event. */
     val hasProgressed: Boolean
 
-    /** Whether the request was sent to its back end and could be moved to another one. */
-    val canBeMoved: Boolean
-
     /**
-     * Moves the request after a long time without progress, without waiting for a confirmed fault. [end] is
-     * [OfferResult.GroupLost] if the request itself may have ended an engine of the group.
+     * Moves the request to another back end because its own is silent, without a confirmed fault. It leaves only if the
+     * retry budget has a retry and another back end has a place for it; otherwise it stays, because a back end that is
+     * silent may go on. [onMoved] is called before it leaves. [end] is [OfferResult.GroupLost] if the request itself
+     * may have ended an engine of the group.
      */
-    fun abandonStalled(end: OfferResult, detail: String)
+    fun moveSilent(end: OfferResult, detail: String, onMoved: () -> Unit = {})
 }
