Don't move a request that has no offers left

What callers would see: a request that has failed to connect to several back ends and then reached one that is silent, or whose group is lost, is answered with 502, or reset if events were sent, at the moment at which it is moved.

Cause: ForwardDecision limits the back ends that are selected for a request, failed connects included; canRedispatch left that limit out, so a request was cancelled that could not be offered again.

Change: both decisions use the same limit, so whatever canRedispatch admits is offered again within the budget and the deadline.

--- a/request/src/main/kotlin/redwingcross/request/forward/ForwardDecision.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/ForwardDecision.kt
@@ -130,6 +130,7 @@
     fun canRedispatch(state: ForwardState): Boolean = state.limits.repeatability.isRepeatable &&
         state.acceptsOtherResponse &&
         state.sends + 1 < state.limits.maximumSends &&
+        hasOffersLeft(state) &&
         (state.enginesLost == 0 || state.answerStarted)
 
     /**
@@ -148,10 +149,13 @@
         else -> end != OfferResult.EngineLost || isSuspect()
     }
 
+    private fun hasOffersLeft(state: ForwardState) =
+        state.offered.size < state.limits.maximumSends + MAXIMUM_FAILED_CONNECTS
+
     private fun canOfferAgain(state: ForwardState, end: OfferResult): Boolean {
         if (!state.acceptsOtherResponse) return false
         if (state.sends >= state.limits.maximumSends && end != OfferResult.NotSent) return false
-        if (state.offered.size >= state.limits.maximumSends + MAXIMUM_FAILED_CONNECTS) return false
+        if (!hasOffersLeft(state)) return false
         return when (end) {
             OfferResult.NotSent, OfferResult.Declined -> !state.mayHaveRun || state.limits.repeatability.isRepeatable
             OfferResult.Failed -> state.limits.repeatability == Repeatability.IDEMPOTENT
--- a/request/src/test/kotlin/redwingcross/request/forward/ForwardDecisionProperties.kt
+++ b/request/src/test/kotlin/redwingcross/request/forward/ForwardDecisionProperties.kt
@@ -5,6 +5,7 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
+import net.jqwik.api.constraints.IntRange
 import redwingcross.request.BackendServer
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -69,6 +70,25 @@
         assertEquals(next is ForwardStep.OfferAgain, ForwardDecision.canRedispatch(state), "$kind sends $sends")
     }
 
+    @Property(seed = "49")
+    fun `a request that is moved is offered again, whatever happened to it before`(
+        @ForAll("results") results: List<OfferResult>,
+        @ForAll("kinds") kind: Repeatability,
+        @ForAll @IntRange(min = 0, max = 6) failedConnects: Int,
+        @ForAll answerStarted: Boolean,
+    ) {
+        val before = List(failedConnects) { OfferResult.NotSent } + results.take(2)
+        val start = ForwardState(ForwardLimits(kind, 4, deadline = 10.seconds), answerStarted = answerStarted)
+        val state = before.foldIndexed(start) { index, state, end ->
+            state.copy(offered = state.offered + BackendServer("server-$index")).after(end)
+        }.let { it.copy(offered = it.offered + BackendServer("current")) }
+        if (!ForwardDecision.canRedispatch(state)) return
+        for (end in listOf(OfferResult.Stalled, OfferResult.GroupLost)) {
+            val next = ForwardDecision.afterOffer(state.after(end), end, Duration.ZERO, { true }) { true }
+            assertTrue(next is ForwardStep.OfferAgain, "$next after $before and $end")
+        }
+    }
+
     @Property(seed = "45")
     fun `a plain response that was begun is not continued with that of another back end`(
         @ForAll("results") results: List<OfferResult>,
