Don't begin a plain answer of an engine again because it takes long

Cause: StreamProgress took a request without events for a silent one. A plain answer comes whole and has no events; StallWatch leaves it out of its reports for that reason. Unless another stream of the gateway made progress at the same group, the request left it.

Change: StreamProgress moves streams only. The group is still avoided and reported to the controller, which asks its members; a plain request leaves when the group is lost or marked as stalled.

--- a/process/src/main/kotlin/redwingcross/process/edge/StreamProgress.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StreamProgress.kt
@@ -52,7 +52,9 @@
             log("group_suspected", arrayOf("group" to group, "stalled" to stalledFor, "streams" to members.size))
             reportSuspectedGroup(group)
         }
-        if (now - since > MOVE_AFTER) members.forEach { it.moveSilent(OfferResult.Stalled, "stalled") }
+        if (now - since <= MOVE_AFTER) return
+        // A plain answer has no events, so its silence doesn't tell that it would come sooner elsewhere.
+        members.filter { it.isStream }.forEach { it.moveSilent(OfferResult.Stalled, "stalled") }
     }
 
     private companion object {
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
@@ -109,6 +109,17 @@
         caller.close()
     }
 
+    @Test
+    fun `a plain answer that takes long is not begun again elsewhere`() {
+        startEngines(2)
+        val caller = generate("p1", "plain-generation")
+        val arrival = nextArrival()
+        checkProgressFor(LONG_SILENCE)
+        assertNull(arrivals.poll(), "the request was sent again")
+        arrival.respondSigned("whole")
+        assertTrue("whole" in caller.readAnswer())
+    }
+
     @Test
     fun `a stream of a group that is reported lost is not broken off if no retry is left`() {
         retryExtra = 0.0
