Serve the request after a stream that did not announce a close

What callers would see: a request that they send on a kept connection as soon as a stream has ended gets no answer, if the process began to stop while the stream ran.

Cause: whether the connection closes was decided again at the end of a stream. The head of the response had announced no close, so the caller could send its next request at once, to a connection that was being closed.

Change: the end of a stream closes the connection only if its head announced it. Otherwise the connection is closed 200 ms later if no request has been received by then; the response to a request that has been received announces the close. Two tests: the next request is served, and the connection is closed if none follows.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -57,7 +58,10 @@
     val isClosing: Boolean get() = listener.isClosing
 
     /** Whether bytes of a response have not reached the socket yet. */
-    val hasUnsentBytes: Boolean get() = (context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
+    val hasUnsentBytes: Boolean get() = (channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
+
+    /** The socket of the connection. */
+    val channel: Channel get() = context.channel()
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -78,7 +82,7 @@
 
     /** Called for received [bytes] before they are decoded; returns whether they are still needed. */
     fun onBytesReceived(bytes: Int): Boolean {
-        if (lingering.isBegun) lingering.discarded(context.channel(), bytes)
+        if (lingering.isBegun) lingering.discarded(channel, bytes)
         if (exchange == null) wait = wait.received(limits(), listener.now())
         return !discarding
     }
@@ -87,7 +91,7 @@
         val part = message as HttpObject
         if (discarding || (exchange == null && pipelined.isEmpty)) return accept(part)
         pipelined.add(part)
-        if (pipelined.isFull) context.channel().config().isAutoRead = false
+        if (pipelined.isFull) channel.config().isAutoRead = false
     }
 
     private fun accept(part: HttpObject) {
@@ -137,7 +141,7 @@
         val head = request ?: return
         request = null
         val next = CallerExchange(
-            context.channel(),
+            channel,
             this,
             RequestHead(head.method().name(), head.uri(), head.headers()),
             body.takeBytes(),
@@ -183,18 +187,19 @@
     private fun serveNext() {
         exchange = null
         while (exchange == null && !pipelined.isEmpty) accept(pipelined.removeFirst())
-        if (!pipelined.isFull) context.channel().config().isAutoRead = true
+        if (!pipelined.isFull) channel.config().isAutoRead = true
+        if (isIdle && isClosing) listener.closeIfIdleLater(this)
     }
 
     /** Resets the connection, so that a partial response can't be taken for a complete one. */
     fun abort() {
         reportClose(CallerCloseReason.ABORTED)
         discarding = true
-        context.channel().closeWithReset()
+        channel.closeWithReset()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (context.channel().isWritable) exchange?.onWritable?.invoke()
+        if (channel.isWritable) exchange?.onWritable?.invoke()
     }
 
     @Deprecated("Netty still reports channel errors through this method.")
@@ -207,7 +212,7 @@
     /** Closes the connection if the caller takes too long to send a request head, a body or the next request. */
     fun checkTimeouts(now: Duration) {
         if (decide(now) == CallerWaitDecision.WAIT) return
-        context.channel().readPending()
+        channel.readPending()
         when (decide(listener.now())) {
             CallerWaitDecision.WAIT -> Unit
             CallerWaitDecision.REFUSE -> refuse(HttpResponseStatus.REQUEST_TIMEOUT)
@@ -221,7 +226,7 @@
     /** Closes the connection if it is waiting for its next request. */
     fun closeIfIdle() {
         if (!isIdle) return
-        context.channel().readPending()
+        channel.readPending()
         if (!isIdle) return
         reportClose(CallerCloseReason.STOP)
         context.close()
@@ -231,7 +236,7 @@
         get() = exchange == null && !discarding && wait.stage == CallerWaitStage.NEXT_REQUEST
 
     private fun decide(now: Duration): CallerWaitDecision = when {
-        !context.channel().isActive -> CallerWaitDecision.WAIT
+        !channel.isActive -> CallerWaitDecision.WAIT
         lingering.isOver(now) -> CallerWaitDecision.CLOSE
         exchange != null || discarding -> CallerWaitDecision.WAIT
         else -> wait.decide(limits(), now)
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
@@ -37,6 +37,9 @@
         }
     private var streaming = false
 
+    /** Why the connection closes after the response that is streamed; null if its head announced no close. */
+    private var announcedClose: CallerCloseReason? = null
+
     /** Why the connection closes after the response, apart from a stop of the process; null if it is kept. */
     private var requestedClose = if (keepAlive) null else CallerCloseReason.CALLER
 
@@ -75,7 +78,8 @@
         if (version == HttpVersion.HTTP_1_1) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         }
-        if (closeReason() != null) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        announcedClose = closeReason()
+        if (announcedClose != null) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         channel.write(response, channel.voidPromise())
     }
 
@@ -85,11 +89,14 @@
         channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), channel.voidPromise())
     }
 
-    /** Completes a streamed response. */
+    /**
+     * Completes a streamed response. The connection is closed only if the head of the response announced it: the caller
+     * may send its next request at once otherwise.
+     */
     fun endStream() {
         if (isFinished) return
         isFinished = true
-        connection.finishWith(LastHttpContent.EMPTY_LAST_CONTENT, closeReason())
+        connection.finishWith(LastHttpContent.EMPTY_LAST_CONTENT, announcedClose)
     }
 
     /** Resets the connection, so that the part already sent can't be taken for a complete response. */
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import redwingcross.request.MonotonicClock
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -94,6 +95,12 @@
         connections -= connection
     }
 
+    /** Closes a connection whose last response announced no close, unless its caller sends a request meanwhile. */
+    internal fun closeIfIdleLater(connection: CallerConnection) {
+        val delay = NEXT_REQUEST_DELAY.inWholeMilliseconds
+        connection.channel.eventLoop().schedule(connection::closeIfIdle, delay, TimeUnit.MILLISECONDS)
+    }
+
     internal fun closing(close: CallerClose): Unit = onClosing(close)
 
     internal fun refused(status: Int): Unit = onRefused(status)
@@ -121,6 +128,9 @@
         /** Large, because a full accept queue delays new callers by seconds. */
         const val BACKLOG = 1024
 
+        /** Time after a response in which a caller that uses its connection all the time sends its next request. */
+        val NEXT_REQUEST_DELAY = 200.milliseconds
+
         /** Interval between two checks of the timeouts, and so their resolution. */
         val CHECK_INTERVAL = 500.milliseconds
     }
--- /dev/null
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -0,0 +1,54 @@
+package redwingcross.connection.http
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import java.io.InputStream
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Guards against requests and responses that are lost because the process stops. */
+class StopCloseTest {
+    private val fixture = ListenerFixture()
+
+    @AfterTest
+    fun close() = fixture.close()
+
+    private fun InputStream.readStream() {
+        readHead()
+        readHead()
+    }
+
+    private fun streamAcrossStop(exchange: CallerExchange) {
+        fixture.onLoop {
+            exchange.beginStream(200, DefaultHttpHeaders())
+            exchange.write("event".toByteArray())
+            fixture.listener.closeGracefully()
+            exchange.endStream()
+        }
+    }
+
+    @Test
+    fun `the request after a stream that did not announce the end of the connection is served`() {
+        fixture.connect().use { socket ->
+            socket.send(GET)
+            streamAcrossStop(fixture.nextExchange())
+            socket.getInputStream().readStream()
+            socket.send(GET)
+            fixture.respond(fixture.nextExchange())
+            assertTrue("connection: close" in socket.getInputStream().readHead().lowercase())
+            assertEquals(-1, socket.getInputStream().read())
+        }
+    }
+
+    @Test
+    fun `a connection is closed soon after a stream that ended during a stop`() {
+        fixture.connect().use { socket ->
+            socket.soTimeout = 1500
+            socket.send(GET)
+            streamAcrossStop(fixture.nextExchange())
+            socket.getInputStream().readStream()
+            assertEquals(-1, socket.getInputStream().read())
+        }
+    }
+}
