Send a whole response to a slow caller when a stop begins

What callers would see: a response that ends in the middle, if they read it slowly and the process begins to stop after it was complete on the side of the process.

Cause: the connection counted as idle once its response had been passed on, and the start of a stop closed it. Closing discards what has not been written to the socket. StopSequence waits for unsent bytes, but there were none left.

Change: a connection with unsent bytes is looked at again 200 ms later. A stop lasts no longer than before its bounds: StopSequence ends the process shortly before it is killed, whether bytes are unsent or not.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -228,6 +228,7 @@
         if (!isIdle) return
         channel.readPending()
         if (!isIdle) return
+        if (hasUnsentBytes) return listener.closeIfIdleLater(this)
         reportClose(CallerCloseReason.STOP)
         context.close()
     }
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -95,7 +95,7 @@
         connections -= connection
     }
 
-    /** Closes a connection whose last response announced no close, unless its caller sends a request meanwhile. */
+    /** Closes a connection after a delay, unless its caller sends a request meanwhile or has bytes to read. */
     internal fun closeIfIdleLater(connection: CallerConnection) {
         val delay = NEXT_REQUEST_DELAY.inWholeMilliseconds
         connection.channel.eventLoop().schedule(connection::closeIfIdle, delay, TimeUnit.MILLISECONDS)
--- a/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -6,6 +6,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Guards against requests and responses that are lost because the process stops. */
 class StopCloseTest {
@@ -51,4 +52,23 @@
             assertEquals(-1, socket.getInputStream().read())
         }
     }
+
+    @Test
+    fun `a response that its caller has not read yet is complete although the process begins to stop`() {
+        fixture.connect().use { socket ->
+            socket.send(GET)
+            fixture.respond(fixture.nextExchange(), ByteArray(ANSWER_BYTES))
+            sleep(SETTLE)
+            fixture.onLoop(fixture.listener::closeGracefully)
+            socket.getInputStream().readHead()
+            assertEquals(ANSWER_BYTES, socket.getInputStream().readNBytes(ANSWER_BYTES).size)
+            assertEquals(-1, socket.getInputStream().read())
+        }
+    }
+
+    private companion object {
+        /** More than the socket buffers of both ends of a loopback connection hold. */
+        const val ANSWER_BYTES = 30_000_000
+        val SETTLE = 200.milliseconds
+    }
 }
