Count the idle time of a connection from the end of sending

What callers would see: a response that ends in the middle, if they need longer than the idle time to read the rest of it after the process has passed on its end.

Cause: the idle time began when the response had been passed on to the connection, and closing the connection discards what has not been written to the socket. A response of any length could be cut off so, and a shorter idle time made it more likely.

Evidence: IdleCloseTest's test with a caller that reads 20 MB a second of 60 MB, with an idle time of 1 s, failed before the change: the connection ended in the middle (mvn -o -pl connection -am -Dtest=IdleCloseTest test).

Change: while bytes are unsent, only a caller that reads nothing for the idle time is cut off, as SendProgress decides; the idle time begins when the last byte has been written to the socket. The same bound now ends a connection whose last response is not read; it had none.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -52,13 +52,14 @@
     private var discarding = false
     private val lingering = LingeringClose(listener::now)
     private var wait = CallerWait.forRequest(limits(), listener.now())
+    private var progress = SendProgress(0, listener.now())
     private var isCloseReported = false
 
     /** Whether the connection closes after the response that is being sent. */
     val isClosing: Boolean get() = listener.isClosing
 
     /** Whether bytes of a response have not reached the socket yet. */
-    val hasUnsentBytes: Boolean get() = (channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
+    val hasUnsentBytes: Boolean get() = channel.unsentBytes > 0
 
     /** The socket of the connection. */
     val channel: Channel get() = context.channel()
@@ -209,10 +210,14 @@
         context.close()
     }
 
-    /** Closes the connection if the caller takes too long to send a request head, a body or the next request. */
+    /**
+     * Closes the connection if the caller takes too long to send a request head, a body or the next request, or to read
+     * the end of a response.
+     */
     fun checkTimeouts(now: Duration) {
         if (decide(now) == CallerWaitDecision.WAIT) return
         channel.readPending()
+        channel.writePending()
         when (decide(listener.now())) {
             CallerWaitDecision.WAIT -> Unit
             CallerWaitDecision.REFUSE -> refuse(HttpResponseStatus.REQUEST_TIMEOUT)
@@ -236,11 +241,16 @@
     private val isIdle: Boolean
         get() = exchange == null && !discarding && wait.stage == CallerWaitStage.NEXT_REQUEST
 
-    private fun decide(now: Duration): CallerWaitDecision = when {
-        !channel.isActive -> CallerWaitDecision.WAIT
-        lingering.isOver(now) -> CallerWaitDecision.CLOSE
-        exchange != null || discarding -> CallerWaitDecision.WAIT
-        else -> wait.decide(limits(), now)
+    private fun decide(now: Duration): CallerWaitDecision {
+        progress = progress.observed(channel.unsentBytes, now)
+        val current = limits()
+        val isStalled = progress.isStalled(wait.effectiveLimits(current).idleTimeout, now)
+        return when {
+            !channel.isActive || exchange?.isFinished == false -> CallerWaitDecision.WAIT
+            isStalled || lingering.isOver(now) -> CallerWaitDecision.CLOSE
+            exchange != null || discarding || hasUnsentBytes -> CallerWaitDecision.WAIT
+            else -> wait.responseSent(progress.changedAt).decide(current, now)
+        }
     }
 
     private fun reportClose(reason: CallerCloseReason, cause: Throwable? = null) {
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerWait.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerWait.kt
@@ -34,6 +34,9 @@
     /** The head of a request is complete. */
     fun headReceived(now: Duration): CallerWait = copy(stage = CallerWaitStage.REST_OF_BODY, stageStartedAt = now)
 
+    /** The last response had been written to the socket by the clock reading [at]. */
+    fun responseSent(at: Duration): CallerWait = copy(lastActivityAt = maxOf(lastActivityAt, at))
+
     /** The longer of each limit of this wait and of [current]. */
     fun effectiveLimits(current: CallerConnectionLimits) = CallerConnectionLimits(
         maxOf(limits.bodyBytes, current.bodyBytes),
--- a/connection/src/main/kotlin/redwingcross/connection/http/PendingRead.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/PendingBytes.kt
@@ -12,3 +12,12 @@
 internal fun Channel.readPending() {
     (unsafe() as AbstractNioChannel.NioUnsafe).read()
 }
+
+/** Writes as much of the pending bytes as the socket accepts, as if it had become writable; on the event loop. */
+internal fun Channel.writePending() {
+    (unsafe() as AbstractNioChannel.NioUnsafe).forceFlush()
+}
+
+/** Bytes that were passed on to be sent and have not been written to the socket, with an overhead for each message. */
+internal val Channel.unsentBytes: Long
+    get() = unsafe().outboundBuffer()?.let { it.totalPendingWriteBytes() - it.currentProgress() } ?: 0
--- a/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
@@ -89,6 +89,33 @@
         }
     }
 
+    @Test
+    fun `a caller that reads a long response slowly receives all of it`() {
+        fixture.limits = fixture.limits.copy(idleTimeout = 1.seconds)
+        fixture.connect().use { socket ->
+            socket.send(GET)
+            fixture.respond(fixture.nextExchange(), ByteArray(ANSWER_BYTES))
+            val input = socket.getInputStream()
+            input.readHead()
+            repeat(ANSWER_BYTES / STEP_BYTES) {
+                assertEquals(STEP_BYTES, input.readNBytes(STEP_BYTES).size)
+                sleep(SETTLE)
+            }
+        }
+    }
+
+    @Test
+    fun `a caller that does not read its response is cut off after the idle time`() {
+        fixture.limits = fixture.limits.copy(idleTimeout = SHORT)
+        fixture.connect().use { socket ->
+            socket.send(GET)
+            fixture.respond(fixture.nextExchange(), ByteArray(ANSWER_BYTES))
+            val close = fixture.nextClose()
+            assertEquals(CallerCloseReason.IDLE, close.reason)
+            assertTrue(socket.getInputStream().readAllBytes().size < ANSWER_BYTES)
+        }
+    }
+
     @Test
     fun `an idle connection is closed after the idle time`() {
         fixture.limits = fixture.limits.copy(idleTimeout = SHORT)
@@ -99,5 +126,9 @@
         val SHORT = 400.milliseconds
         val PAUSE = 1.seconds
         val SETTLE = 100.milliseconds
+
+        /** More than the socket buffers of both ends of a loopback connection hold. */
+        const val ANSWER_BYTES = 60_000_000
+        const val STEP_BYTES = 2_000_000
     }
 }
