Accept the connections in the queue before a stop ends accepting

What callers would see: a reset connection in place of the refusal, if they connected and sent a request shortly before a stopping process ended.

Cause: closing the listening socket resets the connections in its accept queue. When the event loop was late, requests had been sent on them for longer than callers can be asked to accept, and nothing had read them.

Change: stopAccepting accepts what is in the queue, at most as many connections as it holds, before it closes the socket. It does so on the event loop.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -37,6 +37,9 @@
     private val connections = HashSet<CallerConnection>()
     private var channel: Channel? = null
 
+    /** Number of connections accepted so far. */
+    private var accepted = 0L
+
     /** Once true, each connection closes after the response that is being sent. */
     var isClosing = false
         private set
@@ -62,6 +65,7 @@
     }
 
     private fun prepare(channel: SocketChannel) {
+        accepted++
         TcpKeepAlive.apply(channel)
         val connection = CallerConnection(this, limits, bodyBudget, serve)
         channel.pipeline()
@@ -80,9 +84,22 @@
     /** Whether a caller has not been sent all bytes of the responses that were written to it. */
     val hasUnsentBytes: Boolean get() = connections.any(CallerConnection::hasUnsentBytes)
 
-    /** Stops accepting new connections. */
+    /** Stops accepting new connections, after those that callers have opened by now. */
     fun stopAccepting() {
-        channel?.close()
+        val bound = channel ?: return
+        val stop = {
+            if (bound.isOpen) acceptPending(bound)
+            bound.close()
+        }
+        if (bound.eventLoop().inEventLoop()) stop() else bound.eventLoop().execute { stop() }
+    }
+
+    private fun acceptPending(bound: Channel) {
+        val first = accepted
+        do {
+            val before = accepted
+            bound.readPending()
+        } while (accepted != before && accepted - first < BACKLOG)
     }
 
     internal fun now(): Duration = clock.now()
--- a/connection/src/main/kotlin/redwingcross/connection/http/PendingBytes.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/PendingBytes.kt
@@ -4,7 +4,8 @@
 import io.netty.channel.nio.AbstractNioChannel
 
 /**
- * Reads what has already arrived at the socket, at most a few buffers of it, as if it had become readable.
+ * Reads what has already arrived at the socket, at most a few buffers of it, as if it had become readable. A listening
+ * socket accepts a few connections.
  *
  * After a pause of the process, timers can run before the sockets are read. Called on the event loop before a timer
  * ends a connection, but not while the connection is being read.
--- a/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -66,9 +66,25 @@
         }
     }
 
+    @Test
+    fun `a connection that was not accepted yet is served when the listener stops`() {
+        fixture.connect().use { socket ->
+            fixture.delayLoop(afterwards = fixture.listener::stopAccepting) {
+                repeat(CONNECTIONS) { fixture.connect().send(GET) }
+                socket.send(GET)
+                sleep(SETTLE)
+            }
+            repeat(CONNECTIONS + 1) { fixture.respond(fixture.nextExchange()) }
+            assertTrue("200" in socket.getInputStream().readHead())
+        }
+    }
+
     private companion object {
         /** More than the socket buffers of both ends of a loopback connection hold. */
         const val ANSWER_BYTES = 30_000_000
+
+        /** More than one read of the listening socket accepts. */
+        const val CONNECTIONS = 40
         val SETTLE = 200.milliseconds
     }
 }
