--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -51,13 +52,17 @@
     private var discarding = false
     private val lingering = LingeringClose(listener::now)
     private var wait = CallerWait.forRequest(limits(), listener.now())
+    private var progress = SendProgress(0, listener.now())
     private var isCloseReported = false
 
     /** Whether the connection closes after the response that is being sent. */
     val isClosing: Boolean get() = listener.isClosing
 
     /** Whether bytes of a response have not reached the socket yet. */
-    val hasUnsentBytes: Boolean get() = (context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
+    val hasUnsentBytes: Boolean get() = channel.unsentBytes > 0
+
+    /** The socket of the connection. */
+    val channel: Channel get() = context.channel()
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -78,7 +83,7 @@
 
     /** Called for received [bytes] before they are decoded; returns whether they are still needed. */
     fun onBytesReceived(bytes: Int): Boolean {
-        if (lingering.isBegun) lingering.discarded(context.channel(), bytes)
+        if (lingering.isBegun) lingering.discarded(channel, bytes)
         if (exchange == null) wait = wait.received(limits(), listener.now())
         return !discarding
     }
@@ -87,7 +92,7 @@
         val part = message as HttpObject
         if (discarding || (exchange == null && pipelined.isEmpty)) return accept(part)
         pipelined.add(part)
-        if (pipelined.isFull) context.channel().config().isAutoRead = false
+        if (pipelined.isFull) channel.config().isAutoRead = false
     }
 
     private fun accept(part: HttpObject) {
@@ -137,7 +142,7 @@
         val head = request ?: return
         request = null
         val next = CallerExchange(
-            context.channel(),
+            channel,
             this,
             RequestHead(head.method().name(), head.uri(), head.headers()),
             body.takeBytes(),
@@ -183,18 +188,19 @@
     private fun serveNext() {
         exchange = null
         while (exchange == null && !pipelined.isEmpty) accept(pipelined.removeFirst())
-        if (!pipelined.isFull) context.channel().config().isAutoRead = true
+        if (!pipelined.isFull) channel.config().isAutoRead = true
+        if (isIdle && isClosing) listener.closeIfIdleLater(this)
     }
 
     /** Resets the connection, so that a partial response can't be taken for a complete one. */
     fun abort() {
         reportClose(CallerCloseReason.ABORTED)
         discarding = true
-        context.channel().closeWithReset()
+        channel.closeWithReset()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (context.channel().isWritable) exchange?.onWritable?.invoke()
+        if (channel.isWritable) exchange?.onWritable?.invoke()
     }
 
     @Deprecated("Netty still reports channel errors through this method.")
@@ -204,10 +210,14 @@
         context.close()
     }
 
-    /** Closes the connection if the caller takes too long to send a request head, a body or the next request. */
+    /**
+     * Closes the connection if the caller takes too long to send a request head, a body or the next request, or to read
+     * the end of a response.
+     */
     fun checkTimeouts(now: Duration) {
         if (decide(now) == CallerWaitDecision.WAIT) return
-        context.channel().readPending()
+        channel.readPending()
+        channel.writePending()
         when (decide(listener.now())) {
             CallerWaitDecision.WAIT -> Unit
             CallerWaitDecision.REFUSE -> refuse(HttpResponseStatus.REQUEST_TIMEOUT)
@@ -221,8 +231,9 @@
     /** Closes the connection if it is waiting for its next request. */
     fun closeIfIdle() {
         if (!isIdle) return
-        context.channel().readPending()
+        channel.readPending()
         if (!isIdle) return
+        if (hasUnsentBytes) return listener.closeIfIdleLater(this)
         reportClose(CallerCloseReason.STOP)
         context.close()
     }
@@ -230,11 +241,16 @@
     private val isIdle: Boolean
         get() = exchange == null && !discarding && wait.stage == CallerWaitStage.NEXT_REQUEST
 
-    private fun decide(now: Duration): CallerWaitDecision = when {
-        !context.channel().isActive -> CallerWaitDecision.WAIT
-        lingering.isOver(now) -> CallerWaitDecision.CLOSE
-        exchange != null || discarding -> CallerWaitDecision.WAIT
-        else -> wait.decide(limits(), now)
+    private fun decide(now: Duration): CallerWaitDecision {
+        progress = progress.observed(channel.unsentBytes, now)
+        val current = limits()
+        val isStalled = progress.isStalled(wait.effectiveLimits(current).idleTimeout, now)
+        return when {
+            !channel.isActive || exchange?.isFinished == false -> CallerWaitDecision.WAIT
+            isStalled || lingering.isOver(now) -> CallerWaitDecision.CLOSE
+            exchange != null || discarding || hasUnsentBytes -> CallerWaitDecision.WAIT
+            else -> wait.responseSent(progress.changedAt).decide(current, now)
+        }
     }
 
     private fun reportClose(reason: CallerCloseReason, cause: Throwable? = null) {
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import redwingcross.request.MonotonicClock
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -36,6 +37,12 @@
     private val connections = HashSet<CallerConnection>()
     private var channel: Channel? = null
 
+    /** Number of bytes received from callers so far. */
+    private var receivedBytes = 0L
+
+    /** Number of connections accepted so far. */
+    private var accepted = 0L
+
     /** Once true, each connection closes after the response that is being sent. */
     var isClosing = false
         private set
@@ -61,6 +68,7 @@
     }
 
     private fun prepare(channel: SocketChannel) {
+        accepted++
         TcpKeepAlive.apply(channel)
         val connection = CallerConnection(this, limits, bodyBudget, serve)
         channel.pipeline()
@@ -79,9 +87,31 @@
     /** Whether a caller has not been sent all bytes of the responses that were written to it. */
     val hasUnsentBytes: Boolean get() = connections.any(CallerConnection::hasUnsentBytes)
 
-    /** Stops accepting new connections. */
+    /** Reads and serves what callers have sent by now; on the event loop, but not while a connection is being read. */
+    fun receivePending() {
+        repeat(MAXIMUM_ROUNDS) {
+            val before = receivedBytes
+            connections.toList().forEach { if (it.channel.isActive) it.channel.readPending() }
+            if (receivedBytes == before) return
+        }
+    }
+
+    /** Stops accepting new connections, after those that callers have opened by now. */
     fun stopAccepting() {
-        channel?.close()
+        val bound = channel ?: return
+        val stop = {
+            if (bound.isOpen) acceptPending(bound)
+            bound.close()
+        }
+        if (bound.eventLoop().inEventLoop()) stop() else bound.eventLoop().execute { stop() }
+    }
+
+    private fun acceptPending(bound: Channel) {
+        val first = accepted
+        do {
+            val before = accepted
+            bound.readPending()
+        } while (accepted != before && accepted - first < BACKLOG)
     }
 
     internal fun now(): Duration = clock.now()
@@ -94,6 +124,12 @@
         connections -= connection
     }
 
+    /** Closes a connection after a delay, unless its caller sends a request meanwhile or has bytes to read. */
+    internal fun closeIfIdleLater(connection: CallerConnection) {
+        val delay = NEXT_REQUEST_DELAY.inWholeMilliseconds
+        connection.channel.eventLoop().schedule(connection::closeIfIdle, delay, TimeUnit.MILLISECONDS)
+    }
+
     internal fun closing(close: CallerClose): Unit = onClosing(close)
 
     internal fun refused(status: Int): Unit = onRefused(status)
@@ -107,9 +143,11 @@
      * Reports received bytes before they are decoded, so that the head timeout starts with the first byte of a request,
      * and discards those after the last response.
      */
-    private class ReceiveTracker(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
+    private inner class ReceiveTracker(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (connection.onBytesReceived((message as ByteBuf).readableBytes())) {
+            val bytes = (message as ByteBuf).readableBytes()
+            receivedBytes += bytes
+            if (connection.onBytesReceived(bytes)) {
                 context.fireChannelRead(message)
             } else {
                 message.release()
@@ -121,6 +159,12 @@
         /** Large, because a full accept queue delays new callers by seconds. */
         const val BACKLOG = 1024
 
+        /** One round reads some hundreds of kilobytes of a connection, and a request is seldom longer than that. */
+        const val MAXIMUM_ROUNDS = 64
+
+        /** Time after a response in which a caller that uses its connection all the time sends its next request. */
+        val NEXT_REQUEST_DELAY = 200.milliseconds
+
         /** Interval between two checks of the timeouts, and so their resolution. */
         val CHECK_INTERVAL = 500.milliseconds
     }
--- /dev/null
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -0,0 +1,113 @@
+package redwingcross.connection.http
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import java.io.InputStream
+import java.net.Socket
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Guards against requests and responses that are lost because the process stops. */
+class StopCloseTest {
+    private val fixture = ListenerFixture()
+
+    @AfterTest
+    fun close() = fixture.close()
+
+    private fun InputStream.readStream() {
+        readHead()
+        readHead()
+    }
+
+    private fun streamAcrossStop(exchange: CallerExchange) {
+        fixture.onLoop {
+            exchange.beginStream(200, DefaultHttpHeaders())
+            exchange.write("event".toByteArray())
+            fixture.listener.closeGracefully()
+            exchange.endStream()
+        }
+    }
+
+    @Test
+    fun `the request after a stream that did not announce the end of the connection is served`() {
+        fixture.connect().use { socket ->
+            socket.send(GET)
+            streamAcrossStop(fixture.nextExchange())
+            socket.getInputStream().readStream()
+            socket.send(GET)
+            fixture.respond(fixture.nextExchange())
+            assertTrue("connection: close" in socket.getInputStream().readHead().lowercase())
+            assertEquals(-1, socket.getInputStream().read())
+        }
+    }
+
+    @Test
+    fun `a connection is closed soon after a stream that ended during a stop`() {
+        fixture.connect().use { socket ->
+            socket.soTimeout = 1500
+            socket.send(GET)
+            streamAcrossStop(fixture.nextExchange())
+            socket.getInputStream().readStream()
+            assertEquals(-1, socket.getInputStream().read())
+        }
+    }
+
+    @Test
+    fun `a response that its caller has not read yet is complete although the process begins to stop`() {
+        fixture.connect().use { socket ->
+            socket.send(GET)
+            fixture.respond(fixture.nextExchange(), ByteArray(ANSWER_BYTES))
+            sleep(SETTLE)
+            fixture.onLoop(fixture.listener::closeGracefully)
+            socket.getInputStream().readHead()
+            assertEquals(ANSWER_BYTES, socket.getInputStream().readNBytes(ANSWER_BYTES).size)
+            assertEquals(-1, socket.getInputStream().read())
+        }
+    }
+
+    @Test
+    fun `long requests that lie unread are served before the process ends`() {
+        val sockets = List(2) { fixture.connect() }
+        sleep(SETTLE)
+        fixture.delayLoop(
+            afterwards = {
+                fixture.listener.receivePending()
+                assertEquals(2, fixture.exchanges.size)
+            },
+        ) {
+            for (socket in sockets) {
+                socket.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: $BODY_BYTES\r\n\r\n")
+                socket.getOutputStream().write(ByteArray(BODY_BYTES))
+            }
+            sleep(SETTLE)
+        }
+        sockets.forEach(Socket::close)
+    }
+
+    @Test
+    fun `a connection that was not accepted yet is served when the listener stops`() {
+        fixture.connect().use { socket ->
+            fixture.delayLoop(afterwards = fixture.listener::stopAccepting) {
+                repeat(CONNECTIONS) { fixture.connect().send(GET) }
+                socket.send(GET)
+                sleep(SETTLE)
+            }
+            repeat(CONNECTIONS + 1) { fixture.respond(fixture.nextExchange()) }
+            assertTrue("200" in socket.getInputStream().readHead())
+        }
+    }
+
+    private companion object {
+        /** More than the socket buffers of both ends of a loopback connection hold. */
+        const val ANSWER_BYTES = 30_000_000
+
+        /** More than one read of a connection takes, and less than its socket buffers hold. */
+        const val BODY_BYTES = 900_000
+
+        /** More than one read of the listening socket accepts. */
+        const val CONNECTIONS = 40
+        val SETTLE = 200.milliseconds
+    }
+}
