Don't take a stream whose caller reads slowly for a silent one

What callers saw: a caller that didn't read for 1.5 s had its stream cancelled at a working engine and resumed at another one, up to the limit of the route; each move used a retry, and the group was avoided and reported to the controller meanwhile.

Cause: the gateway stops reading from the back end while the caller's buffer is full, so no event arrives, and both checks of silence took this for the silence of the group.

Evidence: the new test of GatewaySilenceTest (30 MB of events for a caller that doesn't read) fails on the code before with "the request was sent again".

Change: the checks see only the requests whose callers read, and the time without an event counts from the moment at which reading goes on. StallWatch has no timer while it sees no request, so an event starts its checks too.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayHealth.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayHealth.kt
@@ -23,7 +23,7 @@
     val gateway: GatewayDependencies,
     val shared: SharedHealthDependencies,
     val load: BackendLoad,
-    /** Requests that have not ended. */
+    /** Requests that have not ended and whose callers read their answers. */
     val tasks: () -> Collection<ForwardTask>,
     val crashes: CrashSignals,
 )
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -90,6 +90,9 @@
     private val digestNames = HashMap<BackendServer, CompactName>()
     private val budgets = RetryBudgets { bounds().retryBudget }
     private val forwardTasks = HashSet<ForwardTask>()
+
+    /** The requests whose silence is that of their back ends. */
+    private val watchedTasks = { forwardTasks.filter { it.isCallerReading } }
     private val shutdown = ShutdownAdmission()
     private val localWaiting =
         WaitingRequests(dependencies.clock, dependencies.runLater, { placement.choose(it) }, random)
@@ -181,7 +184,7 @@
                 dependencies,
                 shared,
                 load,
-                { forwardTasks },
+                watchedTasks,
                 context.crashes,
             ),
             random,
@@ -370,7 +373,7 @@
         places?.check()
         waiting.serve()
         endUnsendableRequests()
-        progress.check(forwardTasks)
+        progress.check(watchedTasks())
     }
 
     /** From now on refuses requests that can't be completed before the process ends all requests at [time]. */
--- a/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
@@ -53,13 +53,17 @@
     fun marked(): Set<GroupId> = marks.at(clock.now())
 
     /** Called when a request was sent to [backend]. */
-    fun requestSent(backend: ChosenBackend) {
+    fun requestSent(backend: ChosenBackend): Unit = checkLater(backend)
+
+    private fun checkLater(backend: ChosenBackend) {
         if (backend.group == null || isCheckScheduled) return
         scheduleCheck(SilenceDecision.SILENCE_LIMIT)
     }
 
     /** Called for each event of a stream, with the time since the one before it or since the request was sent. */
     fun progressed(backend: ChosenBackend, pause: Duration, isFirst: Boolean) {
+        // The checks end while no caller of a request reads, and go on with the first event after that.
+        checkLater(backend)
         if (isFirst) firstEventTimes.getOrPut(backend.kind, ::MovingAverage).record(pause)
         if (silence.reportedAt.isEmpty() && marks.until.isEmpty()) return
         val group = backend.group ?: return
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
@@ -120,6 +120,20 @@
         assertTrue("whole" in caller.readAnswer())
     }
 
+    @Test
+    fun `a stream whose caller reads slowly does not leave its group`() {
+        startEngines(2)
+        val caller = generate("p1")
+        val arrival = nextArrival()
+        arrival.beginEvents()
+        caller.readThrough("data: a\n\n")
+        val data = "x".repeat(LONG_EVENT_BYTES)
+        onLoop { repeat(LONG_EVENTS) { arrival.write("id: ${it + 2}\ndata: $data\n\n".toByteArray()) } }
+        checkProgressFor(LONG_SILENCE)
+        assertNull(arrivals.poll(), "the request was sent again")
+        caller.close()
+    }
+
     @Test
     fun `a stream of a group that is reported lost is not broken off if no retry is left`() {
         retryExtra = 0.0
@@ -134,6 +148,10 @@
     }
 
     private companion object {
+        /** Together far more than the buffers of the sockets hold. */
+        const val LONG_EVENT_BYTES = 100_000
+        const val LONG_EVENTS = 300
+
         /** The interval of the checks in a process. */
         val CHECK_INTERVAL = 100.milliseconds
 
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -56,6 +56,9 @@
     override var progressAt: Duration = job.arrivedAt
         private set
 
+    /** Whether the caller takes what its back end sends; otherwise nothing is read from the back end. */
+    val isCallerReading: Boolean get() = exchange.isWritable
+
     override val hasProgressed: Boolean get() = offer?.hasEvents == true
 
     /** Sends the request to the first back end and starts the timer for the deadline. */
@@ -64,7 +67,10 @@
             offer?.pending?.cancel()
             finish("caller_left", "closed")
         }
-        exchange.onWritable = { offer?.pending?.resumeReading() }
+        exchange.onWritable = {
+            progressAt = context.clock.now()
+            offer?.pending?.resumeReading()
+        }
         timer = context.runLater(job.deadline - context.clock.now()) {
             if (!finished) {
                 cancelOffer()
--- a/version/src/main/kotlin/redwingcross/version/forwarding/WatchedRequest.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/WatchedRequest.kt
@@ -18,7 +18,7 @@
     /** The group to which the request is currently sent; null for a plain service or without a current offer. */
     val group: GroupId? get() = backend?.group
 
-    /** When the current back end last sent an event, or when the request was sent to it. */
+    /** When the current back end last sent an event or was read from again, or when the request was sent to it. */
     val progressAt: Duration
 
     /** Whether the current back end has sent at least one event. */
