End requests under the service that they were admitted to

What callers saw: around a change of the configuration that removes a service, or turns it from engines to plain back ends or back, a stream whose back end broke off was reset after 1.2 s, and a request that its back end had declined was refused, although other back ends of the service were still there.

Cause: each choice of a back end read the service from the configuration at that moment and chose none without it. Route, deadline, priority and customer of a request were kept from its admission already.

Ruled out by reading: the route's timeout, repeatability, limit of sends, objective and priority come from the ForwardJob, so a removed route or a shortened timeout changes nothing for a request in progress; the caller limits are not applied while an exchange is open.

Change: the job keeps the properties of its service. The current ones are used while the service exists and is of the same kind, because its limits are those of the back ends; otherwise the kept ones, also to derive groups.

--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -11,6 +11,7 @@
 import redwingcross.version.fleet.OrderCount
 import redwingcross.version.fleet.RouteChanges
 import redwingcross.version.fleet.ServiceRoutes
+import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
 import redwingcross.version.fleet.StoreRevision
 import redwingcross.version.fleet.UpdateSource
@@ -91,6 +92,13 @@
         return last?.takeIf { now < it.validUntil }?.serving
             ?: derivedGroups.filter { it.service == service && it.id !in last?.lost.orEmpty() }
     }
+
+    /** The same for a service that the configuration may no longer have. */
+    fun servingGroups(service: ServiceSpec, now: Duration): List<ServingGroup> {
+        val known = servingGroups(service.name, now)
+        if (known.isNotEmpty() || configuration?.services?.get(service.name)?.pool != null) return known
+        return table.servingGroups(service).filter { it.id !in announced[service.name]?.lost.orEmpty() }
+    }
 }
 
 /** Changes of [FleetState] as pure functions of the state, an input and the time. */
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -257,13 +257,14 @@
         if (tenant == null && configuration.requiresKeys && !route.anonymous) {
             refuse(exchange, request, UNAUTHORIZED, "unknown_key", configuration)
         } else {
-            admit(exchange, request, route, tenant, arrivedAt)
+            admit(exchange, request, configuration, route, tenant, arrivedAt)
         }
     }
 
     private fun admit(
         exchange: CallerExchange,
         request: InboundRequest,
+        configuration: FleetConfiguration,
         route: Route,
         tenant: Tenant?,
         arrivedAt: Duration,
@@ -276,8 +277,9 @@
         val service = route.pickService(random) ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service")
         budgets[service].recordRequest(now)
         val priority = tenant?.priority ?: route.priority
-        val task =
-            ForwardTask(ForwardJob(exchange, request, route, service, tenant?.name, priority, arrivedAt), context)
+        val admittedTo = configuration.services[service]
+        val job = ForwardJob(exchange, request, route, service, admittedTo, tenant?.name, priority, arrivedAt)
+        val task = ForwardTask(job, context)
         forwardTasks += task
         task.start()
     }
--- a/process/src/main/kotlin/redwingcross/process/edge/RequestPlacement.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/RequestPlacement.kt
@@ -39,14 +39,14 @@
     fun choose(request: ChoiceRequest): BackendChoice {
         val now = dependencies.clock.now()
         val fleet = dependencies.fleet()
-        val terms = fleet.configuration?.services?.get(request.service) ?: return BackendChoice.NoneServing
+        val terms = request.terms(fleet.configuration) ?: return BackendChoice.NoneServing
         val context = context(fleet, request.excluded, request.isResuming, now)
         val model = request.model
         if (model == null || terms.pool == null) return chooser.chooseServer(terms, context)
         val decision = request.toPlaceRequest(priority = 0)?.let { places?.decide(it) }
         if (decision == PlaceDecision.Wait) return BackendChoice.AllBusy
         val granted = (decision as? PlaceDecision.UseGrant)?.head
-        return chooser.chooseGroup(terms, model, fleet.servingGroups(request.service, now), context, granted)
+        return chooser.chooseGroup(terms, model, fleet.servingGroups(terms, now), context, granted)
     }
 
     /** Another back end for a request whose own is silent; null unless one that isn't silent itself has a place. */
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -265,6 +265,13 @@
         fleet = FleetDecision.onUpdate(fleet, FleetUpdate.ServersListed(listed), MonotonicClock.system.now())
     }
 
+    /** Applies a configuration without any route and service, as after an operator's change. */
+    protected fun removeServices() = onLoop {
+        val next =
+            FleetConfiguration(ConfigurationVersion(2), emptyList(), emptyMap(), CallerLimits(), emptyList())
+        fleet = FleetDecision.onUpdate(fleet, FleetUpdate.ConfigurationChanged(next), MonotonicClock.system.now())
+    }
+
     private fun applyBackends(addresses: List<InetSocketAddress>, pool: ModelPool? = null) {
         val servers = addresses.mapIndexed { index, address ->
             EngineStatus(
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -8,6 +8,7 @@
 import redwingcross.version.fleet.ColdRateLimiter
 import redwingcross.version.fleet.EngineStart
 import redwingcross.version.fleet.EngineTable
+import redwingcross.version.fleet.FleetConfiguration
 import redwingcross.version.fleet.GatewayShare
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
@@ -198,7 +199,20 @@
     val excluded: Set<BackendServer>,
     /** Whether the request was sent before, so that refusing it would lose work. */
     val isResuming: Boolean,
-)
+    /** Properties of the service when the request was admitted; null if they are not known. */
+    val admittedTo: ServiceSpec? = null,
+) {
+    /**
+     * The properties of the service under which a back end is chosen: those in the [current] configuration, whose
+     * limits are those of the back ends, or else those that the request was admitted to. A service that was removed, or
+     * changed between engines and plain back ends, still completes the requests in progress.
+     */
+    fun terms(current: FleetConfiguration?): ServiceSpec? {
+        val spec = current?.services?.get(service) ?: return admittedTo
+        val isSameKind = admittedTo == null || (spec.pool == null) == (admittedTo.pool == null)
+        return if (isSameKind) spec else admittedTo
+    }
+}
 
 /** Chooses a back end for a request. */
 typealias ChooseBackend = (ChoiceRequest) -> BackendChoice
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardJob.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardJob.kt
@@ -5,6 +5,7 @@
 import redwingcross.request.ServiceName
 import redwingcross.request.forward.InboundRequest
 import redwingcross.version.fleet.Route
+import redwingcross.version.fleet.ServiceSpec
 import kotlin.time.Duration
 
 /** An admitted request with its route, service, customer and time of arrival. */
@@ -13,6 +14,8 @@
     val request: InboundRequest,
     val route: Route,
     val service: ServiceName,
+    /** Properties of [service] when the request was admitted; null if the configuration had no such service. */
+    val admittedTo: ServiceSpec?,
     val customer: Customer?,
     /** 0 is the most urgent. The customer's priority takes precedence over that of the route. */
     val priority: Int,
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -47,7 +47,13 @@
     private val latestEnd: Duration get() = minOf(job.deadline, context.shutdown.endsAt)
 
     /** What this request needs from the next back end that it is sent to. */
-    fun choiceRequest() = ChoiceRequest(job.service, job.request.generation?.model, state.offered.toSet(), isResuming)
+    fun choiceRequest() = ChoiceRequest(
+        job.service,
+        job.request.generation?.model,
+        state.offered.toSet(),
+        isResuming,
+        job.admittedTo,
+    )
 
     override val inbound get() = job.request
 
