Move parts of the forwarding and the gateway task to files of their own

What callers see doesn't change.

Change: the status with which a request ends is written by CallerResponse, the event line of an offer by OfferLog, the step of a request without an offer is decided by ForwardDecision, and GatewayDependencies has its own file.

Evidence: the tests of the gateway and of ForwardDecision pass unchanged.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -8,7 +8,6 @@
 import redwingcross.connection.http.ResponseMatcher
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
-import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
 import redwingcross.request.forward.InboundRequest
 import redwingcross.request.forward.OfferResult
@@ -17,7 +16,6 @@
 import redwingcross.version.fleet.ColdRateLimiter
 import redwingcross.version.fleet.EngineStart
 import redwingcross.version.fleet.FleetConfiguration
-import redwingcross.version.fleet.GatewayShare
 import redwingcross.version.fleet.Route
 import redwingcross.version.fleet.Tenant
 import redwingcross.version.forwarding.BackendChooser
@@ -25,7 +23,6 @@
 import redwingcross.version.forwarding.BackendLoad
 import redwingcross.version.forwarding.BackendNotice
 import redwingcross.version.forwarding.BackendNotices
-import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.forwarding.ChoiceSettings
 import redwingcross.version.forwarding.ChosenBackend
 import redwingcross.version.forwarding.CrashSignals
@@ -34,37 +31,10 @@
 import redwingcross.version.forwarding.ForwardOutcome
 import redwingcross.version.forwarding.ForwardTask
 import redwingcross.version.forwarding.MoveAdmission
-import redwingcross.version.forwarding.RequestCodec
-import redwingcross.version.forwarding.SendToBackend
 import redwingcross.version.forwarding.ShutdownAdmission
 import kotlin.random.Random
 import kotlin.time.Duration
 
-/** Callbacks through which [GatewayTask] reads the process state and sends requests and messages. */
-class GatewayDependencies(
-    val clock: MonotonicClock,
-    val codec: RequestCodec,
-    val fleet: () -> FleetState,
-    /** This gateway's share of the limits that all gateways divide among themselves. */
-    val gatewayShare: () -> GatewayShare,
-    val send: SendToBackend,
-    /** Runs an action on the event loop after a delay. */
-    val runLater: (Duration, () -> Unit) -> CancelTimer,
-    /** Reports to the controller that a group makes no progress. */
-    val reportSuspectedGroup: (GroupId) -> Unit,
-    /** Called when a back end reports that it stays cold for the given time. */
-    val coldReported: (BackendServer, Duration) -> Unit,
-    /** Called once for each forwarded request when it has ended. */
-    val recordOutcome: (ForwardOutcome) -> Unit,
-    val log: LogEvent,
-    /** Null unless gateways share what they observe of groups. */
-    val sharedHealth: SharedHealthDependencies? = null,
-    /** Reaches the owner of the places; null if groups are chosen without it. */
-    val places: PlaceNetwork? = null,
-    /** Called when a back end's response shows that it began to run a request, once for each back end. */
-    val runBegan: (ForwardJob) -> Unit = {},
-)
-
 /** Admits requests from callers, chooses their back ends and monitors the progress of the streams in flight. */
 class GatewayTask(
     private val dependencies: GatewayDependencies,
--- a/request/src/main/kotlin/redwingcross/request/forward/ForwardDecision.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/ForwardDecision.kt
@@ -112,13 +112,18 @@
         return when {
             now >= state.limits.deadline -> expired(state)
             canRetry && (state.sends == 0 || acquireRetry()) -> ForwardStep.OfferAgain(state.answerStarted)
-            state.answerStarted -> ForwardStep.BreakOff
-            end == OfferResult.Failed -> ForwardStep.PassError
-            state.mayHaveRun -> ForwardStep.ReportUnknown
-            else -> ForwardStep.Refuse
+            end == OfferResult.Failed && !state.answerStarted -> ForwardStep.PassError
+            else -> withoutOffer(state)
         }
     }
 
+    /** Returns the step for a request that is at no back end and is not offered again. */
+    fun withoutOffer(state: ForwardState): ForwardStep = when {
+        state.answerStarted -> ForwardStep.BreakOff
+        state.mayHaveRun -> ForwardStep.ReportUnknown
+        else -> ForwardStep.Refuse
+    }
+
     /** Returns the step for a request whose deadline has passed. */
     fun expired(state: ForwardState): ForwardStep =
         if (state.answerStarted) ForwardStep.BreakOff else ForwardStep.ReportTimeout
--- a/version/src/main/kotlin/redwingcross/version/forwarding/CallerResponse.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/CallerResponse.kt
@@ -5,6 +5,7 @@
 import redwingcross.connection.http.CallerExchange
 import redwingcross.connection.http.ResponseHead
 import redwingcross.connection.http.copyEndToEndTo
+import redwingcross.request.forward.ForwardStep
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 
@@ -42,9 +43,30 @@
         }
     }
 
+    /**
+     * Ends the response with [step], which ends the request. [errorHead] is the head of the back end's error that is
+     * passed on, [isSent] whether the request was sent to a back end, and [retryAfter] the delay that a refusal states.
+     */
+    fun finish(step: ForwardStep, errorHead: ResponseHead?, isSent: Boolean, retryAfter: () -> Duration) {
+        when (step) {
+            ForwardStep.PassError -> errorHead?.let(::complete) ?: fail(BAD_GATEWAY)
+            ForwardStep.Refuse -> fail(SERVICE_UNAVAILABLE, retryAfter())
+            ForwardStep.ReportUnknown -> fail(BAD_GATEWAY)
+            ForwardStep.ReportTimeout -> fail(if (isSent) GATEWAY_TIMEOUT else SERVICE_UNAVAILABLE)
+            ForwardStep.BreakOff -> exchange.abort()
+            is ForwardStep.OfferAgain -> error("OfferAgain does not end a request")
+        }
+    }
+
     /** Responds with a status of the gateway's own. */
-    fun fail(status: Int, retryAfter: Duration? = null): Unit =
+    private fun fail(status: Int, retryAfter: Duration? = null): Unit =
         exchange.respond(status, refusalHeaders(retryAfter), ByteArray(0))
 
     private fun endToEndHeaders(head: ResponseHead) = DefaultHttpHeaders().also(head.headers::copyEndToEndTo)
+
+    private companion object {
+        const val BAD_GATEWAY = 502
+        const val SERVICE_UNAVAILABLE = 503
+        const val GATEWAY_TIMEOUT = 504
+    }
 }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -74,6 +74,16 @@
     /** Called when a back end's response shows that it began to run the request, once for each back end. */
     val runBegan: (ForwardJob) -> Unit = {},
 ) {
+    /**
+     * Why a request must not be sent now; null if it may be. At the end of the process, one that may have run
+     * ([isResuming]) can't be refused truthfully, so it is sent once more.
+     */
+    fun reasonNotToSend(job: ForwardJob, isResuming: Boolean): String? = when {
+        crashes.isBlocked(job.request) -> ForwardTask.BLOCKED_PART
+        !isResuming && !shutdown.canComplete(job.route, job.deadline, clock.now()) -> ForwardTask.STOPPING
+        else -> null
+    }
+
     /** Whether a request that is at a back end would be sent again now if that one ended it. */
     fun canSendAgain(state: ForwardState, job: ForwardJob): Boolean = ForwardDecision.canRedispatch(state) &&
         moves.hasRetry(job.service) &&
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardJob.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardJob.kt
@@ -1,6 +1,7 @@
 package redwingcross.version.forwarding
 
 import redwingcross.connection.http.CallerExchange
+import redwingcross.request.BackendServer
 import redwingcross.request.Customer
 import redwingcross.request.ServiceName
 import redwingcross.request.forward.InboundRequest
@@ -23,4 +24,8 @@
 ) {
     /** Clock reading at which the caller or the route no longer waits for the response. */
     val deadline: Duration = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
+
+    /** What the request needs from the next back end that it is sent to, which must not be among [excluded]. */
+    fun choiceRequest(excluded: Set<BackendServer>, isResuming: Boolean) =
+        ChoiceRequest(service, request.generation?.model, excluded, isResuming, admittedTo)
 }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -26,6 +26,7 @@
     private var state = ForwardState(ForwardLimits(route.repeatability, route.maximumSends, job.deadline))
     private val splitter = EventSplitter()
     private val response = CallerResponse(exchange, context.codec.refusal)
+    private val log = OfferLog(job.request.attempt, context.log)
     private var offer: Offer? = null
     private var timer = CancelTimer {}
     private var lastEventId: Long? = job.request.resumeAfter.takeIf { route.repeatability.isStream }
@@ -47,13 +48,7 @@
     private val latestEnd: Duration get() = minOf(job.deadline, context.shutdown.endsAt)
 
     /** What this request needs from the next back end that it is sent to. */
-    fun choiceRequest() = ChoiceRequest(
-        job.service,
-        job.request.generation?.model,
-        state.offered.toSet(),
-        isResuming,
-        job.admittedTo,
-    )
+    fun choiceRequest() = job.choiceRequest(state.offered.toSet(), isResuming)
 
     override val inbound get() = job.request
 
@@ -88,21 +83,14 @@
 
     /** Ends the request if it isn't at a back end and must not be sent to one any more. */
     fun endIfUnsendable() {
-        if (!finished && offer == null) reasonNotToSend(context.clock.now())?.let(::finishWithout)
-    }
-
-    // At the end of the process, a request that may have run can't be refused truthfully, so it is sent once more.
-    private fun reasonNotToSend(now: Duration): String? = when {
-        context.crashes.isBlocked(job.request) -> BLOCKED_PART
-        !isResuming && !context.shutdown.canComplete(route, job.deadline, now) -> STOPPING
-        else -> null
+        if (!finished && offer == null) context.reasonNotToSend(job, isResuming)?.let(::finishWithout)
     }
 
     private fun offer() = context.beforeChoice(this) { if (!finished) offerNow() }
 
     private fun offerNow(target: ChosenBackend? = null) {
         val now = context.clock.now()
-        reasonNotToSend(now)?.let { return finishWithout(it) }
+        context.reasonNotToSend(job, isResuming)?.let { return finishWithout(it) }
         val choice = target?.let(BackendChoice::Chosen) ?: context.choose(choiceRequest())
         if (choice !is BackendChoice.Chosen) {
             noBackendChosen(choice)
@@ -154,14 +142,7 @@
         finishWithout(reason)
     }
 
-    private fun finishWithout(reason: String) {
-        val step = when {
-            state.answerStarted -> ForwardStep.BreakOff
-            state.mayHaveRun -> ForwardStep.ReportUnknown
-            else -> ForwardStep.Refuse
-        }
-        finishWith(step, reason)
-    }
+    private fun finishWithout(reason: String): Unit = finishWith(ForwardDecision.withoutOffer(state), reason)
 
     /** [target] is the back end to which the request moves with a retry that was taken already, if it does. */
     private fun offerEnded(ended: Offer, end: OfferResult, detail: String, target: ChosenBackend? = null) {
@@ -177,19 +158,7 @@
             isSuspect = { context.crashes.isSuspect(sharedParts, ended.backend) },
             acquireRetry = { target != null || context.tryAcquireRetry(job.service) },
         )
-        context.log(
-            "offer_ended",
-            arrayOf(
-                "attempt" to job.request.attempt,
-                "server" to ended.backend.server,
-                "group" to ended.backend.group,
-                "end" to end,
-                "detail" to detail,
-                "after" to (now - ended.startedAt),
-                "events" to lastEventId,
-                "next" to step,
-            ),
-        )
+        log.ended(ended.backend, end, detail, now - ended.startedAt, lastEventId, step)
         when {
             step !is ForwardStep.OfferAgain -> finishWith(step, detail, ended)
             target != null -> offerNow(target)
@@ -198,21 +167,11 @@
     }
 
     private fun finishWith(step: ForwardStep, reason: String, ended: Offer? = null) {
-        when (step) {
-            ForwardStep.PassError -> ended?.head?.let(response::complete) ?: response.fail(BAD_GATEWAY)
-            ForwardStep.Refuse -> {
-                if (reason == STOPPING) exchange.closeAfterResponse()
-                // Callers that come back within the pause of all back ends would be refused again.
-                val delay = context.retryAfter(job) + (backendPause ?: Duration.ZERO)
-                response.fail(
-                    SERVICE_UNAVAILABLE,
-                    if (reason == BLOCKED_PART) CrashSignals.BLOCKED_RETRY_DELAY else delay,
-                )
-            }
-            ForwardStep.ReportUnknown -> response.fail(BAD_GATEWAY)
-            ForwardStep.ReportTimeout -> response.fail(if (state.sends == 0) SERVICE_UNAVAILABLE else GATEWAY_TIMEOUT)
-            ForwardStep.BreakOff -> exchange.abort()
-            is ForwardStep.OfferAgain -> error("OfferAgain does not end a request")
+        if (step == ForwardStep.Refuse && reason == STOPPING) exchange.closeAfterResponse()
+        response.finish(step, ended?.head, isSent = state.sends > 0) {
+            // Callers that come back within the pause of all back ends would be refused again.
+            val delay = context.retryAfter(job) + (backendPause ?: Duration.ZERO)
+            if (reason == BLOCKED_PART) CrashSignals.BLOCKED_RETRY_DELAY else delay
         }
         finish(step.toString(), reason)
     }
@@ -424,9 +383,6 @@
 
         /** Reason of the end of a request that can't be completed before the process ends. */
         const val STOPPING = "stopping"
-        private const val BAD_GATEWAY = 502
-        private const val SERVICE_UNAVAILABLE = 503
-        private const val GATEWAY_TIMEOUT = 504
 
         /** Shorter than the delay after which a refused caller comes back, so waiting serves it sooner. */
         private val SHORT_PAUSE = 250.milliseconds
