Log why a request is not sent again or not moved

What was missing: after `offer_ended ... next=BreakOff` the log did not tell a used up retry budget from the limit of sends or a request that can't be repeated, and a request that stayed at a silent back end left no line.

Change: `offer_ended` has the number of sends and whether the budget had a retry, and `move_declined` names the reason for which a request stays, once for each reason in succession, so that the check each 100 ms doesn't fill the log.

Evidence: GatewaySilenceTest reads both lines; without the change there is no such line.

--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -81,6 +81,9 @@
     protected val arrivals = LinkedBlockingQueue<CallerExchange>()
     protected val outcomes = LinkedBlockingQueue<ForwardOutcome>()
 
+    /** Event lines of the gateway. */
+    protected val logged = LinkedBlockingQueue<String>()
+
     /** Requests that back ends began to run. */
     protected val begun = LinkedBlockingQueue<ForwardJob>()
     private val listeners = mutableListOf<CallerListener>()
@@ -152,7 +155,7 @@
         reportSuspectedGroup = {},
         coldReported = { _, _ -> },
         recordOutcome = outcomes::put,
-        log = { _, _ -> },
+        log = { event, pairs -> logged.put("$event ${pairs.joinToString(" ") { (name, value) -> "$name=$value" }}") },
         sharedHealth = sharedHealth,
         places = places(),
         runBegan = begun::put,
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
@@ -55,6 +55,7 @@
         caller.readThrough("data: a\n\n")
         checkProgressFor(LONG_SILENCE)
         assertGoesOn(caller, arrival)
+        assertEquals(1, logged.count { it.startsWith("move_declined ") && it.endsWith(" reason=no_retry") }, "$logged")
     }
 
     @Test
@@ -66,6 +67,22 @@
         caller.readThrough("data: a\n\n")
         checkProgressFor(LONG_SILENCE)
         assertGoesOn(caller, arrival)
+        assertEquals(1, logged.count { it.startsWith("move_declined ") && it.endsWith(" reason=no_place") }, "$logged")
+    }
+
+    @Test
+    fun `the log tells why a stream that its engine broke off is not sent again`() {
+        startEngines(2)
+        for ((retries, expected) in listOf(100.0 to "retry=true next=OfferAgain", 0.0 to "retry=false next=BreakOff")) {
+            retryExtra = retries
+            val caller = generate("p1")
+            breakOffAfterFirstEvent(caller)
+            caller.use {
+                val line = generateSequence { logged.poll(5, TimeUnit.SECONDS) }.first { it.startsWith("offer_ended ") }
+                assertTrue(expected in line, line)
+            }
+            if (retries > 0) nextArrival()
+        }
     }
 
     @Test
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -84,8 +84,11 @@
         else -> null
     }
 
-    /** Whether a request that is at a back end would be sent again now if that one ended it. */
-    fun canSendAgain(state: ForwardState, job: ForwardJob): Boolean = ForwardDecision.canRedispatch(state) &&
-        moves.hasRetry(job.service) &&
-        !crashes.isBlocked(job.request)
+    /** Why a request at a back end would not be sent again now if that one ended it; null if it would be. */
+    fun reasonToStay(state: ForwardState, job: ForwardJob): String? = when {
+        !ForwardDecision.canRedispatch(state) -> "not_repeatable"
+        !moves.hasRetry(job.service) -> "no_retry"
+        crashes.isBlocked(job.request) -> ForwardTask.BLOCKED_PART
+        else -> null
+    }
 }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -151,14 +151,15 @@
         state = state.after(end)
         context.offerEnded(ended.backend, end)
         val now = context.clock.now()
+        var retry: Boolean? = null
         val step = ForwardDecision.afterOffer(
             state,
             end,
             now,
             isSuspect = { context.crashes.isSuspect(sharedParts, ended.backend) },
-            acquireRetry = { target != null || context.tryAcquireRetry(job.service) },
+            acquireRetry = { (target != null || context.tryAcquireRetry(job.service)).also { retry = it } },
         )
-        log.ended(ended.backend, end, detail, now - ended.startedAt, lastEventId, step)
+        log.ended(ended.backend, end, detail, now - ended.startedAt, lastEventId, state.sends, retry, step)
         when {
             step !is ForwardStep.OfferAgain -> finishWith(step, detail, ended)
             target != null -> offerNow(target)
@@ -222,7 +223,7 @@
      */
     fun onGroupLost() {
         val current = offer ?: return
-        if (!context.canSendAgain(state, job)) return
+        context.reasonToStay(state, job)?.let { return log.stayed(current.backend, "group_lost", it) }
         val isLoss = current.pending?.wasSent == true
         if (isLoss) context.crashes.connectionLost(current.backend, job.request, current.hasEvents)
         abandon(current, if (isLoss && !current.hasEvents) OfferResult.GroupLost else OfferResult.Stalled, "group_lost")
@@ -231,15 +232,15 @@
     override fun moveSilent(end: OfferResult, detail: String, onMoved: () -> Unit) {
         val from = offer ?: return
         val silentSince = progressAt
-        val canLeave = {
-            progressAt == silentSince && from.pending?.wasSent == true && context.canSendAgain(state, job)
-        }
-        if (!canLeave()) return
+        if (from.pending?.wasSent != true) return
+        context.reasonToStay(state, job)?.let { return log.stayed(from.backend, detail, it) }
         context.beforeChoice(this) {
             if (offer !== from) return@beforeChoice
-            val target = if (canLeave()) context.moves.choose(choiceRequest()) else null
+            val canLeave = progressAt == silentSince && context.reasonToStay(state, job) == null
+            val target = if (canLeave) context.moves.choose(choiceRequest()) else null
             if (target == null || !context.tryAcquireRetry(job.service)) {
                 context.moves.stayed(this)
+                if (canLeave) log.stayed(from.backend, detail, "no_place")
             } else {
                 onMoved()
                 abandon(from, end, detail, target)
--- a/version/src/main/kotlin/redwingcross/version/forwarding/OfferLog.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/OfferLog.kt
@@ -1,6 +1,7 @@
 package redwingcross.version.forwarding
 
 import redwingcross.request.AttemptId
+import redwingcross.request.BackendServer
 import redwingcross.request.forward.ForwardStep
 import redwingcross.request.forward.OfferResult
 import kotlin.time.Duration
@@ -10,13 +11,21 @@
     private val attempt: AttemptId,
     private val log: (event: String, pairs: Array<Pair<String, Any?>>) -> Unit,
 ) {
-    /** An offer to [backend] ended [after] it was made; [events] is the id of the last event that the caller has. */
+    private var loggedStay: Triple<BackendServer, String, String>? = null
+
+    /**
+     * An offer to [backend] ended [after] it was made; [events] is the id of the last event that the caller has,
+     * [sends] the number of sends so far, and [retry] whether there was a retry, null if none was needed or allowed.
+     */
+    @Suppress("LongParameterList")
     fun ended(
         backend: ChosenBackend,
         end: OfferResult,
         detail: String,
         after: Duration,
         events: Long?,
+        sends: Int,
+        retry: Boolean?,
         next: ForwardStep,
     ): Unit = log(
         "offer_ended",
@@ -28,7 +37,26 @@
             "detail" to detail,
             "after" to after,
             "events" to events,
+            "sends" to sends,
+            "retry" to retry,
             "next" to next,
         ),
     )
+
+    /** The request stays at [backend], which it was to leave because of [detail]; not repeated for one [reason]. */
+    fun stayed(backend: ChosenBackend, detail: String, reason: String) {
+        val stay = Triple(backend.server, detail, reason)
+        if (stay == loggedStay) return
+        loggedStay = stay
+        log(
+            "move_declined",
+            arrayOf(
+                "attempt" to attempt,
+                "server" to backend.server,
+                "group" to backend.group,
+                "detail" to detail,
+                "reason" to reason,
+            ),
+        )
+    }
 }
