--- a/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
@@ -55,6 +55,7 @@
         caller.readThrough("data: a\n\n")
         checkProgressFor(LONG_SILENCE)
         assertGoesOn(caller, arrival)
+        assertEquals(1, logged.count { it.startsWith("move_declined ") && it.endsWith(" reason=no_retry") }, "$logged")
     }
 
     @Test
@@ -66,6 +67,22 @@
         caller.readThrough("data: a\n\n")
         checkProgressFor(LONG_SILENCE)
         assertGoesOn(caller, arrival)
+        assertEquals(1, logged.count { it.startsWith("move_declined ") && it.endsWith(" reason=no_place") }, "$logged")
+    }
+
+    @Test
+    fun `the log tells why a stream that its engine broke off is not sent again`() {
+        startEngines(2)
+        for ((retries, expected) in listOf(100.0 to "retry=true next=OfferAgain", 0.0 to "retry=false next=BreakOff")) {
+            retryExtra = retries
+            val caller = generate("p1")
+            breakOffAfterFirstEvent(caller)
+            caller.use {
+                val line = generateSequence { logged.poll(5, TimeUnit.SECONDS) }.first { it.startsWith("offer_ended ") }
+                assertTrue(expected in line, line)
+            }
+            if (retries > 0) nextArrival()
+        }
     }
 
     @Test
@@ -120,6 +137,20 @@
         assertTrue("whole" in caller.readAnswer())
     }
 
+    @Test
+    fun `a stream whose caller reads slowly does not leave its group`() {
+        startEngines(2)
+        val caller = generate("p1")
+        val arrival = nextArrival()
+        arrival.beginEvents()
+        caller.readThrough("data: a\n\n")
+        val data = "x".repeat(LONG_EVENT_BYTES)
+        onLoop { repeat(LONG_EVENTS) { arrival.write("id: ${it + 2}\ndata: $data\n\n".toByteArray()) } }
+        checkProgressFor(LONG_SILENCE)
+        assertNull(arrivals.poll(), "the request was sent again")
+        caller.close()
+    }
+
     @Test
     fun `a stream of a group that is reported lost is not broken off if no retry is left`() {
         retryExtra = 0.0
@@ -134,6 +165,10 @@
     }
 
     private companion object {
+        /** Together far more than the buffers of the sockets hold. */
+        const val LONG_EVENT_BYTES = 100_000
+        const val LONG_EVENTS = 300
+
         /** The interval of the checks in a process. */
         val CHECK_INTERVAL = 100.milliseconds
 
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardJob.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardJob.kt
@@ -1,10 +1,12 @@
 package redwingcross.version.forwarding
 
 import redwingcross.connection.http.CallerExchange
+import redwingcross.request.BackendServer
 import redwingcross.request.Customer
 import redwingcross.request.ServiceName
 import redwingcross.request.forward.InboundRequest
 import redwingcross.version.fleet.Route
+import redwingcross.version.fleet.ServiceSpec
 import kotlin.time.Duration
 
 /** An admitted request with its route, service, customer and time of arrival. */
@@ -13,6 +15,8 @@
     val request: InboundRequest,
     val route: Route,
     val service: ServiceName,
+    /** Properties of [service] when the request was admitted; null if the configuration had no such service. */
+    val admittedTo: ServiceSpec?,
     val customer: Customer?,
     /** 0 is the most urgent. The customer's priority takes precedence over that of the route. */
     val priority: Int,
@@ -20,4 +24,8 @@
 ) {
     /** Clock reading at which the caller or the route no longer waits for the response. */
     val deadline: Duration = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
+
+    /** What the request needs from the next back end that it is sent to, which must not be among [excluded]. */
+    fun choiceRequest(excluded: Set<BackendServer>, isResuming: Boolean) =
+        ChoiceRequest(service, request.generation?.model, excluded, isResuming, admittedTo)
 }
