Order points of the store's history by era and revision

The store may come back from an older copy of its data; revisions then go back and are given out again, so a revision alone neither orders two points nor identifies a change. StorePosition holds the era beside the revision and is compared in one place. The lease, the progress of the watches, the list of back ends and the messages between processes use it in place of a bare revision. A store that states no era is in era 0, so nothing changes for it; a message of a process of an earlier version decodes as era 0.

Nothing reads an era from the store yet. Tests: Lease*, ControllerTaskTest, FleetDecisionTest, MalformedPeer* pass.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -25,7 +25,7 @@
 import redwingcross.version.fleet.ServiceRoutes
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
-import redwingcross.version.fleet.StoreRevision
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.lostGroups
 import redwingcross.version.lease.LeaseDecision
 import redwingcross.version.lease.LeaseEffect
@@ -33,7 +33,6 @@
 import redwingcross.version.lease.LeaseRecord
 import redwingcross.version.lease.LeaseSettings
 import redwingcross.version.lease.LeaseState
-import redwingcross.version.lease.LeaseVersion
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -98,15 +97,15 @@
     /** Reads the lease record; the result arrives as a [ControllerMessage.Lease] with the same call number. */
     val readLease: (call: Long) -> Unit,
     /** Writes the lease record if its version is still `expected`; null means that no record exists yet. */
-    val writeLease: (call: Long, expected: LeaseVersion?, record: LeaseRecord) -> Unit,
+    val writeLease: (call: Long, expected: StorePosition?, record: LeaseRecord) -> Unit,
     /** Requests the report of an engine; the result arrives as a [ControllerMessage.ReportRequestCompleted]. */
     val requestReport: (ServiceName, FormationEffect.RequestReport) -> Unit,
     /** Sends an order to an engine; the outcome arrives as a [ControllerMessage.OrderCompleted]. */
     val sendOrder: (ServiceName, FormationEffect.Send) -> Unit,
     /** Whether the view of the engines is the platform's complete list. */
     val isListComplete: () -> Boolean,
-    /** Revision up to which the view of the engines contains the changes of the platform's list. */
-    val listRevision: () -> StoreRevision,
+    /** Point up to which the view of the engines contains the changes of the platform's list. */
+    val listPosition: () -> StorePosition,
     /** Requests the changes of the platform's list up to now. */
     val catchUpList: () -> Unit,
     /** The routes of a service that were announced last. */
@@ -141,8 +140,8 @@
     /** Highest lease epoch that a process announced as its own. */
     private var newestEpoch = LeaseEpoch(0)
 
-    /** Revision of the acquisition of the lease, up to which the list has to be known before its holder acts. */
-    private var requiredListRevision = StoreRevision(0)
+    /** Point of the acquisition of the lease, up to which the list has to be known before its holder acts. */
+    private var requiredListPosition = StorePosition.START
     private var requiredByEpoch: LeaseEpoch? = null
     private var isStepScheduled = false
     private var lastStepAt = -Duration.INFINITE
@@ -151,7 +150,7 @@
     /** The controller lease for this process's heartbeats; null unless this process is the active controller. */
     val heldLease: HeldControllerLease?
         get() = lease.held?.takeIf { activeEpoch != null }?.let {
-            HeldControllerLease(it.seen.version.value, it.seen.record, (clock.now() - it.renewedAt).inWholeMilliseconds)
+            HeldControllerLease.of(it.seen, clock.now() - it.renewedAt)
         }
 
     /** Groups that this process forms and watches; empty unless it is the active controller. */
@@ -299,7 +298,7 @@
         activeEpoch = next
         if (next != null && next != requiredByEpoch) {
             requiredByEpoch = next
-            requiredListRevision = StoreRevision(held?.seen?.version?.value ?: 0)
+            requiredListPosition = held?.seen?.version ?: StorePosition.START
         }
         if (next == null) dependencies.discardReports()
         formations = emptyMap()
@@ -326,7 +325,7 @@
      */
     private fun isListCurrent(): Boolean {
         if (!dependencies.isListComplete()) return false
-        val isCurrent = dependencies.listRevision() >= requiredListRevision
+        val isCurrent = dependencies.listPosition() >= requiredListPosition
         if (!isCurrent) dependencies.catchUpList()
         return isCurrent
     }
--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -12,7 +12,7 @@
 import redwingcross.version.fleet.RouteChanges
 import redwingcross.version.fleet.ServiceRoutes
 import redwingcross.version.fleet.ServingGroup
-import redwingcross.version.fleet.StoreRevision
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.fleet.servingGroups
 import kotlin.time.Duration
@@ -67,8 +67,8 @@
     val usesAnnouncedServers: Boolean = true,
     /** Whether the platform's complete list was received since this process last used announced routes instead. */
     val isListComplete: Boolean = false,
-    /** Revision up to which the changes of the platform's list were received. */
-    val listRevision: StoreRevision = StoreRevision(0),
+    /** Point up to which the changes of the platform's list were received. */
+    val listPosition: StorePosition = StorePosition.START,
 ) {
     /**
      * Groups that this process derives from the list of back ends, without an announcement. Computed on first use,
@@ -105,6 +105,7 @@
         is FleetUpdate.ServerRemoved -> removed(state, setOf(update.server), now)
         is FleetUpdate.ServersListed -> listed(state, update, now)
         is FleetUpdate.Confirmed -> confirmed(state, update, now)
+        is FleetUpdate.StoreRestored -> state
         is FleetUpdate.Interrupted -> state.copy(storeLostAt = state.storeLostAt ?: now)
     }
 
@@ -244,7 +245,7 @@
         val isList = update.source == UpdateSource.BACKEND_SERVERS
         return state.copy(
             confirmedAt = state.confirmedAt + (update.source to now),
-            listRevision = if (isList) update.revision else state.listRevision,
+            listPosition = if (isList) update.position else state.listPosition,
             storeLostAt = null,
             storeRegainedAt = regained,
         )
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -13,9 +13,14 @@
 import redwingcross.connection.peer.CborStructure
 import redwingcross.process.crash.CrashEvidence
 import redwingcross.version.bundle.isEndpoint
+import redwingcross.version.fleet.StoreEra
+import redwingcross.version.fleet.StorePosition
+import redwingcross.version.fleet.StoreRevision
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.lease.LeaseRecord
+import redwingcross.version.lease.StoredLease
 import redwingcross.version.routing.orderHash
+import kotlin.time.Duration
 
 /** A process's entry in the platform's registry, which is also the sender of each message to other processes. */
 @Serializable
@@ -52,7 +57,12 @@
     val changed: Long,
     /** Revision of the store up to which all changes of the kind were received. */
     val confirmed: Long,
-)
+    /** Era of the store that both revisions belong to. */
+    val era: StoreEra = StoreEra.FIRST,
+) {
+    val changedPosition: StorePosition get() = StorePosition(era, StoreRevision(changed))
+    val confirmedPosition: StorePosition get() = StorePosition(era, StoreRevision(confirmed))
+}
 
 /** Result of a call to the registry. */
 sealed interface RegistryResult {
@@ -150,7 +160,18 @@
     val record: LeaseRecord,
     /** Time since the sender sent its last renewal that took effect. */
     val renewedMillisAgo: Long = 0,
-)
+    /** Era of the store that [version] belongs to. */
+    val era: StoreEra = StoreEra.FIRST,
+) {
+    fun toStored(): StoredLease = StoredLease(StorePosition(era, StoreRevision(version)), record)
+
+    companion object {
+        fun of(stored: StoredLease, renewedAgo: Duration): HeldControllerLease {
+            val (era, revision) = stored.version
+            return HeldControllerLease(revision.value, stored.record, renewedAgo.inWholeMilliseconds, era)
+        }
+    }
+}
 
 /**
  * The routes of a service, or changes of them, sent by the active controller to the gateways. The fields correspond to
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -9,8 +9,6 @@
 import redwingcross.version.fleet.GatewayShare
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.lease.LeaseMessage
-import redwingcross.version.lease.LeaseVersion
-import redwingcross.version.lease.StoredLease
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -202,8 +200,7 @@
     }
 
     private fun leaseReceived(lease: HeldControllerLease) {
-        val stored = StoredLease(LeaseVersion(lease.version), lease.record)
-        dependencies.onLease(LeaseMessage.HolderRenewed(stored, lease.renewedMillisAgo.milliseconds))
+        dependencies.onLease(LeaseMessage.HolderRenewed(lease.toStored(), lease.renewedMillisAgo.milliseconds))
     }
 
     private fun updateRank(now: Duration) {
--- a/process/src/main/kotlin/redwingcross/process/edge/WatchLagDetector.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/WatchLagDetector.kt
@@ -1,5 +1,6 @@
 package redwingcross.process.edge
 
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.UpdateSource
 import kotlin.time.Duration
 
@@ -18,19 +19,20 @@
         own: Map<UpdateSource, WatchProgress>,
         now: Duration,
     ): List<UpdateSource> = other.mapNotNull { (source, progress) ->
-        val confirmed = own[source]?.upToDateRevision(source) ?: 0
-        if (confirmed >= (awaited[source]?.revision ?: 0)) awaited.remove(source)
-        if (progress.changed > confirmed) awaited.getOrPut(source) { Awaited(progress.changed, now) }
+        val reached = own[source]?.reachedPosition(source) ?: StorePosition.START
+        if (reached >= (awaited[source]?.position ?: StorePosition.START)) awaited.remove(source)
+        val changed = progress.changedPosition
+        if (changed > reached) awaited.getOrPut(source) { Awaited(changed, now) }
         val isLate = awaited[source]?.let { now - it.since >= maximumLag(source) } == true
         source.takeIf { isLate }?.also { awaited.remove(it) }
     }
 
     /**
-     * Revision up to which this process is up to date. The configuration is a single object, so the revision of the
+     * Point up to which this process is up to date. The configuration is a single object, so the revision of the
      * object counts. Entries of the other kinds can be deleted, so the confirmed revision of the store counts.
      */
-    private fun WatchProgress.upToDateRevision(source: UpdateSource): Long =
-        if (source == UpdateSource.CONFIGURATION) changed else confirmed
+    private fun WatchProgress.reachedPosition(source: UpdateSource): StorePosition =
+        if (source == UpdateSource.CONFIGURATION) changedPosition else confirmedPosition
 
-    private data class Awaited(val revision: Long, val since: Duration)
+    private data class Awaited(val position: StorePosition, val since: Duration)
 }
--- a/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
@@ -27,9 +27,8 @@
 import redwingcross.version.fleet.OrderOutcome
 import redwingcross.version.fleet.ReportAnswer
 import redwingcross.version.fleet.ServiceSpec
-import redwingcross.version.fleet.StoreRevision
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.lease.LeaseMessage
-import redwingcross.version.lease.LeaseVersion
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -54,7 +53,7 @@
     private val orders = mutableListOf<FormationEffect.Send>()
     private val reports = mutableListOf<FormationEffect.RequestReport>()
     private val announcements = mutableListOf<RouteAnnouncement>()
-    private var listRevision = StoreRevision(1_000)
+    private var listPosition = StorePosition.inFirstEra(1_000)
     private var catchUps = 0
 
     private fun status(name: String, start: Long, membership: GroupMembership?) = EngineStatus(
@@ -85,12 +84,20 @@
             discardReports = { fleet = FleetDecision.reportsDiscarded(fleet) },
             readLease = { later += ControllerMessage.Lease(LeaseMessage.ReadAnswered(it, null)) },
             writeLease = { call, expected, _ ->
-                later += ControllerMessage.Lease(LeaseMessage.Written(call, LeaseVersion((expected?.value ?: 0) + 1)))
+                later +=
+                    ControllerMessage.Lease(
+                        LeaseMessage.Written(
+                            call,
+                            StorePosition.inFirstEra(
+                                (expected?.revision?.value ?: 0) + 1,
+                            ),
+                        ),
+                    )
             },
             requestReport = { _, request -> reports += request },
             sendOrder = { _, order -> orders += order },
             isListComplete = { true },
-            listRevision = { listRevision },
+            listPosition = { listPosition },
             catchUpList = { catchUps++ },
             announcedRoutes = { null },
             announce = { _, _, announcement, _ -> announcements += announcement },
@@ -204,14 +211,14 @@
 
     @Test
     fun `a new controller announces and orders nothing before its list is as new as its lease`() {
-        listRevision = StoreRevision(0)
+        listPosition = StorePosition.inFirstEra(0)
         listEngines()
         repeat(20) { tick() }
         assertTrue(task.isActiveController)
         assertTrue(catchUps > 0, "the changes of the list were not requested")
         assertEquals(emptyList(), announcements)
         assertEquals(emptyList<Any>(), takeOrders() + takeReports())
-        listRevision = StoreRevision(1)
+        listPosition = StorePosition.inFirstEra(1)
         tick()
         assertTrue(announcements.isNotEmpty(), "no routes are announced with a current list")
     }
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
@@ -16,7 +16,7 @@
 import redwingcross.version.fleet.RouteChanges
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
-import redwingcross.version.fleet.StoreRevision
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.UpdateSource
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -69,7 +69,7 @@
         val state = applyAll(
             1.seconds to FleetUpdate.ServerChanged(server("e1")),
             2.seconds to FleetUpdate.Interrupted(UpdateSource.BACKEND_SERVERS, null),
-            6.seconds to FleetUpdate.Confirmed(UpdateSource.BACKEND_SERVERS, StoreRevision(1)),
+            6.seconds to FleetUpdate.Confirmed(UpdateSource.BACKEND_SERVERS, StorePosition.inFirstEra(1)),
             6.seconds to FleetUpdate.ServersListed(emptyList()),
         )
         assertTrue(id in FleetDecision.expired(state, 7.seconds).table.engines)
@@ -123,8 +123,8 @@
         val configured = FleetConfiguration(ConfigurationVersion(7), emptyList(), specs, limits, emptyList())
         val start = applyAll(
             1.seconds to FleetUpdate.ConfigurationChanged(configured),
-            1.seconds to FleetUpdate.Confirmed(UpdateSource.CONFIGURATION, StoreRevision(1)),
-            1.seconds to FleetUpdate.Confirmed(UpdateSource.EVACUATIONS, StoreRevision(1)),
+            1.seconds to FleetUpdate.Confirmed(UpdateSource.CONFIGURATION, StorePosition.inFirstEra(1)),
+            1.seconds to FleetUpdate.Confirmed(UpdateSource.EVACUATIONS, StorePosition.inFirstEra(1)),
         )
         val updates = services.map { RouteUpdate(it, 1, 1, null, RouteChanges(), emptySet(), 9.seconds) }
         val first = FleetDecision.announced(start, updates[0], 1.seconds)
@@ -136,13 +136,13 @@
     fun `the view is not usable until configuration, zones and back ends were read once`() {
         val state = applyAll(
             1.seconds to FleetUpdate.ConfigurationChanged(configuration(7)),
-            1.seconds to FleetUpdate.Confirmed(UpdateSource.CONFIGURATION, StoreRevision(1)),
-            1.seconds to FleetUpdate.Confirmed(UpdateSource.EVACUATIONS, StoreRevision(1)),
+            1.seconds to FleetUpdate.Confirmed(UpdateSource.CONFIGURATION, StorePosition.inFirstEra(1)),
+            1.seconds to FleetUpdate.Confirmed(UpdateSource.EVACUATIONS, StorePosition.inFirstEra(1)),
         )
         assertFalse(state.isUsable)
         val confirmed = FleetDecision.onUpdate(
             state,
-            FleetUpdate.Confirmed(UpdateSource.BACKEND_SERVERS, StoreRevision(1)),
+            FleetUpdate.Confirmed(UpdateSource.BACKEND_SERVERS, StorePosition.inFirstEra(1)),
             2.seconds,
         )
         assertTrue(confirmed.isUsable)
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -41,7 +41,7 @@
 import redwingcross.version.fleet.ModelSpec
 import redwingcross.version.fleet.Route
 import redwingcross.version.fleet.ServiceSpec
-import redwingcross.version.fleet.StoreRevision
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.Tenant
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.forwarding.BackendNotice
@@ -287,7 +287,7 @@
             listOf(Tenant(Customer("urgent"), listOf("k1"), 0), Tenant(Customer("normal"), listOf("k2"), null)),
         )
         val updates = listOf(FleetUpdate.ConfigurationChanged(configuration), FleetUpdate.ServersListed(servers)) +
-            UpdateSource.entries.map { FleetUpdate.Confirmed(it, StoreRevision(1)) }
+            UpdateSource.entries.map { FleetUpdate.Confirmed(it, StorePosition.inFirstEra(1)) }
         fleet = updates.fold(fleet) { state, next -> FleetDecision.onUpdate(state, next, MonotonicClock.system.now()) }
     }
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -243,7 +243,7 @@
             requestReport = engines::requestReport,
             sendOrder = engines::sendOrder,
             isListComplete = { fleet.isListComplete },
-            listRevision = { fleet.listRevision },
+            listPosition = { fleet.listPosition },
             catchUpList = { platform.catchUp(UpdateSource.BACKEND_SERVERS) },
             announcedRoutes = { fleet.announced[it] },
             announce = relay::announce,
--- /dev/null
+++ b/version/src/main/kotlin/redwingcross/version/fleet/StorePosition.kt
@@ -0,0 +1,42 @@
+package redwingcross.version.fleet
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Counts how often the platform's store has come back from an older copy of its data. The changes between the copy and
+ * the restore are lost, and their revisions are given out again for other changes.
+ */
+@Serializable
+@JvmInline
+value class StoreEra(val value: Long) : Comparable<StoreEra> {
+    override fun compareTo(other: StoreEra): Int = value.compareTo(other.value)
+
+    companion object {
+        /** The era of a store that states none. */
+        val FIRST: StoreEra = StoreEra(0)
+    }
+}
+
+/** Counts all changes in the store within one era; an object's version is the revision of its last change. */
+@Serializable
+@JvmInline
+value class StoreRevision(val value: Long) : Comparable<StoreRevision> {
+    override fun compareTo(other: StoreRevision): Int = value.compareTo(other.value)
+}
+
+/**
+ * A point in the history of the store. A revision alone neither orders two points nor identifies a change, because a
+ * later era uses the revisions of an earlier one again.
+ */
+@Serializable
+data class StorePosition(val era: StoreEra, val revision: StoreRevision) : Comparable<StorePosition> {
+    override fun compareTo(other: StorePosition): Int = compareValuesBy(this, other, { it.era }, { it.revision })
+
+    companion object {
+        /** Before the first change. */
+        val START: StorePosition = StorePosition(StoreEra.FIRST, StoreRevision(0))
+
+        /** The point at [revision] in the era of a store that states none. */
+        fun inFirstEra(revision: Long): StorePosition = StorePosition(StoreEra.FIRST, StoreRevision(revision))
+    }
+}
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
@@ -2,6 +2,7 @@
 
 import redwingcross.request.Transition
 import redwingcross.request.with
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
 
@@ -45,7 +46,7 @@
         return state.copy(call = call, calls = call.number).with(LeaseEffect.Read(call.number))
     }
 
-    private fun write(state: LeaseState, record: LeaseRecord, expected: LeaseVersion?, now: Duration): Step {
+    private fun write(state: LeaseState, record: LeaseRecord, expected: StorePosition?, now: Duration): Step {
         val call = LeaseCall(state.calls + 1, write = true)
         val sentAt = state.pending?.sentAt ?: now
         val next =
@@ -79,7 +80,7 @@
         return write(state, held.seen.record.copy(holder = null), held.seen.version, now)
     }
 
-    private fun written(state: LeaseState, version: LeaseVersion, now: Duration): Step {
+    private fun written(state: LeaseState, version: StorePosition, now: Duration): Step {
         val write = state.pending ?: return state.with()
         return writeConfirmed(state, StoredLease(version, write.record), write, now)
     }
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseMessage.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseMessage.kt
@@ -1,5 +1,6 @@
 package redwingcross.version.lease
 
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
 
@@ -14,7 +15,7 @@
     data class ReadFailed(val call: Long) : LeaseMessage
 
     /** The write took effect and made [version]. */
-    data class Written(val call: Long, val version: LeaseVersion) : LeaseMessage
+    data class Written(val call: Long, val version: StorePosition) : LeaseMessage
 
     /** The object was not at the expected version. */
     data class Conflict(val call: Long) : LeaseMessage
@@ -46,7 +47,7 @@
     data class Read(val call: Long) : LeaseEffect
 
     /** Writes the lease if the object is at version [expected]; null means that the object must be absent. */
-    data class Write(val call: Long, val expected: LeaseVersion?, val record: LeaseRecord) : LeaseEffect
+    data class Write(val call: Long, val expected: StorePosition?, val record: LeaseRecord) : LeaseEffect
 
     /** This process acquired the lease; [former] is true if the zone had a holder before. */
     data class Acquired(val epoch: LeaseEpoch, val former: Boolean) : LeaseEffect
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseRecord.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseRecord.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import redwingcross.request.ProcessName
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -22,14 +23,8 @@
     val renewal: Long = 0,
 )
 
-/** Version of the lease object, assigned by the store. */
-@JvmInline
-value class LeaseVersion(val value: Long) : Comparable<LeaseVersion> {
-    override fun compareTo(other: LeaseVersion): Int = value.compareTo(other.value)
-}
-
 /** A lease record with the version of its object. */
-data class StoredLease(val version: LeaseVersion, val record: LeaseRecord)
+data class StoredLease(val version: StorePosition, val record: LeaseRecord)
 
 /** Durations of a lease. Safe while the clocks of two controllers drift by less than [margin] during [duration]. */
 data class LeaseSettings(
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseState.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseState.kt
@@ -1,6 +1,7 @@
 package redwingcross.version.lease
 
 import redwingcross.request.ProcessName
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
 
@@ -13,7 +14,7 @@
 )
 
 /** A write whose outcome is not known yet; [sentAt] is the time of the first attempt. */
-data class PendingWrite(val record: LeaseRecord, val expected: LeaseVersion?, val sentAt: Duration)
+data class PendingWrite(val record: LeaseRecord, val expected: StorePosition?, val sentAt: Duration)
 
 /** A read or write in progress. */
 data class LeaseCall(val number: Long, val write: Boolean)
--- a/version/src/main/kotlin/redwingcross/version/placement/ZoneStore.kt
+++ b/version/src/main/kotlin/redwingcross/version/placement/ZoneStore.kt
@@ -12,10 +12,10 @@
 import redwingcross.connection.platform.StoredObject
 import redwingcross.connection.platform.WriteAnswer
 import redwingcross.request.AvailabilityZone
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.lease.LeaseEffect
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.lease.LeaseRecord
-import redwingcross.version.lease.LeaseVersion
 import redwingcross.version.lease.StoredLease
 
 /** Kind of the objects that hold a zone's [Placement]. */
@@ -35,7 +35,7 @@
                 LeaseMessage.ReadAnswered(
                     effect.call,
                     result.value?.let {
-                        StoredLease(LeaseVersion(it.first), it.second)
+                        StoredLease(StorePosition.inFirstEra(it.first), it.second)
                     },
                 )
             else -> LeaseMessage.ReadFailed(effect.call)
@@ -43,13 +43,14 @@
 
     suspend fun writeLease(effect: LeaseEffect.Write): LeaseMessage {
         val value = objectJson.encodeToJsonElement(LeaseRecord.serializer(), effect.record)
-        val expected = effect.expected?.let { ObjectVersion(it.value) }
+        val expected = effect.expected?.let { ObjectVersion(it.revision.value) }
         return when (val result = store.write(ConditionalWrite.Put(leaseKey, expected, value))) {
             is PlatformResult.Unavailable -> LeaseMessage.WriteFailed(effect.call)
             is PlatformResult.OutcomeUnknown -> LeaseMessage.OutcomeUnknown(effect.call)
             is PlatformResult.Answered ->
                 when (val answer = result.value) {
-                    is WriteAnswer.Written -> LeaseMessage.Written(effect.call, LeaseVersion(answer.version.value))
+                    is WriteAnswer.Written ->
+                        LeaseMessage.Written(effect.call, StorePosition.inFirstEra(answer.version.value))
                     WriteAnswer.Conflict -> LeaseMessage.Conflict(effect.call)
                 }
         }
--- a/version/src/test/kotlin/redwingcross/version/lease/LeaseDecisionTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/lease/LeaseDecisionTest.kt
@@ -1,6 +1,7 @@
 package redwingcross.version.lease
 
 import redwingcross.request.ProcessName
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.placement.LeaseEpoch
 import redwingcross.version.simulation.FaultyObject
 import redwingcross.version.simulation.VirtualTime
@@ -59,7 +60,7 @@
                     is LeaseEffect.Write -> if (isTurnedAway) {
                         answer(LeaseMessage.WriteFailed(effect.call))
                     } else {
-                        store.write(effect.expected?.value, effect.record) {
+                        store.write(effect.expected?.revision?.value, effect.record) {
                             answer(it.toMessage(effect.call))
                         }
                     }
@@ -73,10 +74,11 @@
         }
     }
 
-    private fun stored(found: Pair<Long, LeaseRecord>) = StoredLease(LeaseVersion(found.first), found.second)
+    private fun stored(found: Pair<Long, LeaseRecord>) =
+        StoredLease(StorePosition.inFirstEra(found.first), found.second)
 
     private fun WriteOutcome.toMessage(call: Long): LeaseMessage = when (this) {
-        is WriteOutcome.Written -> LeaseMessage.Written(call, LeaseVersion(version))
+        is WriteOutcome.Written -> LeaseMessage.Written(call, StorePosition.inFirstEra(version))
         WriteOutcome.Conflict -> LeaseMessage.Conflict(call)
         WriteOutcome.NoEffect -> LeaseMessage.WriteFailed(call)
         WriteOutcome.Unknown -> LeaseMessage.OutcomeUnknown(call)
--- a/version/src/test/kotlin/redwingcross/version/lease/LeaseProperties.kt
+++ b/version/src/test/kotlin/redwingcross/version/lease/LeaseProperties.kt
@@ -7,6 +7,7 @@
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
 import redwingcross.request.ProcessName
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.placement.LeaseEpoch
 import redwingcross.version.simulation.FaultyObject
 import redwingcross.version.simulation.LostWrite
@@ -103,13 +104,13 @@
                 is LeaseEffect.Read ->
                     simulation.store.read(
                         { found ->
-                            val lease = found?.let { StoredLease(LeaseVersion(it.first), it.second) }
+                            val lease = found?.let { StoredLease(StorePosition.inFirstEra(it.first), it.second) }
                             deliver(requestingStart, LeaseMessage.ReadAnswered(effect.call, lease))
                         },
                         { deliver(requestingStart, LeaseMessage.ReadFailed(effect.call)) },
                     )
                 is LeaseEffect.Write ->
-                    simulation.store.write(effect.expected?.value, effect.record) { end ->
+                    simulation.store.write(effect.expected?.revision?.value, effect.record) { end ->
                         deliver(requestingStart, end.toMessage(effect.call))
                     }
                 is LeaseEffect.Acquired, is LeaseEffect.Lost, LeaseEffect.Released -> Unit
@@ -117,7 +118,7 @@
         }
 
         private fun WriteOutcome.toMessage(call: Long): LeaseMessage = when (this) {
-            is WriteOutcome.Written -> LeaseMessage.Written(call, LeaseVersion(version))
+            is WriteOutcome.Written -> LeaseMessage.Written(call, StorePosition.inFirstEra(version))
             WriteOutcome.Conflict -> LeaseMessage.Conflict(call)
             WriteOutcome.NoEffect -> LeaseMessage.WriteFailed(call)
             WriteOutcome.Unknown -> LeaseMessage.OutcomeUnknown(call)
--- a/version/src/test/kotlin/redwingcross/version/simulation/SimulatedController.kt
+++ b/version/src/test/kotlin/redwingcross/version/simulation/SimulatedController.kt
@@ -3,10 +3,10 @@
 import redwingcross.request.ProcessName
 import redwingcross.request.Vm
 import redwingcross.version.control.ControlState
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.lease.LeaseEffect
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.lease.LeaseState
-import redwingcross.version.lease.LeaseVersion
 import redwingcross.version.lease.StoredLease
 import redwingcross.version.placement.HolderDecision
 import redwingcross.version.placement.HolderEffect
@@ -143,17 +143,20 @@
             is LeaseEffect.Read ->
                 zone.lease.read(
                     { found ->
-                        val seen = found?.let { StoredLease(LeaseVersion(it.first), it.second) }
+                        val seen = found?.let { StoredLease(StorePosition.inFirstEra(it.first), it.second) }
                         answer(requestingStart, LeaseMessage.ReadAnswered(effect.call, seen))
                     },
                     { answer(requestingStart, LeaseMessage.ReadFailed(effect.call)) },
                 )
             is LeaseEffect.Write ->
-                zone.lease.write(effect.expected?.value, effect.record) { end ->
+                zone.lease.write(effect.expected?.revision?.value, effect.record) { end ->
                     answer(
                         requestingStart,
                         when (end) {
-                            is WriteOutcome.Written -> LeaseMessage.Written(effect.call, LeaseVersion(end.version))
+                            is WriteOutcome.Written -> LeaseMessage.Written(
+                                effect.call,
+                                StorePosition.inFirstEra(end.version),
+                            )
                             WriteOutcome.Conflict -> LeaseMessage.Conflict(effect.call)
                             WriteOutcome.NoEffect -> LeaseMessage.WriteFailed(effect.call)
                             WriteOutcome.Unknown -> LeaseMessage.OutcomeUnknown(effect.call)
