Pass the headers of a buffered response on

A caller of HttpCall got the status and the body of a response, but not its headers: ResponseCollector kept only the status of the response head. The store states its era in a header, so CallResult.Answered carries the headers of the final response as well; a result without them has none.

--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpCall.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpCall.kt
@@ -1,6 +1,8 @@
 package redwingcross.connection.http
 
 import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -8,7 +10,8 @@
 /** Result of a call whose response is collected as a whole. */
 sealed interface CallResult {
     /** A complete response was received. */
-    data class Answered(val status: Int, val body: ByteArray) : CallResult
+    data class Answered(val status: Int, val body: ByteArray, val headers: HttpHeaders = EmptyHttpHeaders.INSTANCE) :
+        CallResult
 
     /** The request was not sent, so the call had no effect. */
     data object NotSent : CallResult
@@ -69,10 +72,12 @@
         var onDone: () -> Unit = {}
         var onTooLong: () -> Unit = {}
         private var status = 0
+        private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
         private val body = ByteArrayOutputStream()
 
         override fun onHead(head: ResponseHead) {
             status = head.status
+            headers = head.headers
         }
 
         override fun onData(bytes: ByteArray) {
@@ -85,7 +90,7 @@
             }
         }
 
-        override fun onEnd(): Unit = finish(CallResult.Answered(status, body.toByteArray()))
+        override fun onEnd(): Unit = finish(CallResult.Answered(status, body.toByteArray(), headers))
 
         override fun onFailure(failure: ExchangeFailure) {
             val notSent = failure == ExchangeFailure.NOT_CONNECTED
