--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -47,6 +47,7 @@
 import redwingcross.request.ServiceName
 import redwingcross.version.fleet.CallerLimits
 import redwingcross.version.fleet.FleetUpdate
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.lease.LeaseMessage
@@ -385,6 +386,11 @@
         val now = clock.now()
         fleet = FleetDecision.onUpdate(fleet, update, now)
         updateLog.record(update, before, fleet, now)
+        if (update is FleetUpdate.StoreRestored) storeRestored(update.era)
+    }
+
+    private fun storeRestored(era: StoreEra) {
+        events.warn("store_restored", arrayOf("era" to era.value))
     }
 
     private val pauseOfConfiguration: Duration get() = configurationPause(bounds.configurationApply)
