Start the grace period of removals anew in each outage of the store

Callers would lose the back ends whose entries expired while the store was away, if it was away a second time in the life of a process: the end of the grace period was counted from the first recovery, so the removals were due at once. While the store counts as lost, the period now begins with the list that ends the outage; storeRegainedAt is only used after it.

FleetDecisionTest, 'back ends whose entries expired in a second outage of the store are kept as in the first', fails on the code before: the back end is gone one second after the second recovery.

--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -230,14 +230,19 @@
      */
     private fun removed(state: FleetState, servers: Set<BackendServer>, now: Duration): FleetState {
         if (servers.isEmpty()) return state
-        val graceEnd = state.storeRegainedAt?.plus(STORE_RECOVERY_GRACE)
-        val isInGracePeriod = state.storeLostAt != null || (graceEnd != null && now < graceEnd)
-        if (!isInGracePeriod) {
+        val graceEnd =
+            if (state.storeLostAt !=
+                null
+            ) {
+                now + STORE_RECOVERY_GRACE
+            } else {
+                state.storeRegainedAt?.plus(STORE_RECOVERY_GRACE)
+            }
+        if (graceEnd == null || now >= graceEnd) {
             val table = servers.fold(state.table) { table, id -> table.without(id) }
             return state.copy(pendingRemovals = state.pendingRemovals - servers).withTable(table)
         }
-        val due = graceEnd ?: (now + STORE_RECOVERY_GRACE)
-        return state.copy(pendingRemovals = servers.associateWith { due } + state.pendingRemovals)
+        return state.copy(pendingRemovals = servers.associateWith { graceEnd } + state.pendingRemovals)
     }
 
     private fun confirmed(state: FleetState, update: FleetUpdate.Confirmed, now: Duration): FleetState {
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
@@ -78,6 +78,21 @@
         assertTrue(id in FleetDecision.expired(returned, 9.seconds).table.engines)
     }
 
+    @Test
+    fun `back ends whose entries expired in a second outage of the store are kept as in the first`() {
+        val confirmed = FleetUpdate.Confirmed(UpdateSource.BACKEND_SERVERS, StorePosition.inFirstEra(1))
+        val state = applyAll(
+            1.seconds to FleetUpdate.ServerChanged(server("e1")),
+            2.seconds to FleetUpdate.Interrupted(UpdateSource.BACKEND_SERVERS, null),
+            6.seconds to confirmed,
+            50.seconds to FleetUpdate.Interrupted(UpdateSource.BACKEND_SERVERS, null),
+            60.seconds to FleetUpdate.ServersListed(emptyList()),
+            60.seconds to confirmed,
+        )
+        assertTrue(id in FleetDecision.expired(state, 61.seconds).table.engines)
+        assertFalse(id in FleetDecision.expired(state, 63.seconds).table.engines)
+    }
+
     @Test
     fun `an announcement of groups under an older lease epoch is ignored`() {
         val app = ServiceName("app")
