Log a configuration as adopted only if its version changes

An operator saw configuration_adopted version=12 at each list of the store from a process that already held version 12, and could not tell a restore or an outage from a new configuration. Each list decodes a new object, and the log compared the identity of the objects. It compares their versions now.

FleetUpdateLogTest fails on the code before: versions 12, 12, 11 and 13 give three lines in place of two.

--- a/programs/edge/src/main/kotlin/redwingcross/edge/FleetUpdateLog.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/FleetUpdateLog.kt
@@ -14,7 +14,7 @@
     fun record(update: FleetUpdate, before: FleetState, after: FleetState, now: Duration) {
         val lostAt = before.storeLostAt
         when {
-            before.configuration !== after.configuration -> {
+            before.configuration?.version != after.configuration?.version -> {
                 events.info("configuration_adopted", arrayOf("version" to after.configuration?.version?.value))
                 after.configuration?.services?.values?.forEach(::recordScaling)
             }
