Keep evacuated zones out of service across a restore of the store

After the store came back from an older copy, callers' requests reached a zone again whose evacuation had been acknowledged, until the operator wrote it again about two seconds later; the zone then also counted as returned, so its engines were limited as cold ones. A zone whose return was acknowledged lost its requests in the same way, and its groups were closed. The view took over each list of the zones as it was.

For the grace period after a restore (2.3 s, as for entries after an outage), the zones known before stay evacuated, and a zone that only the list names is not evacuated yet. A zone whose entry changes after the first list follows the store at once: EvacuatedZonesChanged states which entries the watch delivered. At the end of the period the store's state applies. The period begins anew while the restored store gives no list, because nothing can be written then. An evacuation of the new era that only the list names takes effect within the period, less than the 5 s that operators rely on.

--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -16,7 +16,6 @@
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.fleet.servingGroups
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** The routes of one service, as announced by the active controller. */
 data class AnnouncedRoutes(
@@ -69,6 +68,8 @@
     val isListComplete: Boolean = false,
     /** Point up to which the changes of the platform's list were received. */
     val listPosition: StorePosition = StorePosition.START,
+    /** What is known beyond the store's copy after a restore of the store. */
+    val recovery: StoreRecovery = StoreRecovery(),
 ) {
     /**
      * Groups that this process derives from the list of back ends, without an announcement. Computed on first use,
@@ -98,15 +99,15 @@
     /** Applies an update from the store. */
     fun onUpdate(state: FleetState, update: FleetUpdate, now: Duration): FleetState = when (update) {
         is FleetUpdate.ConfigurationChanged -> configured(state, update.configuration)
-        is FleetUpdate.EvacuatedZonesChanged ->
-            state.withTable(state.table.withEvacuatedZones(update.zones, now, coldTimeAfterEvacuation(state)))
+        is FleetUpdate.EvacuatedZonesChanged -> RestoreDecision.zonesReceived(state, update, now)
         is FleetUpdate.ServerChanged -> state.copy(pendingRemovals = state.pendingRemovals - update.server.id)
             .withTable(state.table.withListed(update.server, now))
         is FleetUpdate.ServerRemoved -> removed(state, setOf(update.server), now)
         is FleetUpdate.ServersListed -> listed(state, update, now)
         is FleetUpdate.Confirmed -> confirmed(state, update, now)
-        is FleetUpdate.StoreRestored -> state
-        is FleetUpdate.Interrupted -> state.copy(storeLostAt = state.storeLostAt ?: now)
+        is FleetUpdate.StoreRestored -> RestoreDecision.restored(state, now)
+        is FleetUpdate.Interrupted ->
+            RestoreDecision.interrupted(state, update.source, now).copy(storeLostAt = state.storeLostAt ?: now)
     }
 
     /** Applies a report that [engine] sent about itself. */
@@ -202,8 +203,11 @@
     /** Uses the platform's list again; the announced back ends stay until the list is received. */
     fun listedServersUsed(state: FleetState): FleetState = state.copy(usesAnnouncedServers = false)
 
+    /** Applies what is due at [now]: the end of the grace periods after an outage or a restore of the store. */
+    fun expired(state: FleetState, now: Duration): FleetState = removalsDue(RestoreDecision.ended(state, now), now)
+
     /** Removes back ends whose entries were not written again within the grace period. */
-    fun expired(state: FleetState, now: Duration): FleetState {
+    private fun removalsDue(state: FleetState, now: Duration): FleetState {
         val due = state.pendingRemovals.filterValues { now >= it }.keys
         if (due.isEmpty()) return state
         val table = due.fold(state.table) { table, id -> table.without(id) }
@@ -234,9 +238,9 @@
             if (state.storeLostAt !=
                 null
             ) {
-                now + STORE_RECOVERY_GRACE
+                now + RestoreDecision.STORE_RECOVERY_GRACE
             } else {
-                state.storeRegainedAt?.plus(STORE_RECOVERY_GRACE)
+                state.storeRegainedAt?.plus(RestoreDecision.STORE_RECOVERY_GRACE)
             }
         if (graceEnd == null || now >= graceEnd) {
             val table = servers.fold(state.table) { table, id -> table.without(id) }
@@ -256,11 +260,5 @@
         )
     }
 
-    private fun coldTimeAfterEvacuation(state: FleetState): Duration =
-        state.configuration?.services?.values?.maxOfOrNull { it.coldDuration } ?: Duration.ZERO
-
     private fun FleetState.withTable(next: EngineTable): FleetState = copy(table = next)
-
-    /** Entries are written again within about two seconds after the store recovers. */
-    private val STORE_RECOVERY_GRACE = 2300.milliseconds
 }
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
@@ -16,6 +16,7 @@
 import redwingcross.version.fleet.RouteChanges
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.UpdateSource
 import kotlin.test.Test
@@ -55,6 +56,16 @@
         assertEquals(ConfigurationVersion(7), state.configuration?.version)
     }
 
+    @Test
+    fun `a configuration of the copy does not replace a newer one, and one that is written again is taken`() {
+        val versions = listOf(7L, 5L, 7L, 8L)
+        val written = versions.map(::configuration)
+        val steps = written.map { 2.seconds to FleetUpdate.ConfigurationChanged(it) }
+        val restored = 1.5.seconds to FleetUpdate.StoreRestored(StoreEra(6))
+        val states = (2..4).map { applyAll(steps.first(), restored, *steps.take(it).drop(1).toTypedArray()) }
+        assertEquals(listOf(written[0], written[2], written[3]), states.map { it.configuration })
+    }
+
     @Test
     fun `a back end whose entry is deleted is removed at once while the store is available`() {
         val state = applyAll(
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -367,7 +367,9 @@
         val now = clock.now()
         metrics.recordLoopDelay((now - lastCheckAt - CHECK_INTERVAL).coerceAtLeast(Duration.ZERO))
         lastCheckAt = now
-        fleet = FleetDecision.expired(fleet, now)
+        val before = fleet
+        fleet = FleetDecision.expired(before, now)
+        updateLog.recordZones(before, fleet)
         relay.updateServerSource(peers.rank, controller.isActiveController)
         gateway.checkProgress()
         crashRelay.sendIfDue()
--- a/programs/edge/src/main/kotlin/redwingcross/edge/FleetUpdateLog.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/FleetUpdateLog.kt
@@ -18,8 +18,7 @@
                 events.info("configuration_adopted", arrayOf("version" to after.configuration?.version?.value))
                 after.configuration?.services?.values?.forEach(::recordScaling)
             }
-            before.table.evacuatedZones != after.table.evacuatedZones ->
-                events.info("zones_out", arrayOf("zones" to after.table.evacuatedZones.joinToString(",")))
+            before.table.evacuatedZones != after.table.evacuatedZones -> recordZones(before, after)
             lostAt == null && after.storeLostAt != null -> events.warn("store_lost", arrayOf("news" to update))
             lostAt != null && after.storeLostAt == null ->
                 events.info("store_regained", arrayOf("after" to (now - lostAt)))
@@ -30,6 +29,13 @@
         }
     }
 
+    /** Logs the evacuated zones if they differ; after a restore they may change without an update from the store. */
+    fun recordZones(before: FleetState, after: FleetState) {
+        val zones = after.table.evacuatedZones
+        if (before.table.evacuatedZones == zones) return
+        events.info("zones_out", arrayOf("zones" to zones.joinToString(",")))
+    }
+
     private fun recordScaling(service: ServiceSpec) {
         val scaling = service.scaling ?: return
         if (!scalingLogged.add(service.name)) return
--- a/version/src/main/kotlin/redwingcross/version/fleet/FleetUpdate.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FleetUpdate.kt
@@ -11,8 +11,12 @@
     /** A new configuration is in effect. */
     data class ConfigurationChanged(val configuration: FleetConfiguration) : FleetUpdate
 
-    /** The complete set of zones that operators have taken out of service. */
-    data class EvacuatedZonesChanged(val zones: Set<AvailabilityZone>) : FleetUpdate
+    /**
+     * The complete set of [zones] that operators have taken out of service. [changed] are those whose entry was written
+     * or deleted since the last update; null after the store was listed, which does not tell.
+     */
+    data class EvacuatedZonesChanged(val zones: Set<AvailabilityZone>, val changed: Set<AvailabilityZone>? = null) :
+        FleetUpdate
 
     /** The complete list of back ends; sent first and after updates may have been missed. */
     data class ServersListed(val servers: List<EngineStatus>) : FleetUpdate
