Treat the list after a restore of the store as a copy of the past

After the store came back from an older copy, callers' requests reached engines again whose draining or removal had been acknowledged, until the engines wrote their entries again, and for a removed engine without end. A copy from before an engine's start took its start back, so calls to it were answered as misdirected, and a list took the group of an engine back that had not reported since this process follows the list, which a controller takes for the loss of the group.

For 4.2 s after the restore, a listed entry takes nothing back that is known: a draining engine keeps draining, a removed one stays removed, and start, group and the rest stay as known, until the entry changes after the list or states a later start; then the list applies. An engine that drains in the list counts as draining, because it may do so since the copy. FleetState remembers for 30 s, at most 4096 of them, the engines that were removed, that a controller withdrew from its routes, or that were draining when the view changed to announced routes. The time begins anew while the store gives no list. Reports of engines are as before newer than any list, and the copy does not mark them as contradicted.

--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -100,9 +100,11 @@
     fun onUpdate(state: FleetState, update: FleetUpdate, now: Duration): FleetState = when (update) {
         is FleetUpdate.ConfigurationChanged -> configured(state, update.configuration)
         is FleetUpdate.EvacuatedZonesChanged -> RestoreDecision.zonesReceived(state, update, now)
-        is FleetUpdate.ServerChanged -> state.copy(pendingRemovals = state.pendingRemovals - update.server.id)
+        is FleetUpdate.ServerChanged -> RestoreDecision.entryChanged(state, update.server.id)
+            .copy(pendingRemovals = state.pendingRemovals - update.server.id)
             .withTable(state.table.withListed(update.server, now))
-        is FleetUpdate.ServerRemoved -> removed(state, setOf(update.server), now)
+        is FleetUpdate.ServerRemoved ->
+            removed(RestoreDecision.withdrawn(state, setOf(update.server), now), setOf(update.server), now)
         is FleetUpdate.ServersListed -> listed(state, update, now)
         is FleetUpdate.Confirmed -> confirmed(state, update, now)
         is FleetUpdate.StoreRestored -> RestoreDecision.restored(state, now)
@@ -179,9 +181,10 @@
                 state
             }
         if (changes.servers.isEmpty() && changes.removedServers.isEmpty()) return confirmed
-        val removed = changes.removedServers.fold(state.table) { table, id -> table.without(id) }
-        val table = changes.servers.fold(removed) { table, server -> table.withRouted(server, now) }
-        return confirmed.withTable(table)
+        val removed = without(confirmed, changes.removedServers, now)
+        return changes.servers.fold(removed) { next, server ->
+            RestoreDecision.entryChanged(next, server.status.id).withTable(next.table.withRouted(server, now))
+        }
     }
 
     /**
@@ -189,7 +192,8 @@
      * requests, and following them costs no calls to the store.
      */
     fun announcedServersUsed(state: FleetState, now: Duration): FleetState {
-        val start = state.copy(
+        val draining = state.table.engines.values.filter { it.status.draining }.map { it.id }
+        val start = RestoreDecision.listDiscarded(RestoreDecision.withdrawn(state, draining, now)).copy(
             table = state.table.copy(engines = persistentHashMapOf()),
             pendingRemovals = emptyMap(),
             usesAnnouncedServers = true,
@@ -210,10 +214,13 @@
     private fun removalsDue(state: FleetState, now: Duration): FleetState {
         val due = state.pendingRemovals.filterValues { now >= it }.keys
         if (due.isEmpty()) return state
-        val table = due.fold(state.table) { table, id -> table.without(id) }
-        return state.copy(pendingRemovals = state.pendingRemovals - due).withTable(table)
+        return without(state.copy(pendingRemovals = state.pendingRemovals - due), due, now)
     }
 
+    private fun without(state: FleetState, servers: Collection<BackendServer>, now: Duration): FleetState =
+        RestoreDecision.withdrawn(state, servers, now)
+            .withTable(servers.fold(state.table) { table, id -> table.without(id) })
+
     /** Ignores a configuration that is older than the current one. */
     private fun configured(state: FleetState, next: FleetConfiguration): FleetState {
         val current = state.configuration
@@ -223,8 +230,7 @@
 
     private fun listed(state: FleetState, update: FleetUpdate.ServersListed, now: Duration): FleetState {
         val listed = update.servers.mapTo(mutableSetOf()) { it.id }
-        val table = update.servers.fold(state.table) { table, server -> table.withListed(server, now) }
-        val next = state.copy(pendingRemovals = state.pendingRemovals - listed, isListComplete = true).withTable(table)
+        val next = RestoreDecision.serversListed(state, update.servers, now).copy(isListComplete = true)
         return removed(next, state.table.engines.keys - listed, now)
     }
 
@@ -235,16 +241,9 @@
     private fun removed(state: FleetState, servers: Set<BackendServer>, now: Duration): FleetState {
         if (servers.isEmpty()) return state
         val graceEnd =
-            if (state.storeLostAt !=
-                null
-            ) {
-                now + RestoreDecision.STORE_RECOVERY_GRACE
-            } else {
-                state.storeRegainedAt?.plus(RestoreDecision.STORE_RECOVERY_GRACE)
-            }
+            (if (state.storeLostAt != null) now else state.storeRegainedAt)?.plus(RestoreDecision.STORE_RECOVERY_GRACE)
         if (graceEnd == null || now >= graceEnd) {
-            val table = servers.fold(state.table) { table, id -> table.without(id) }
-            return state.copy(pendingRemovals = state.pendingRemovals - servers).withTable(table)
+            return without(state.copy(pendingRemovals = state.pendingRemovals - servers), servers, now)
         }
         return state.copy(pendingRemovals = servers.associateWith { graceEnd } + state.pendingRemovals)
     }
--- a/process/src/main/kotlin/redwingcross/process/edge/StoreRecovery.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StoreRecovery.kt
@@ -1,10 +1,15 @@
 package redwingcross.process.edge
 
 import redwingcross.request.AvailabilityZone
+import redwingcross.request.BackendServer
+import redwingcross.version.fleet.EngineStart
+import redwingcross.version.fleet.EngineStatus
+import redwingcross.version.fleet.EngineTable
 import redwingcross.version.fleet.FleetUpdate
 import redwingcross.version.fleet.UpdateSource
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Zones after a restore. The copy may lack an evacuation, or contain one that was already taken back; operators write
@@ -25,8 +30,25 @@
         get() = (before - changed) + stored.orEmpty().filter { it in changed }
 }
 
+/** Back ends after a restore, until their entries have changed or the time for it is over. */
+data class EntryRecovery(
+    /** When the store was restored, or did not answer before its first list of the new era. */
+    val since: Duration,
+    /** Whether a list of the new era was received. */
+    val isListed: Boolean = false,
+    /** Entries that were only listed and say nothing newer than what is known; the copy may be older. */
+    val copied: Map<BackendServer, EngineStatus> = emptyMap(),
+)
+
+/** A back end that was removed or no longer gets requests, and its last known start. */
+data class RecentRemoval(val at: Duration, val start: EngineStart?)
+
 /** What is known beyond the store's copy after a restore. Times are readings of the process clock. */
 data class StoreRecovery(
+    /** Back ends that were removed within the age of a copy; a restore may list them again. */
+    val removals: Map<BackendServer, RecentRemoval> = emptyMap(),
+    /** Null once the store's state applies. */
+    val entries: EntryRecovery? = null,
     /** Null once the store's state applies. */
     val zones: ZoneRecovery? = null,
 )
@@ -35,25 +57,108 @@
 internal object RestoreDecision {
     /** Records the restore: everything that is known now is newer than the first lists of the new era. */
     fun restored(state: FleetState, now: Duration): FleetState = state.copy(
-        recovery = state.recovery.copy(zones = ZoneRecovery(now, state.table.evacuatedZones)),
+        recovery = state.recovery.copy(
+            zones = ZoneRecovery(now, state.table.evacuatedZones),
+            entries = EntryRecovery(now),
+        ),
     )
 
     /** Nothing can be written again while the store does not answer, so the grace period begins anew. */
     fun interrupted(state: FleetState, source: UpdateSource, now: Duration): FleetState {
-        val zones = state.recovery.zones?.takeIf { source == UpdateSource.EVACUATIONS && it.stored == null }
-            ?: return state
-        return state.copy(recovery = state.recovery.copy(zones = zones.copy(since = now)))
+        val recovery = state.recovery
+        val zones = recovery.zones?.takeIf { source == UpdateSource.EVACUATIONS && it.stored == null }
+        val entries = recovery.entries?.takeIf { source == UpdateSource.BACKEND_SERVERS && !it.isListed }
+        return when {
+            zones != null -> state.copy(recovery = recovery.copy(zones = zones.copy(since = now)))
+            entries != null -> state.copy(recovery = recovery.copy(entries = entries.copy(since = now)))
+            else -> state
+        }
     }
 
     /** Applies the zones that the store states; in the grace period after a restore only those that changed in it. */
     fun zonesReceived(state: FleetState, update: FleetUpdate.EvacuatedZonesChanged, now: Duration): FleetState {
         val zones = state.recovery.zones ?: return state.withZones(update.zones, now)
         val next = zones.copy(changed = zones.changed + update.changed.orEmpty(), stored = update.zones)
-        return ended(state.copy(recovery = state.recovery.copy(zones = next)).withZones(next.effective, now), now)
+        return zonesEnded(state.copy(recovery = state.recovery.copy(zones = next)).withZones(next.effective, now), now)
+    }
+
+    /**
+     * Applies a list of back ends. After a restore, it is a copy of the past: an engine that is known keeps its state,
+     * and one that was removed stays removed, until its entry changes or states a later start.
+     */
+    fun serversListed(state: FleetState, servers: List<EngineStatus>, now: Duration): FleetState {
+        val entries = state.recovery.entries
+        val removed = if (entries == null) emptyList() else servers.filter { wasRemoved(state, entries, it) }
+        val present = servers - removed.toSet()
+        val copied = if (entries == null) emptyList() else present.filter { isCopyOfKnown(state.table, it) } + removed
+        val table = present.fold(state.table) { table, server ->
+            if (entries == null) table.withListed(server, now) else table.withCopied(server, now)
+        }
+        val presentIds = present.mapTo(mutableSetOf()) { it.id }
+        val recovery = state.recovery.copy(
+            removals = state.recovery.removals - presentIds,
+            entries = entries?.copy(isListed = true, copied = copied.associateBy { it.id }),
+        )
+        return state.copy(
+            table = table,
+            pendingRemovals = state.pendingRemovals - presentIds,
+            recovery = recovery,
+        )
+    }
+
+    private fun wasRemoved(state: FleetState, entries: EntryRecovery, server: EngineStatus): Boolean {
+        val removal = state.recovery.removals[server.id] ?: return false
+        return removal.at >= entries.since - MAXIMUM_COPY_AGE && server.start?.isAfter(removal.start) != true
+    }
+
+    private fun isCopyOfKnown(table: EngineTable, server: EngineStatus): Boolean {
+        val known = table.engines[server.id] ?: return false
+        return server.start?.isAfter(known.status.start) != true
     }
 
-    /** Applies the state of the store at the end of the grace period. */
-    fun ended(state: FleetState, now: Duration): FleetState {
+    /** Records that the entry of [server] changed, so that what was listed before no longer counts. */
+    fun entryChanged(state: FleetState, server: BackendServer): FleetState {
+        val recovery = state.recovery
+        val copied = recovery.entries?.copied.orEmpty()
+        if (server !in copied && server !in recovery.removals) return state
+        val entries = recovery.entries?.copy(copied = copied - server)
+        return state.copy(recovery = recovery.copy(removals = recovery.removals - server, entries = entries))
+    }
+
+    /** Forgets what was listed, because the view is no longer made of the platform's list. */
+    fun listDiscarded(state: FleetState): FleetState {
+        val entries = state.recovery.entries?.copy(isListed = false, copied = emptyMap())
+        return state.copy(recovery = state.recovery.copy(entries = entries))
+    }
+
+    /** Records that [servers] get no more requests, so that a restore within the age of a copy does not return them. */
+    fun withdrawn(state: FleetState, servers: Collection<BackendServer>, now: Duration): FleetState {
+        if (servers.isEmpty()) return state
+        val recovery = state.recovery
+        val oldest = now - MAXIMUM_COPY_AGE - LISTED_COPY_TIME
+        val added = servers.associateWith {
+            RecentRemoval(now, state.table.engines[it]?.status?.start ?: recovery.removals[it]?.start)
+        }
+        // The map keeps the order of the removals, so that the oldest ones are dropped first.
+        val removals = (recovery.removals - added.keys).filterValues { it.at >= oldest } + added
+        val excess = (removals.size - MAXIMUM_REMEMBERED_REMOVALS).coerceAtLeast(0)
+        val kept = if (excess == 0) removals else removals.entries.drop(excess).associate { it.toPair() }
+        val entries = recovery.entries?.let { it.copy(copied = it.copied - added.keys) }
+        return state.copy(recovery = recovery.copy(removals = kept, entries = entries))
+    }
+
+    /** Applies the state of the store at the end of the grace periods. */
+    fun ended(state: FleetState, now: Duration): FleetState = entriesEnded(zonesEnded(state, now), now)
+
+    private fun entriesEnded(state: FleetState, now: Duration): FleetState {
+        val entries = state.recovery.entries ?: return state
+        if (now < entries.since + LISTED_COPY_TIME) return state
+        val table = entries.copied.values.fold(state.table) { table, server -> table.withListed(server, now) }
+        val removals = state.recovery.removals - entries.copied.keys
+        return state.copy(table = table, recovery = state.recovery.copy(removals = removals, entries = null))
+    }
+
+    private fun zonesEnded(state: FleetState, now: Duration): FleetState {
         val zones = state.recovery.zones ?: return state
         if (zones.stored == null || now < zones.since + STORE_RECOVERY_GRACE) return state
         return state.copy(recovery = state.recovery.copy(zones = null)).withZones(zones.stored, now)
@@ -67,4 +172,16 @@
 
     /** What operators and engines wrote is written again within about two seconds after the store recovers. */
     val STORE_RECOVERY_GRACE = 2300.milliseconds
+
+    /**
+     * Time after a restore in which an entry that was listed but has not changed since then counts as a copy of the
+     * past: three of the intervals of 1.2 s at which a live engine writes its entry, and 0.6 s for the watch.
+     */
+    val LISTED_COPY_TIME = 4200.milliseconds
+
+    /** Several times the age of the copies that a store was seen to be restored from (9 s). */
+    val MAXIMUM_COPY_AGE = 30.seconds
+
+    /** Limits the memory after the loss of many engines; those that were removed first are forgotten first. */
+    const val MAXIMUM_REMEMBERED_REMOVALS = 4096
 }
--- a/version/src/main/kotlin/redwingcross/version/fleet/Engine.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/Engine.kt
@@ -11,7 +11,10 @@
 
 /** Start time of an engine process in Unix milliseconds; distinguishes successive starts under the same id. */
 @JvmInline
-value class EngineStart(val unixMillis: Long)
+value class EngineStart(val unixMillis: Long) {
+    /** Whether this start is known to be after [other]; an engine may not state its start. */
+    fun isAfter(other: EngineStart?): Boolean = other != null && unixMillis > other.unixMillis
+}
 
 /** Number of orders that an engine has accepted since its start. */
 @JvmInline
--- a/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/EngineTable.kt
@@ -68,6 +68,20 @@
         )
     }
 
+    /**
+     * Applies an entry that may be older than what is known of the engine, because the store was restored from a copy.
+     * Nothing known is taken back unless the entry states a later start. An engine that may be draining since the copy
+     * was made counts as draining.
+     */
+    fun withCopied(status: EngineStatus, now: Duration): EngineTable {
+        val known = engines[status.id] ?: return withListed(status, now)
+        return when {
+            status.start?.isAfter(known.status.start) == true -> withListed(status, now)
+            known.isNewerThan(status) || known.status.draining || !status.draining -> this
+            else -> with(known.copy(status = known.status.copy(draining = true)))
+        }
+    }
+
     /** Applies the announced state of a back end; a cold time that it stated itself is never shortened. */
     fun withRouted(server: RoutedServer, now: Duration): EngineTable {
         val known = engines[server.status.id]?.takeIf { it.status.start == server.status.start }
@@ -149,8 +163,5 @@
 
     private fun with(engine: TrackedEngine): EngineTable = copy(engines = engines.put(engine.id, engine))
 
-    private fun TrackedEngine.isNewerThan(other: EngineStatus): Boolean {
-        val own = status.start ?: return false
-        return other.start != null && own.unixMillis > other.start.unixMillis
-    }
+    private fun TrackedEngine.isNewerThan(other: EngineStatus): Boolean = status.start?.isAfter(other.start) == true
 }
