Keep back ends that a restored store lacks for the grace period

Callers lost the back ends that had started since the copy was made: if the store came back from an older copy within one call, no watch noticed an outage, so the entries that the copy lacks counted as deleted and their engines were removed at once, which a controller takes for the loss of their groups. A restore now starts the grace period for missing entries itself; live engines write theirs again within it.

RestoredEntriesTest, 'an engine that the copy lacks gets requests until its entry is written again', fails on the code before: the engine is gone after the list. The test beside it guards the end of the period and passes before and after.

--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -235,13 +235,18 @@
     }
 
     /**
-     * Removes back ends whose entries are missing. Entries that expired while the store was unavailable are written
-     * again shortly after it recovers, so removal is delayed until the end of a grace period in that case.
+     * Removes back ends whose entries are missing. Entries that expired while the store was unavailable, or that its
+     * copy lacks after a restore, are written again shortly after it recovers, so removal is delayed until the end of a
+     * grace period in that case.
      */
     private fun removed(state: FleetState, servers: Set<BackendServer>, now: Duration): FleetState {
         if (servers.isEmpty()) return state
-        val graceEnd =
-            (if (state.storeLostAt != null) now else state.storeRegainedAt)?.plus(RestoreDecision.STORE_RECOVERY_GRACE)
+        val recoveredAt = if (state.storeLostAt != null) {
+            now
+        } else {
+            listOfNotNull(state.storeRegainedAt, state.recovery.entries?.since).maxOrNull()
+        }
+        val graceEnd = recoveredAt?.plus(RestoreDecision.STORE_RECOVERY_GRACE)
         if (graceEnd == null || now >= graceEnd) {
             return without(state.copy(pendingRemovals = state.pendingRemovals - servers), servers, now)
         }
--- a/process/src/test/kotlin/redwingcross/process/edge/RestoredEntriesTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/RestoredEntriesTest.kt
@@ -158,6 +158,25 @@
         assertNull(known)
     }
 
+    @Test
+    fun `an engine that the copy lacks gets requests until its entry is written again`() {
+        apply(1.seconds, listed(ready))
+        apply(10.seconds, restored, listed())
+        expire(12.2.seconds)
+        assertNotNull(known)
+        apply(12.25.seconds, changed(ready))
+        expire(15.seconds)
+        assertNotNull(known)
+    }
+
+    @Test
+    fun `an engine that the copy lacks and that is not written again is removed`() {
+        apply(1.seconds, listed(ready))
+        apply(10.seconds, restored, listed())
+        expire(12.3.seconds)
+        assertNull(known)
+    }
+
     @Test
     fun `a list that comes late because the restored store did not answer is a copy as well`() {
         apply(1.seconds, listed(draining))
