Let the stand-in of the store be restored from a copy

System tests could not show what a restore of the platform's store does. The stand-in now states its era in all answers, keeps copies of its objects, history and revision, and restores one: what was written since is gone, the era rises by one, revisions are given out again, and a watch beyond the restored revision gets 410 unless new writes have passed it. Pending watches stay pending, which is the harder case for a client. Answers can be late; they state the era in which the call was executed.

--- a/systemtests/src/test/kotlin/redwingcross/systemtests/platform/StoreStandin.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/platform/StoreStandin.kt
@@ -23,13 +23,34 @@
 
 /**
  * Stand-in for the platform's store: objects by kind and name, a single revision counter, long-polling watches and a
- * change history that can be compacted. All of its functions run on [loop].
+ * change history that can be compacted. It can be restored from a copy, which begins a new era that all of its answers
+ * state. All of its functions run on [loop].
  */
 internal class StoreStandin(private val loop: EventLoop) {
     private class Stored(val revision: Long, val spec: JsonElement)
 
     private class Change(val revision: Long, val kind: String, val json: JsonObject, val removed: Boolean)
 
+    /** The state of the store at one time, from which it can be restored. */
+    inner class Copy {
+        private val kinds = this@StoreStandin.kinds.mapValues { TreeMap(it.value) }
+        private val history = this@StoreStandin.history.toList()
+        private val revision = this@StoreStandin.revision
+        private val historyStart = this@StoreStandin.historyStart
+
+        /** Replaces the store's state by this one and begins a new era. Pending watches stay pending. */
+        fun restore() {
+            val store = this@StoreStandin
+            store.kinds.clear()
+            kinds.mapValuesTo(store.kinds) { TreeMap(it.value) }
+            store.history.clear()
+            store.history.addAll(history)
+            store.revision = revision
+            store.historyStart = historyStart
+            era++
+        }
+    }
+
     private class PendingWatch(val kind: String, val from: Long, val exchange: CallerExchange)
 
     private val kinds = HashMap<String, TreeMap<String, Stored>>()
@@ -37,10 +58,14 @@
     private val pendingWatches = mutableListOf<PendingWatch>()
     private var revision = 1L
     private var historyStart = 0L
+    private var era = 0L
 
     /** Returns the fault for the next call with the given HTTP method. */
     var fault: (method: String) -> StoreFault = { StoreFault.NONE }
 
+    /** Returns the time in ms by which the answer to the next call with the given HTTP method is late. */
+    var answerDelayMillis: (method: String) -> Long = { 0 }
+
     /** Creates or replaces an object; an unchanged [spec] gets no new revision. */
     fun put(kind: String, name: String, spec: JsonElement) {
         val objects = kinds.getOrPut(kind, ::TreeMap)
@@ -120,7 +145,7 @@
     }
 
     private fun watch(exchange: CallerExchange, kind: String, from: Long, waitMillis: Long) {
-        if (from < historyStart) return respond(exchange, GONE, null)
+        if (from < historyStart || from > revision) return respond(exchange, GONE, null)
         val watch = PendingWatch(kind, from, exchange)
         if (history.any { it.kind == kind && it.revision > from }) return respondToWatch(watch)
         pendingWatches += watch
@@ -129,6 +154,7 @@
     }
 
     private fun respondToWatch(watch: PendingWatch) {
+        if (watch.from > revision) return respond(watch.exchange, GONE, null)
         val body = buildJsonObject {
             putJsonArray("events") {
                 for (change in history.filter { it.kind == watch.kind && it.revision > watch.from }) {
@@ -173,11 +199,15 @@
     }
 
     private fun respond(exchange: CallerExchange, status: Int, body: JsonObject?) {
-        exchange.respond(status, DefaultHttpHeaders(), body?.toString().orEmpty().toByteArray())
+        val headers = DefaultHttpHeaders().add(ERA_HEADER, era)
+        val send = { exchange.respond(status, headers, body?.toString().orEmpty().toByteArray()) }
+        val delay = answerDelayMillis(exchange.head.method)
+        if (delay == 0L) send() else loop.schedule(send, delay, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
         const val PATH = "/redwingcross/objects/"
+        const val ERA_HEADER = "Store-Era"
         const val PAGE_SIZE = 500
         const val OK = 200
         const val NOT_FOUND = 404
