Log and measure the time without an active controller

Groups that lost a member stood still, and no log line said so: each process only lacked the lines of a controller.

Change: a process that has neither acted nor heard a controller for more than 3 s writes controller_absent, at most each 5 s, with the time, the epoch and version that it knows and why it doesn't take over. The gauge redwingcross_controller_absence_seconds shows the time since a controller was last known. When a line is due is decided in ControllerAbsenceDecision, the reason in LeaseState.takeoverObstacle.

Tests: ControllerAbsenceTest and ControllerTaskTest (a process that knows no controller says why it doesn't take over). Before the change there was no such line or gauge.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -6,10 +6,7 @@
 import redwingcross.request.ProcessName
 import redwingcross.request.ServiceName
 import redwingcross.version.fleet.CallNumber
-import redwingcross.version.fleet.DemandPlan
 import redwingcross.version.fleet.EngineReport
-import redwingcross.version.fleet.EngineTable
-import redwingcross.version.fleet.FleetConfiguration
 import redwingcross.version.fleet.FormationDecision
 import redwingcross.version.fleet.FormationEffect
 import redwingcross.version.fleet.FormationSettings
@@ -19,9 +16,6 @@
 import redwingcross.version.fleet.GroupEpoch
 import redwingcross.version.fleet.GroupStage
 import redwingcross.version.fleet.ModelPool
-import redwingcross.version.fleet.OrderCount
-import redwingcross.version.fleet.OrderOutcome
-import redwingcross.version.fleet.ReportAnswer
 import redwingcross.version.fleet.ServiceRoutes
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
@@ -30,96 +24,14 @@
 import redwingcross.version.lease.LeaseDecision
 import redwingcross.version.lease.LeaseEffect
 import redwingcross.version.lease.LeaseMessage
-import redwingcross.version.lease.LeaseRecord
 import redwingcross.version.lease.LeaseSettings
 import redwingcross.version.lease.LeaseState
+import redwingcross.version.lease.takeoverObstacle
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Message to [ControllerTask]. */
-sealed interface ControllerMessage {
-    /** Timer tick, several times a second: renews the lease and advances the formation of groups. */
-    data object Tick : ControllerMessage
-
-    /** Result of a store call for the controller lease, or a renewal that another process reported. */
-    data class Lease(val message: LeaseMessage) : ControllerMessage
-
-    /** A report request to an engine has completed. */
-    data class ReportRequestCompleted(val service: ServiceName, val answer: ReportAnswer) : ControllerMessage
-
-    /** The order to an engine that was sent as [call] has completed with [outcome]. */
-    data class OrderCompleted(
-        val service: ServiceName,
-        val engine: BackendServer,
-        val call: CallNumber,
-        val outcome: OrderOutcome,
-    ) : ControllerMessage
-
-    /** A gateway sees no progress on the streams of [group]. */
-    data class GroupSuspected(val group: GroupId) : ControllerMessage
-
-    /** Another process announced routes under the lease [epoch]. */
-    data class RoutesAnnounced(val epoch: LeaseEpoch) : ControllerMessage
-
-    /** The position of this process in the order in which processes take over the lease, from 0. */
-    data class RankChanged(val rank: Int) : ControllerMessage
-
-    /** The gateway [receiver] has missed changes of the routes of [service]. */
-    data class RoutesRequested(val service: ServiceName, val receiver: GatewayRecord) : ControllerMessage
-
-    /** Reports, orders or suspicions have changed the state of the groups since the last step of their formation. */
-    data object Step : ControllerMessage
-
-    /** The process is stopping and releases the controller lease. */
-    data object Release : ControllerMessage
-}
-
-/** Callbacks through which [ControllerTask] reads the process state and sends calls and messages. */
-@Suppress("LongParameterList")
-class ControllerDependencies(
-    val configuration: () -> FleetConfiguration?,
-    /** Current view of the engines. */
-    val table: () -> EngineTable,
-    /** Whether any gateway has received a request from a caller. */
-    val trafficSeen: () -> Boolean,
-    /** Whether more than half of the known processes, this one included, are reachable. */
-    val isMajorityReachable: () -> Boolean,
-    /** Whether the store answers the calls of this process. */
-    val isStoreAvailable: () -> Boolean,
-    /** Applies the report of an engine to the view of the engines. */
-    val applyReport: (BackendServer, EngineReport) -> Unit,
-    /** Records that an engine left its group and has accepted the given number of orders. */
-    val applyLeave: (BackendServer, OrderCount) -> Unit,
-    /** Discards the reports of engines: this process no longer requests them, so they become outdated. */
-    val discardReports: () -> Unit,
-    /** Reads the lease record; the result arrives as a [ControllerMessage.Lease] with the same call number. */
-    val readLease: (call: Long) -> Unit,
-    /** Writes the lease record if its version is still `expected`; null means that no record exists yet. */
-    val writeLease: (call: Long, expected: StorePosition?, record: LeaseRecord) -> Unit,
-    /** Requests the report of an engine; the result arrives as a [ControllerMessage.ReportRequestCompleted]. */
-    val requestReport: (ServiceName, FormationEffect.RequestReport) -> Unit,
-    /** Sends an order to an engine; the outcome arrives as a [ControllerMessage.OrderCompleted]. */
-    val sendOrder: (ServiceName, FormationEffect.Send) -> Unit,
-    /** Whether the view of the engines is the platform's complete list. */
-    val isListComplete: () -> Boolean,
-    /** Point up to which the view of the engines contains the changes of the platform's list. */
-    val listPosition: () -> StorePosition,
-    /** Requests the changes of the platform's list up to now. */
-    val catchUpList: () -> Unit,
-    /** The routes of a service that were announced last. */
-    val announcedRoutes: (ServiceName) -> AnnouncedRoutes?,
-    /** Sends the routes of a service to every gateway, or to the one that requested them. */
-    val announce: (ServiceName, LeaseEpoch, RouteAnnouncement, GatewayRecord?) -> Unit,
-    /** Sends this task a [ControllerMessage.Step] after a delay. */
-    val stepLater: (Duration) -> Unit,
-    /** Called when this process has become the active controller. */
-    val becameController: () -> Unit,
-    /** What the demand for the models of a service asks of its groups; null if their configured shares decide. */
-    val demandPlan: (ServiceSpec, ModelPool, FormationState) -> DemandPlan? = { _, _, _ -> null },
-)
-
 /** Owns the controller lease of this process and, while the process holds it, forms and watches the serving groups. */
 class ControllerTask(
     self: ProcessName,
@@ -146,6 +58,7 @@
     private var isStepScheduled = false
     private var lastStepAt = -Duration.INFINITE
     private var announcers = emptyMap<ServiceName, AnnouncerState>()
+    private var absence = ControllerAbsenceDecision.controllerKnown(clock.now())
 
     /** The controller lease for this process's heartbeats; null unless this process is the active controller. */
     val heldLease: HeldControllerLease?
@@ -169,18 +82,22 @@
      */
     val validEpoch: LeaseEpoch? get() = lease.validEpoch(clock.now())?.takeIf { it >= newestEpoch }
 
+    /** Time since this process last acted as controller or heard one; zero while it acts. */
+    val controllerAbsence: Duration get() = if (isActiveController) Duration.ZERO else absence.absentFor(clock.now())
+
     /** Processes one message; called on the event loop only. */
     fun handle(message: ControllerMessage) {
         when (message) {
             ControllerMessage.Tick -> {
                 stepLease(LeaseMessage.Tick)
                 stepFormations()
+                checkAbsence()
             }
             is ControllerMessage.Lease -> {
-                (message.message as? LeaseMessage.HolderRenewed)?.let { epochSeen(it.lease.record.epoch) }
+                (message.message as? LeaseMessage.HolderRenewed)?.let { controllerHeard(it.lease.record.epoch) }
                 stepLease(message.message)
             }
-            is ControllerMessage.RoutesAnnounced -> epochSeen(message.epoch)
+            is ControllerMessage.RoutesAnnounced -> controllerHeard(message.epoch)
             is ControllerMessage.RankChanged -> stepLease(LeaseMessage.RankChanged(message.rank))
             is ControllerMessage.ReportRequestCompleted -> reportRequestCompleted(message)
             is ControllerMessage.OrderCompleted -> orderCompleted(message)
@@ -202,13 +119,35 @@
         }
     }
 
-    /** A process that was overtaken ends its role at once, although the store may not answer it. */
-    private fun epochSeen(epoch: LeaseEpoch) {
+    /**
+     * Records that another process acts under [epoch]. A process that was overtaken ends its role at once, although the
+     * store may not answer it.
+     */
+    private fun controllerHeard(epoch: LeaseEpoch) {
+        if (epoch >= newestEpoch) absence = ControllerAbsenceDecision.controllerKnown(clock.now())
         if (epoch <= newestEpoch) return
         newestEpoch = epoch
         updateControllerRole()
     }
 
+    private fun checkAbsence() {
+        val now = clock.now()
+        if (isActiveController) absence = ControllerAbsenceDecision.controllerKnown(now)
+        val (next, absent) = ControllerAbsenceDecision.check(absence, now)
+        absence = next
+        if (absent == null) return
+        log(
+            "controller_absent",
+            arrayOf(
+                "for" to absent,
+                "epoch" to maxOf(newestEpoch, lease.seen?.record?.epoch ?: LeaseEpoch(0)).value,
+                "era" to lease.seen?.version?.era?.value,
+                "revision" to lease.seen?.version?.revision?.value,
+                "obstacle" to lease.takeoverObstacle(now).name.lowercase(),
+            ),
+        )
+    }
+
     private fun reportRequestCompleted(message: ControllerMessage.ReportRequestCompleted) {
         val state = formations[message.service] ?: return
         val answer = message.answer
--- a/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
@@ -29,6 +29,7 @@
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.StorePosition
 import redwingcross.version.lease.LeaseMessage
+import redwingcross.version.placement.LeaseEpoch
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -55,6 +56,8 @@
     private val announcements = mutableListOf<RouteAnnouncement>()
     private var listPosition = StorePosition.inFirstEra(1_000)
     private var catchUps = 0
+    private var isStoreSilent = false
+    private val logged = mutableListOf<Pair<String, Map<String, Any?>>>()
 
     private fun status(name: String, start: Long, membership: GroupMembership?) = EngineStatus(
         id = BackendServer(name),
@@ -82,7 +85,9 @@
             applyReport = { id, report -> fleet = FleetDecision.reported(fleet, id, report, now) },
             applyLeave = { id, count -> fleet = FleetDecision.left(fleet, id, count, now) },
             discardReports = { fleet = FleetDecision.reportsDiscarded(fleet) },
-            readLease = { later += ControllerMessage.Lease(LeaseMessage.ReadAnswered(it, null)) },
+            readLease = {
+                if (!isStoreSilent) later += ControllerMessage.Lease(LeaseMessage.ReadAnswered(it, null))
+            },
             writeLease = { call, expected, _ ->
                 later +=
                     ControllerMessage.Lease(
@@ -105,7 +110,7 @@
             becameController = { },
         ),
         MonotonicClock { now },
-        { _, _ -> },
+        { event, pairs -> logged += event to pairs.toMap() },
     )
 
     private fun tick() {
@@ -231,4 +236,15 @@
         assertEquals(old, fleet.table.engines.getValue(e1).status.membership)
         assertEquals(OrderCount(3), fleet.table.engines.getValue(e1).orders)
     }
+
+    @Test
+    fun `a process that knows no controller says why it doesn't take over`() {
+        isStoreSilent = true
+        repeat(40) { tick() }
+        val lines = logged.filter { it.first == "controller_absent" }.map { it.second["obstacle"] }
+        assertEquals(listOf<Any?>("lease_not_read"), lines)
+        assertTrue(task.controllerAbsence >= 4.seconds, "${task.controllerAbsence}")
+        task.handle(ControllerMessage.RoutesAnnounced(LeaseEpoch(3)))
+        assertEquals(Duration.ZERO, task.controllerAbsence)
+    }
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
@@ -38,6 +38,9 @@
         metrics.gauge("redwingcross_configuration_version") { fleet().configuration?.version?.value ?: 0 }
         metrics.gauge("redwingcross_peers_alive") { peers.alivePeers().size }
         metrics.gauge("redwingcross_duties_held") { if (controller.isActiveController) 1 else 0 }
+        metrics.gauge("redwingcross_controller_absence_seconds") {
+            controller.controllerAbsence.toDouble(DurationUnit.SECONDS)
+        }
         metrics.gauge("redwingcross_groups_avoided") { gateway.sharedHealth?.stalls?.marked().orEmpty().size }
         metrics.gauge("redwingcross_groups_stalled") { stalls?.markedCount ?: 0 }
         metrics.gauge("redwingcross_stall_evidence_ignored") { stalls?.ignoredReports ?: 0 }
