End the leases of earlier eras when the store is restored

Cause: the versions of the restored lease were lower than the known ones, so LeaseDecision dropped every answer and every announced renewal as stale. Ignoring the version alone would not do: the lost history may have had a holder that still acts, its epochs would be acquired again, and a write may meet another record of the same revision.

Change: a restore (LeaseMessage.StoreRestored, or an answer that states a newer era) ends what a process knows and holds of the lease, including a write in progress. The process that acted takes the lease over at once, conditional on the version in the new era; all others wait the lease duration, whatever the restored record says. Acquisitions in era n use epochs from 10,000 n + 1 and above every epoch that was heard. ReadAnswered states the era, so that an absent lease of a newer era isn't stale; answers and renewals of an earlier era are ignored; a write that took effect in another era than that of its condition counts neither as an acquisition nor as a renewal. In era 0 nothing changes.

One case remains and is named at EPOCHS_PER_ERA: a process that doesn't know of the restore overwrites a lease of the new era that has the same revision, and a process that had not heard of that lease uses its epoch again, after the holder's time.

--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
@@ -2,6 +2,7 @@
 
 import redwingcross.request.Transition
 import redwingcross.request.with
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.fleet.StorePosition
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
@@ -14,24 +15,49 @@
  * A takeover is safe without comparing the clocks of two processes: the write is conditional on a version that this
  * process has known for the whole lease duration, and the holder sent the renewal that made that version even earlier.
  * Each renewal makes a new version, so the write of a process that has missed renewals has no effect.
+ *
+ * When the store comes back from an older copy of its data, the leases of the earlier eras end. The process that acted
+ * as the holder takes the lease over at once, any other after the lease duration: a holder whose acquisition the store
+ * has lost may act for that long.
  */
 object LeaseDecision {
     /** Computes the next state and effects of [message] at [now]. */
-    fun step(state: LeaseState, message: LeaseMessage, now: Duration): Step = when (message) {
+    fun step(state: LeaseState, message: LeaseMessage, now: Duration): Step {
+        val era = message.answeredEra
+        return if (era != null && era > state.era) {
+            restored(state, era, isActing = state.validEpoch(now) != null, now)
+        } else {
+            stepInEra(state, message, now)
+        }
+    }
+
+    private fun restored(state: LeaseState, era: StoreEra, isActing: Boolean, now: Duration): Step {
+        val ended = state.restored(era, isActing, now)
+        val next = tick(ended.state, now)
+        return Transition(next.state, ended.effects + next.effects)
+    }
+
+    private fun stepInEra(state: LeaseState, message: LeaseMessage, now: Duration): Step = when (message) {
         LeaseMessage.Tick -> tick(state, now)
-        is LeaseMessage.ReadAnswered -> state.ifPending(message.call) { readAnswered(it, message.lease, now) }
-        is LeaseMessage.ReadFailed -> state.ifPending(message.call) { it.retryAfterFailure(now).with() }
-        is LeaseMessage.Written -> state.ifPending(message.call) { written(it, message.version, now) }
-        is LeaseMessage.Conflict -> state.ifPending(message.call) { it.retryLater(now).with() }
-        is LeaseMessage.OutcomeUnknown -> state.ifPending(message.call) { it.retryAfterFailure(now).with() }
-        is LeaseMessage.WriteFailed -> state.ifPending(message.call) { it.retryAfterFailure(now).with() }
-        is LeaseMessage.HolderAnnounced -> holderAnnounced(state, message.epoch, now)
-        is LeaseMessage.HolderRenewed -> holderRenewed(state, message.lease, message.age, now)
+        is LeaseMessage.CallEnded -> state.ifPending(message.call) { callEnded(it, message, now) }
+        is LeaseMessage.HolderAnnounced -> state.holderAnnounced(message.epoch, now).with()
+        is LeaseMessage.HolderRenewed -> state.holderRenewed(message.lease, message.age, now)
+        is LeaseMessage.StoreRestored ->
+            if (message.era > state.era) restored(state, message.era, message.isActing, now) else state.with()
+        is LeaseMessage.EpochSeen -> state.withEpochSeen(message.epoch).with()
         is LeaseMessage.RankChanged -> state.copy(rank = message.rank).with()
         LeaseMessage.Superseded -> state.copy(nextCallAt = now, seen = null).with()
         LeaseMessage.Release -> tick(state.copy(releasing = true, nextCallAt = now), now)
     }
 
+    private fun callEnded(state: LeaseState, message: LeaseMessage.CallEnded, now: Duration): Step = when (message) {
+        is LeaseMessage.ReadAnswered -> answered(state, message, now)
+        is LeaseMessage.Written -> written(state, message.version, now)
+        is LeaseMessage.Conflict -> state.retryLater(now).with()
+        is LeaseMessage.ReadFailed, is LeaseMessage.OutcomeUnknown, is LeaseMessage.WriteFailed ->
+            state.retryAfterFailure(now).with()
+    }
+
     private fun tick(state: LeaseState, now: Duration): Step = when {
         state.call != null || now < state.nextCallAt -> state.with()
         state.pending != null || state.seen == null -> read(state)
@@ -68,7 +94,7 @@
         val record =
             LeaseRecord(
                 holder = state.self,
-                epoch = LeaseEpoch((state.seen?.record?.epoch?.value ?: 0) + 1),
+                epoch = state.nextEpoch(),
                 nonce = "${state.self.value}-${state.incarnation}-$number",
                 duration = state.settings.duration,
             )
@@ -82,12 +108,17 @@
 
     private fun written(state: LeaseState, version: StorePosition, now: Duration): Step {
         val write = state.pending ?: return state.with()
+        // In another era than that of its condition, the write may have replaced another record of the same revision.
+        if (version.era != (write.expected?.era ?: state.era)) {
+            return state.copy(pending = null, seen = null, nextCallAt = now).with()
+        }
         return writeConfirmed(state, StoredLease(version, write.record), write, now)
     }
 
     /** Applies that [write] took effect and made [lease]. */
     private fun writeConfirmed(state: LeaseState, lease: StoredLease, write: PendingWrite, now: Duration): Step {
-        val next = state.copy(seen = lease, seenAt = now, pending = null, nextCallAt = now)
+        val next = state.withEpochSeen(lease.record.epoch)
+            .copy(seen = lease, seenAt = now, pending = null, nextCallAt = now)
         if (lease.record.holder == null) {
             val effects =
                 listOfNotNull(state.held?.let { LeaseEffect.Lost(it.seen.record.epoch) }, LeaseEffect.Released)
@@ -102,6 +133,11 @@
         }
     }
 
+    private fun answered(state: LeaseState, answer: LeaseMessage.ReadAnswered, now: Duration): Step {
+        val isOfEarlierEra = (answer.answeredEra ?: state.era) < state.era
+        return if (isOfEarlierEra) state.retryLater(now).with() else readAnswered(state, answer.lease, now)
+    }
+
     private fun readAnswered(state: LeaseState, lease: StoredLease?, now: Duration): Step {
         val known = state.seen?.version
         val stale = known != null && (lease == null || lease.version < known)
@@ -109,11 +145,17 @@
         return when {
             stale -> state.retryLater(now).with()
             write != null -> resolveWrite(state, write, lease, now)
-            lease == null -> if (state.releasing) release(state, now) else takeOver(state, now)
+            lease == null -> absenceObserved(state, now)
             else -> recordObserved(state, lease, now)
         }
     }
 
+    private fun absenceObserved(state: LeaseState, now: Duration): Step = when {
+        state.releasing -> release(state, now)
+        state.continuesAsHolder(now) || now >= state.earlierHolderEndsAt() -> takeOver(state, now)
+        else -> state.copy(nextCallAt = minOf(now + state.settings.retryInterval, state.earlierHolderEndsAt())).with()
+    }
+
     /** Determines from the object read whether [write] took effect: then the object contains the written record. */
     private fun resolveWrite(state: LeaseState, write: PendingWrite, lease: StoredLease?, now: Duration): Step = when {
         lease != null && lease.version != write.expected && lease.record == write.record ->
@@ -126,7 +168,7 @@
 
     private fun recordObserved(state: LeaseState, lease: StoredLease, now: Duration): Step {
         val unchanged = state.seen?.version == lease.version
-        val next = state.copy(
+        val next = state.withEpochSeen(lease.record.epoch).copy(
             seen = lease,
             seenAt = if (unchanged) state.seenAt else now,
             unchangedAt = if (unchanged) state.unchangedAt ?: now else null,
@@ -136,36 +178,11 @@
             held != null && held.seen.record.nonce == lease.record.nonce ->
                 next.copy(held = held.copy(seen = lease), nextCallAt = now).with()
             held != null -> next.copy(held = null).retryLater(now).with(LeaseEffect.Lost(held.seen.record.epoch))
+            next.isOfEarlierEra(lease.record.epoch) && next.continuesAsHolder(now) -> takeOver(next, now)
             else -> next.copy(nextCallAt = next.nextReadAt(now, unchanged)).with()
         }
     }
 
-    /** Postpones the next call by the lease duration and the delay of this process's rank: the holder is alive. */
-    private fun holderAnnounced(state: LeaseState, epoch: LeaseEpoch, now: Duration): Step {
-        val newest = state.seen?.record?.epoch ?: LeaseEpoch(0)
-        return if (state.held == null && !state.releasing && epoch >= newest) {
-            val silence = state.settings.duration + state.settings.rankDelay * state.rank
-            state.copy(nextCallAt = maxOf(state.nextCallAt, now + silence)).with()
-        } else {
-            state.with()
-        }
-    }
-
-    /**
-     * Records the announced version, so that a standby can take over without reading the lease first if the holder
-     * ends. A renewal postpones the next call; a holder that is heard but doesn't renew the lease postpones nothing.
-     */
-    private fun holderRenewed(state: LeaseState, lease: StoredLease, age: Duration, now: Duration): Step {
-        val known = state.seen?.version
-        val isStandby = state.held == null && state.pending == null && !state.releasing
-        if (!isStandby || known != null && lease.version < known) return state.with()
-        val heard = state.copy(holderHeardAt = now)
-        if (lease.version == known) return heard.with()
-        val renewedAt = now - age
-        val overdueAt = renewedAt + state.settings.renewalOverdueAfter + state.settings.rankDelay * state.rank
-        return heard.copy(seen = lease, seenAt = renewedAt, unchangedAt = null, nextCallAt = overdueAt).with()
-    }
-
     /** Applies [next] if the call [number] is pending; ignores the answer of any other call. */
     private fun LeaseState.ifPending(number: Long, next: (LeaseState) -> Step): Step =
         if (call?.number == number) next(copy(call = null)) else with()
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseMessage.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseMessage.kt
@@ -1,5 +1,6 @@
 package redwingcross.version.lease
 
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.fleet.StorePosition
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
@@ -9,22 +10,28 @@
     /** Time passed; sent at least every half second. */
     data object Tick : LeaseMessage
 
-    /** The read [call] answered; [lease] is null if the object is absent. */
-    data class ReadAnswered(val call: Long, val lease: StoredLease?) : LeaseMessage
+    /** The end of the read or write [call]. */
+    sealed interface CallEnded : LeaseMessage {
+        val call: Long
+    }
 
-    data class ReadFailed(val call: Long) : LeaseMessage
+    /** The read answered in [era]; [lease] is null if the object is absent. */
+    data class ReadAnswered(override val call: Long, val lease: StoredLease?, val era: StoreEra = StoreEra.FIRST) :
+        CallEnded
+
+    data class ReadFailed(override val call: Long) : CallEnded
 
     /** The write took effect and made [version]. */
-    data class Written(val call: Long, val version: StorePosition) : LeaseMessage
+    data class Written(override val call: Long, val version: StorePosition) : CallEnded
 
     /** The object was not at the expected version. */
-    data class Conflict(val call: Long) : LeaseMessage
+    data class Conflict(override val call: Long) : CallEnded
 
     /** The write failed and had no effect. */
-    data class WriteFailed(val call: Long) : LeaseMessage
+    data class WriteFailed(override val call: Long) : CallEnded
 
     /** The write may have taken effect, or may still do so. */
-    data class OutcomeUnknown(val call: Long) : LeaseMessage
+    data class OutcomeUnknown(override val call: Long) : CallEnded
 
     /** Gossip announced that the zone has a holder with [epoch]. */
     data class HolderAnnounced(val epoch: LeaseEpoch) : LeaseMessage
@@ -32,6 +39,12 @@
     /** The holder announced that it holds [lease] and sent its last renewal [age] ago. */
     data class HolderRenewed(val lease: StoredLease, val age: Duration = Duration.ZERO) : LeaseMessage
 
+    /** The store has come back from an older copy; [isActing] if this process acted when it learned so. */
+    data class StoreRestored(val era: StoreEra, val isActing: Boolean) : LeaseMessage
+
+    /** A process announced that it acts or acted under [epoch], so no later acquisition may use it. */
+    data class EpochSeen(val epoch: LeaseEpoch) : LeaseMessage
+
     /** Position of this process in the rendezvous order of the zone, from 0. */
     data class RankChanged(val rank: Int) : LeaseMessage
 
@@ -42,6 +55,14 @@
     data object Release : LeaseMessage
 }
 
+/** Era that the store stated in this answer; null if this is no answer that states one. */
+val LeaseMessage.answeredEra: StoreEra?
+    get() = when (this) {
+        is LeaseMessage.ReadAnswered -> maxOf(era, lease?.version?.era ?: StoreEra.FIRST)
+        is LeaseMessage.Written -> version.era
+        else -> null
+    }
+
 /** An action that the owning task carries out for the lease decision. */
 sealed interface LeaseEffect {
     data class Read(val call: Long) : LeaseEffect
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseState.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseState.kt
@@ -1,6 +1,7 @@
 package redwingcross.version.lease
 
 import redwingcross.request.ProcessName
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.fleet.StorePosition
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
@@ -47,6 +48,17 @@
     val calls: Long = 0,
     /** Number of attempted acquisitions so far; makes their nonces unique. */
     val acquisitions: Long = 0,
+    /** The newest era of the store that this process knows. */
+    val era: StoreEra = StoreEra.FIRST,
+    /** When this process learned of [era]; null in the first era. */
+    val eraObservedAt: Duration? = null,
+    /**
+     * End of the time in which this process takes a lease of an earlier era over without waiting, because it acted as
+     * the holder when it learned of [era]; null if it doesn't.
+     */
+    val continuesUntil: Duration? = null,
+    /** Highest epoch that this process read, acquired or was told of, also in an earlier era. */
+    val highestEpoch: LeaseEpoch = LeaseEpoch(0),
     /** Earliest time of the next read or write. */
     val nextCallAt: Duration = Duration.ZERO,
     /** Whether the process is shutting down and releases the lease. */
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseTimes.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseTimes.kt
@@ -12,7 +12,11 @@
 
 internal fun LeaseState.canTakeOver(now: Duration): Boolean {
     val current = seen ?: return false
-    return current.record.holder == null || isOfEarlierStart(current.record) || now >= takeoverAt(now)
+    return when {
+        now >= takeoverAt(now) -> true
+        isOfEarlierEra(current.record.epoch) -> continuesAsHolder(now)
+        else -> current.record.holder == null || isOfEarlierStart(current.record)
+    }
 }
 
 /**
@@ -32,7 +36,8 @@
  * heard, the store must have answered this process: if it is down for all, the holder keeps its role.
  */
 internal fun LeaseState.takeoverAt(now: Duration): Duration {
-    val expiry = seenAt + maxOf(settings.duration, seen?.record?.duration ?: Duration.ZERO)
+    val unchangedUntil = seenAt + maxOf(settings.duration, seen?.record?.duration ?: Duration.ZERO)
+    val expiry = maxOf(unchangedUntil, earlierHolderEndsAt())
     return when {
         holderHeardAt == null -> expiry
         !isHolderHeard(now) -> expiry + settings.rankDelay * rank
