Keep the controller role until the first renewal after an outage

A controller that kept its role through an outage of the store lost it in the moment in which the store answered again, until its next renewal: the reports of all engines were discarded and the formations started anew. Cause: without a valid lease the role depends on the store being unavailable, and the renewal is only due up to 0.3 s later.

Change: a process that acts keeps the role for 0.5 s after it last saw the store unavailable, as long as it reaches a majority. That is enough for the retry interval of 0.3 s, a tick and the calls. validEpoch, on which the usage reports rely, still follows the lease alone.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -55,6 +55,9 @@
     /** Point of the acquisition of the lease, up to which the list has to be known before its holder acts. */
     private var requiredListPosition = StorePosition.START
     private var requiredByEpoch: LeaseEpoch? = null
+
+    /** When the store was last seen to be unavailable. */
+    private var storeUnavailableAt = -Duration.INFINITE
     private var isStepScheduled = false
     private var lastStepAt = -Duration.INFINITE
     private var announcers = emptyMap<ServiceName, AnnouncerState>()
@@ -222,16 +225,14 @@
      * Starts or ends the controller role of this process. A process that was overtaken by one with a higher epoch has
      * lost the role, although it may not know so from the store. While the store is unavailable, the holder keeps the
      * role as long as it can reach a majority of the processes: no other process can acquire the lease then, and orders
-     * to engines are safe without a valid lease.
+     * to engines are safe without a valid lease. It also keeps the role until its first renewal after the outage.
      */
     private fun updateControllerRole() {
         val held = lease.held?.takeIf { !lease.releasing }
+        val isExcused = isExcusedFromRenewal()
         val canAct = held != null &&
             held.seen.record.epoch >= newestEpoch &&
-            (
-                lease.validEpoch(clock.now()) != null ||
-                    (!dependencies.isStoreAvailable() && dependencies.isMajorityReachable())
-                )
+            (lease.validEpoch(clock.now()) != null || isExcused && dependencies.isMajorityReachable())
         val next = if (canAct) held.seen.record.epoch else null
         if (next == activeEpoch) return
         activeEpoch = next
@@ -246,6 +247,14 @@
         if (next != null) dependencies.becameController()
     }
 
+    /** Whether the store is unavailable, or this process acts and the store was unavailable until a moment ago. */
+    private fun isExcusedFromRenewal(): Boolean {
+        val now = clock.now()
+        val isAvailable = dependencies.isStoreAvailable()
+        if (!isAvailable) storeUnavailableAt = now
+        return !isAvailable || isActiveController && now - storeUnavailableAt < RENEWAL_GRACE
+    }
+
     private fun stepFormations() {
         lastStepAt = clock.now()
         updateControllerRole()
@@ -331,5 +340,12 @@
             confirmDelay = 0.4.seconds,
             outageRetryInterval = 2.seconds,
         )
+
+        /**
+         * Time after an outage of the store within which its holder renews the lease or learns of a restore: the
+         * interval of its calls, and 0.2 s for a tick and the calls. A standby that hears the holder waits about as
+         * long before it takes the lease, and the holder hears of that.
+         */
+        val RENEWAL_GRACE = LEASE_SETTINGS.retryInterval + 0.2.seconds
     }
 }
