Let the controller continue after the store is restored

After a restore of the store the controller acted again only when its lease in the new era had been waited for like any other, because nothing told the lease decision that this process acted: during an outage that is longer than the lease only the controller task knows.

Change: ControllerMessage.StoreRestored, posted when the platform client reports FleetUpdate.StoreRestored, and a newer era in an answer for the lease, end the leases of earlier eras in ControllerTask with the statement whether the process acts. The epochs that other processes announce are passed to the lease decision, so that no acquisition repeats one. Formations and announcers start anew under the new epoch, as after any takeover: groups are adopted from the engines' reports, the list of back ends must be of the new era, and the announcements name the former ones of the same process, so gateways apply them without a request for the complete routes. store_restored is logged.

Ruled out: places, digests, marks of stalled groups and usage reports only compare epochs or pass them on as Long, so the jump to 10,001 is one more takeover to them; group names don't limit the digits.

A standby acts within 4 s if the controller has ended meanwhile, never are there two, and the first announcement under the new epoch applies to the routes that a gateway had.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerMessage.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerMessage.kt
@@ -6,6 +6,7 @@
 import redwingcross.version.fleet.CallNumber
 import redwingcross.version.fleet.OrderOutcome
 import redwingcross.version.fleet.ReportAnswer
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.placement.LeaseEpoch
 
@@ -34,6 +35,9 @@
     /** Another process announced routes under the lease [epoch]. */
     data class RoutesAnnounced(val epoch: LeaseEpoch) : ControllerMessage
 
+    /** The platform's store has come back from an older copy of its data and is now in [era]. */
+    data class StoreRestored(val era: StoreEra) : ControllerMessage
+
     /** The position of this process in the order in which processes take over the lease, from 0. */
     data class RankChanged(val rank: Int) : ControllerMessage
 
--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -19,6 +19,7 @@
 import redwingcross.version.fleet.ServiceRoutes
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.lostGroups
 import redwingcross.version.lease.LeaseDecision
@@ -26,6 +27,7 @@
 import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.lease.LeaseSettings
 import redwingcross.version.lease.LeaseState
+import redwingcross.version.lease.answeredEra
 import redwingcross.version.lease.takeoverObstacle
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
@@ -98,9 +100,11 @@
             }
             is ControllerMessage.Lease -> {
                 (message.message as? LeaseMessage.HolderRenewed)?.let { controllerHeard(it.lease.record.epoch) }
+                message.message.answeredEra?.let(::storeRestored)
                 stepLease(message.message)
             }
             is ControllerMessage.RoutesAnnounced -> controllerHeard(message.epoch)
+            is ControllerMessage.StoreRestored -> storeRestored(message.era)
             is ControllerMessage.RankChanged -> stepLease(LeaseMessage.RankChanged(message.rank))
             is ControllerMessage.ReportRequestCompleted -> reportRequestCompleted(message)
             is ControllerMessage.OrderCompleted -> orderCompleted(message)
@@ -130,7 +134,18 @@
         if (epoch >= newestEpoch) absence = ControllerAbsenceDecision.controllerKnown(clock.now())
         if (epoch <= newestEpoch) return
         newestEpoch = epoch
+        stepLease(LeaseMessage.EpochSeen(epoch))
+    }
+
+    /**
+     * Ends the leases of the earlier eras. Whether this process acts is determined first: one that was paused may not
+     * have noticed yet that it doesn't any more.
+     */
+    private fun storeRestored(era: StoreEra) {
+        if (era <= lease.era) return
         updateControllerRole()
+        log("store_restored", arrayOf("era" to era.value, "acting" to isActiveController))
+        stepLease(LeaseMessage.StoreRestored(era, isActiveController))
     }
 
     private fun checkAbsence() {
@@ -323,7 +338,11 @@
     private companion object {
         val FORMATION_SETTINGS = FormationSettings()
 
-        /** Maximum number of groups that one holder of the lease can form; later holders use higher epochs. */
+        /**
+         * Maximum number of groups that one holder of the lease can form; later holders use higher epochs. Lease epochs
+         * stay below 1.1e11 with eras up to 10,000,000, so group epochs stay below 1.1e16, and below 2^53 up to era
+         * 9,000.
+         */
         const val EPOCHS_PER_LEASE = 100_000L
 
         /** Bounds the share of a small VM's processor that the formation of a large fleet takes. */
--- a/process/src/test/kotlin/redwingcross/process/edge/ControllerRestoreTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/ControllerRestoreTest.kt
@@ -17,6 +17,7 @@
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -124,6 +125,10 @@
         private fun leaseAnswered(message: LeaseMessage) {
             if (!isPaused) task.handle(ControllerMessage.Lease(message))
         }
+
+        fun storeRestored() {
+            if (!isPaused) task.handle(ControllerMessage.StoreRestored(store.era))
+        }
     }
 
     private val configuration = FleetConfiguration(
@@ -182,9 +187,37 @@
         advance(newsDelay)
         for (process in processes) {
             process.isStoreAvailable = true
+            if (isRestored) process.storeRestored()
         }
     }
 
+    @Test
+    fun `the controller acts again at once after a restore`() {
+        for (newsDelay in (0..300 step 10).map { it.milliseconds }) {
+            val holder = runThroughOutage()
+            val start = now
+            storeReturns(isRestored = true, newsDelay)
+            advance(5.seconds)
+            assertTrue(holder.isActing, "${holder.name} doesn't act any more after news in $newsDelay")
+            assertEquals(LeaseEpoch(store.era.value * 10_000 + 1).value, holder.roles.last().third)
+            assertTrue(longestGap(start) <= 60.milliseconds, "gap of ${longestGap(start)} with news in $newsDelay")
+        }
+    }
+
+    @Test
+    fun `the controller keeps its role when the store is back before the restore is known`() {
+        val holder = runThroughOutage()
+        val start = now
+        store.isDown = false
+        store.restore(9.seconds)
+        processes.forEach { it.isStoreAvailable = true }
+        advance(100.milliseconds)
+        processes.forEach { it.storeRestored() }
+        advance(5.seconds)
+        assertTrue(holder.isActing, "${holder.name} doesn't act any more")
+        assertTrue(longestGap(start) <= 60.milliseconds, "gap of ${longestGap(start)}")
+    }
+
     @Test
     fun `the return of the store does not interrupt the role of the controller`() {
         for (outage in (300..3000 step 100).map { it.milliseconds }) {
@@ -197,6 +230,31 @@
         }
     }
 
+    @Test
+    fun `a standby acts after a restore during which the controller has ended`() {
+        val holder = runThroughOutage()
+        holder.isPaused = true
+        val start = now
+        storeReturns(isRestored = true, 10.milliseconds)
+        advance(4.seconds)
+        assertEquals(1, processes.count { it !== holder && it.isActing }, "standbys that act")
+    }
+
+    @Test
+    fun `the announcements after a restore apply to the routes that gateways know from before`() {
+        val holder = runThroughOutage()
+        val (epoch, last) = holder.announced.last()
+        val gateway = FleetState(announced = mapOf(service to known(epoch, last)))
+        storeReturns(isRestored = true, 10.milliseconds)
+        advance(1.seconds)
+        val (newEpoch, first) = holder.announced.first { it.first > epoch }
+        val (base, changes) = first.base to first.changes
+        val update =
+            RouteUpdate(service, newEpoch.value, first.sequence, base, changes, first.lost, now, first.former)
+        assertFalse(FleetDecision.isIncomplete(gateway, update), "$update after $epoch ${last.sequence}")
+        assertEquals(newEpoch.value, FleetDecision.announced(gateway, update, now).announced[service]?.leaseEpoch)
+    }
+
     private companion object {
         val CALL_DELAY = 10.milliseconds
         val TICK = 100.milliseconds
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -385,6 +385,7 @@
         val now = clock.now()
         fleet = FleetDecision.onUpdate(fleet, update, now)
         updateLog.record(update, before, fleet, now)
+        if (update is FleetUpdate.StoreRestored) controllerPost(ControllerMessage.StoreRestored(update.era))
     }
 
     private val pauseOfConfiguration: Duration get() = configurationPause(bounds.configurationApply)
