--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -391,8 +391,10 @@
         if (update is FleetUpdate.StoreRestored) storeRestored(update.era)
     }
 
+    /** Tells every owner of state that is kept in the store. */
     private fun storeRestored(era: StoreEra) {
         events.warn("store_restored", arrayOf("era" to era.value))
+        controllerPost(ControllerMessage.StoreRestored(era))
     }
 
     private val pauseOfConfiguration: Duration get() = configurationPause(bounds.configurationApply)
