Bound the era that another process claims

A peer that states an era of the store that does not exist makes every receiver restart the watches of the configuration, the zones and the back ends again and again, each time after the longest lag: the claimed position is ahead of every own one, and no answer of the store reaches it. Each restart lists the objects anew. The lease in such a message also reaches the decision of the lease, where its version is newer than any that the store can give.

Cause: StorePosition orders by era first, and WatchLagDetector trusted any era that was decoded.

Ruled out: rejecting the whole message, because the heartbeat of such a process still shows that it runs.

Change: eras outside of 0 to 10,000,000 are ignored in the progress of watches and with the lease. A watch is restarted once for each later era. That is enough, because a restarted watch lists its objects until the store answers, and the answer states the era; if it is still the earlier one, the claim is wrong or too early. Claims within the own era are handled as before.

--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -200,6 +200,7 @@
     }
 
     private fun leaseReceived(lease: HeldControllerLease) {
+        if (!lease.era.isPlausible) return
         dependencies.onLease(LeaseMessage.HolderRenewed(lease.toStored(), lease.renewedMillisAgo.milliseconds))
     }
 
--- a/process/src/main/kotlin/redwingcross/process/edge/WatchLagDetector.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/WatchLagDetector.kt
@@ -1,5 +1,6 @@
 package redwingcross.process.edge
 
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.UpdateSource
 import kotlin.time.Duration
@@ -13,20 +14,37 @@
 class WatchLagDetector(private val maximumLag: (UpdateSource) -> Duration) {
     private val awaited = mutableMapOf<UpdateSource, Awaited>()
 
-    /** Compares the progress of another process with [own]; returns the sources whose watch has to be restarted. */
+    /** The newest era of the store for which a watch was restarted. */
+    private val restartedFor = mutableMapOf<UpdateSource, StoreEra>()
+
+    /**
+     * Compares the progress of another process with [own]; returns the sources whose watch has to be restarted.
+     * Progress in an era that no store can be in is ignored.
+     */
     fun compare(
         other: Map<UpdateSource, WatchProgress>,
         own: Map<UpdateSource, WatchProgress>,
         now: Duration,
-    ): List<UpdateSource> = other.mapNotNull { (source, progress) ->
+    ): List<UpdateSource> = other.filterValues { it.era.isPlausible }.mapNotNull { (source, progress) ->
         val reached = own[source]?.reachedPosition(source) ?: StorePosition.START
         if (reached >= (awaited[source]?.position ?: StorePosition.START)) awaited.remove(source)
         val changed = progress.changedPosition
-        if (changed > reached) awaited.getOrPut(source) { Awaited(changed, now) }
-        val isLate = awaited[source]?.let { now - it.since >= maximumLag(source) } == true
-        source.takeIf { isLate }?.also { awaited.remove(it) }
+        if (changed > reached && !isRefuted(source, changed, reached)) {
+            awaited.getOrPut(source) { Awaited(changed, now) }
+        }
+        val late = awaited[source]?.takeIf { now - it.since >= maximumLag(source) } ?: return@mapNotNull null
+        awaited.remove(source)
+        if (late.position.era > reached.era) restartedFor[source] = late.position.era
+        source
     }
 
+    /**
+     * A watch that is restarted lists its objects again, and the first answer states the era. If the watch stays in an
+     * earlier era, the store isn't in the claimed one or doesn't answer yet, and a further restart doesn't help.
+     */
+    private fun isRefuted(source: UpdateSource, claimed: StorePosition, reached: StorePosition): Boolean =
+        claimed.era > reached.era && claimed.era <= (restartedFor[source] ?: StoreEra.FIRST)
+
     /**
      * Point up to which this process is up to date. The configuration is a single object, so the revision of the
      * object counts. Entries of the other kinds can be deleted, so the confirmed revision of the store counts.
--- a/process/src/test/kotlin/redwingcross/process/edge/MalformedPeerMessageProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/MalformedPeerMessageProperties.kt
@@ -14,7 +14,9 @@
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.fleet.UpdateSource
+import redwingcross.version.lease.LeaseMessage
 import redwingcross.version.lease.LeaseRecord
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.random.Random
@@ -35,6 +37,10 @@
     private var ledger = CrashLedger()
     private var validSenders = 0
     private val suspicions = mutableListOf<GroupId>()
+    private val leases = mutableListOf<LeaseMessage>()
+    private val watchLag = WatchLagDetector { 300.milliseconds }
+    private var watchRestarts = 0
+    private var claims = 0L
     private val logged = mutableListOf<String>()
 
     private val evidence = CrashEvidence(
@@ -121,12 +127,12 @@
             onFleetLoad = {},
             fleetLoad = { emptyMap() },
             onTrafficSeen = {},
-            onWatchProgress = {},
+            onWatchProgress = { watchRestarts += watchLag.compare(it, progress, now).size },
             onGroupAnnouncement = {},
             onRoutesRequest = {},
             onRank = {},
             onSuspicion = { suspicions += it },
-            onLease = {},
+            onLease = { leases += it },
             crashEvidence = { CrashAttribution.evidence(ledger, now) },
             onCrashEvidence = { ledger = CrashAttribution.merged(ledger, it, now) },
             usage = UsageReception(
@@ -183,6 +189,31 @@
         assertHandlesMessages()
     }
 
+    /** Receives a heartbeat each 100 ms for 20 s in which the sender claims to be in [era]. */
+    private fun receiveClaims(era: Long) {
+        repeat(200) {
+            val claimed = progress.mapValues { (_, own) -> own.copy(era = StoreEra(era)) }
+            val held = lease.copy(era = StoreEra(era))
+            val heartbeat = Heartbeat(sender, ++claims, ready = true, leaving = false, watchProgress = claimed)
+            receive(PeerCodec.encode(heartbeat.copy(controllerLease = held)))
+            now += 100.milliseconds
+        }
+    }
+
+    @Example
+    fun `a sender in an era that no store can be in restarts no watch and passes on no lease`() {
+        for (era in listOf(-1, StoreEra.MAXIMUM + 1, Long.MAX_VALUE, Long.MIN_VALUE)) receiveClaims(era)
+        assertEquals(0, watchRestarts)
+        assertEquals(emptyList(), leases)
+        assertEquals(listOf("n1"), task.alivePeers().map { it.record.node })
+    }
+
+    @Example
+    fun `a sender that claims an era that the store isn't in restarts each watch once`() {
+        receiveClaims(era = 9_999_999)
+        assertEquals(progress.size, watchRestarts)
+    }
+
     @Example
     fun `a message that is nested very deeply is ignored`() {
         val array = 0x81.toByte()
--- a/process/src/test/kotlin/redwingcross/process/edge/UsageMessagesTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/UsageMessagesTest.kt
@@ -49,7 +49,7 @@
         assertTrue(bytes.size <= 200, "${bytes.size} bytes")
     }
 
-    private companion object {
+    internal companion object {
         const val HEARTBEAT =
             "9f6462656174bf6673656e646572bf646e6f6465626e31657374617274016269706831302e302e302e316870656572506f72" +
                 "74191b586763616c6c6572736b31302e302e302e313a3830647a6f6e656161ff6873657175656e636501657265616479f567" +
--- a/version/src/main/kotlin/redwingcross/version/fleet/StorePosition.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/StorePosition.kt
@@ -9,11 +9,17 @@
 @Serializable
 @JvmInline
 value class StoreEra(val value: Long) : Comparable<StoreEra> {
+    /** Whether a store can be in this era; others come from a damaged message. */
+    val isPlausible: Boolean get() = value in 0..MAXIMUM
+
     override fun compareTo(other: StoreEra): Int = value.compareTo(other.value)
 
     companion object {
         /** The era of a store that states none. */
         val FIRST: StoreEra = StoreEra(0)
+
+        /** More restores than a store has in its life; the epochs of the lease, which grow with the era, stay valid. */
+        const val MAXIMUM: Long = 10_000_000
     }
 }
 
