Write the registry entry again after a restore of the store

After the store has come back from an older copy, a process that registered in the lost seconds is in no registry. Those that know it keep exchanging heartbeats with it, but a process that starts later doesn't find it: it is missing from that one's shares of the limits and from its address list, for as long as it hears any other process. A process registers again only if a current list misses it, and only a process that hears no other reads a current list.

Cause: RegistryCalls took a registration for permanent.

Change: PeerTaskMessage.StoreRestored makes the process write its entry again, at a random time within 2 s, which makes 175 writes a second in a fleet of 350. The result of a registration states the number of its call, so that one from before the restore doesn't count, and whether the entry was there before. If it was absent, a process that registered meanwhile may have read the registry without it, so the current list is read as after a start; if it was there, no list is needed. An entry that a repeated call finds may be that of the first attempt, so it counts as absent.

Checked without a change: the entry of an ended process that the copy contains doesn't replace a later start, and the process it names is removed after 10 s without a heartbeat, like those of the entries that stay in the registry anyway. A replace whose expected revision is from before the restore can only match the own entry, because the condition is on the object of the same name.

Nothing posts the message yet.

--- a/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerMessages.kt
@@ -64,10 +64,21 @@
     val confirmedPosition: StorePosition get() = StorePosition(era, StoreRevision(confirmed))
 }
 
+/** Numbers the calls with which a process writes its registry entry, in the order in which they are made. */
+@JvmInline
+value class RegistrationCall(val number: Long) : Comparable<RegistrationCall> {
+    val next: RegistrationCall get() = RegistrationCall(number + 1)
+
+    override fun compareTo(other: RegistrationCall): Int = number.compareTo(other.number)
+}
+
 /** Result of a call to the registry. */
 sealed interface RegistryResult {
-    /** The entry of this process was written. */
-    data object Registered : RegistryResult
+    /**
+     * The registry contains the entry of this process. [wasPresent] is true if it did before the call, with the same
+     * content.
+     */
+    data class Registered(val call: RegistrationCall, val wasPresent: Boolean) : RegistryResult
 
     /** The entries of all registered processes. */
     data class Listed(
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -28,6 +28,9 @@
 
     /** A call to the registry has completed. */
     data class RegistryCallCompleted(val result: RegistryResult) : PeerTaskMessage
+
+    /** The store has come back from an older copy of its data, which may lack the registry entry of this process. */
+    data object StoreRestored : PeerTaskMessage
 }
 
 /** Callbacks through which [PeerTask] sends messages and passes received state to the other tasks. */
@@ -36,8 +39,8 @@
     val send: (InetSocketAddress, ByteArray) -> Unit,
     /** Builds this process's next heartbeat; its sequence number is filled in by [PeerTask]. */
     val nextHeartbeat: () -> Heartbeat,
-    /** Writes the registry entry of this process. */
-    val register: () -> Unit,
+    /** Writes the registry entry of this process; [RegistryResult.Registered] contains the number of the call. */
+    val register: (RegistrationCall) -> Unit,
     /** Reads the registry; the argument is true if the list may be some seconds old. */
     val listRegistry: (Boolean) -> Unit,
     /** Called with the requests in flight of another gateway by back end; null if it is no longer reachable. */
@@ -140,6 +143,7 @@
             PeerTaskMessage.StateChanged -> sendHeartbeat(toAll = true)
             is PeerTaskMessage.Received -> received(message.bytes)
             is PeerTaskMessage.RegistryCallCompleted -> registryCallCompleted(message.result)
+            PeerTaskMessage.StoreRestored -> registry.storeRestored(clock.now())
         }
     }
 
--- a/process/src/test/kotlin/redwingcross/process/edge/PeerTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/PeerTaskTest.kt
@@ -21,13 +21,17 @@
     private var now = Duration.ZERO
     private val sent = mutableListOf<InetSocketAddress>()
     private val registryCalls = mutableListOf<String>()
+    private val registrations = mutableListOf<RegistrationCall>()
 
     private val task = PeerTask(
         record("self"),
         PeerDependencies(
             send = { address, _ -> sent += address },
             nextHeartbeat = { heartbeat("self", 0) },
-            register = { registryCalls += "register" },
+            register = {
+                registryCalls += "register"
+                registrations += it
+            },
             listRegistry = { allowStale -> registryCalls += if (allowStale) "list_old" else "list" },
             onLoad = { _, _ -> },
             onFleetLoad = {},
@@ -59,6 +63,30 @@
         task.handle(PeerTaskMessage.Received(PeerCodec.encode(heartbeat(node, sequence))))
     }
 
+    private fun registered(call: RegistrationCall, wasPresent: Boolean = false) {
+        task.handle(PeerTaskMessage.RegistryCallCompleted(RegistryResult.Registered(call, wasPresent)))
+    }
+
+    /** Registers and reads the registry; afterwards no call is due for 15 s while "a" is heard. */
+    private fun registerBesideAnother() {
+        runFor(250.milliseconds)
+        registered(registrations.last())
+        receiveRegistryList("self", "a")
+        registryCalls.clear()
+    }
+
+    private fun runBesideAnother(time: Duration) = runFor(time) { receiveHeartbeat("a", ++heardSequence) }
+
+    /** Restores the store and runs until the process writes its entry again. */
+    private fun runUntilRegistration(): RegistrationCall {
+        val before = registrations.size
+        task.handle(PeerTaskMessage.StoreRestored)
+        repeat(9) { if (registrations.size == before) runBesideAnother(250.milliseconds) }
+        return registrations[before]
+    }
+
+    private var heardSequence = 0L
+
     private fun receiveRegistryList(vararg nodes: String) {
         task.handle(
             PeerTaskMessage.RegistryCallCompleted(RegistryResult.Listed(nodes.map { record(it) }, isCurrent = true)),
@@ -67,7 +95,7 @@
 
     @Test
     fun `a process that removed all others during a partition finds them again through the registry`() {
-        task.handle(PeerTaskMessage.RegistryCallCompleted(RegistryResult.Registered))
+        registered(RegistrationCall(1))
         receiveRegistryList("self", "a")
         receiveHeartbeat("a", 1)
         runFor(12.seconds)
@@ -81,7 +109,7 @@
 
     @Test
     fun `a process that still receives heartbeats reads the registry at a low rate to find missing processes`() {
-        task.handle(PeerTaskMessage.RegistryCallCompleted(RegistryResult.Registered))
+        registered(RegistrationCall(1))
         receiveRegistryList("self", "a", "b")
         registryCalls.clear()
         var sequence = 0L
@@ -92,11 +120,94 @@
 
     @Test
     fun `a process whose entry is missing from the registry registers again`() {
-        task.handle(PeerTaskMessage.RegistryCallCompleted(RegistryResult.Registered))
+        registered(RegistrationCall(1))
         receiveRegistryList("a")
         receiveHeartbeat("a", 1)
         registryCalls.clear()
         runFor(2.seconds)
         assertTrue("register" in registryCalls)
     }
+
+    @Test
+    fun `a process writes its entry again after the store has lost changes`() {
+        registerBesideAnother()
+        val call = runUntilRegistration()
+        assertEquals(listOf("register"), registryCalls)
+        registered(call)
+        assertEquals("list", registryCalls.last(), "processes that started meanwhile don't know this one")
+        runBesideAnother(10.seconds)
+        assertEquals(1, registryCalls.count { it == "register" })
+    }
+
+    @Test
+    fun `a process whose entry survived the restore reads no list`() {
+        registerBesideAnother()
+        registered(runUntilRegistration(), wasPresent = true)
+        runBesideAnother(10.seconds)
+        assertEquals(listOf("register"), registryCalls)
+    }
+
+    @Test
+    fun `an entry that a repeated call finds may be a new one`() {
+        registerBesideAnother()
+        val first = runUntilRegistration()
+        task.handle(PeerTaskMessage.RegistryCallCompleted(RegistryResult.Failed))
+        runBesideAnother(2.seconds)
+        assertTrue(registrations.last() > first, "$registrations")
+        registered(registrations.last(), wasPresent = true)
+        assertEquals("list", registryCalls.last())
+    }
+
+    @Test
+    fun `a registration from before the restore doesn't count`() {
+        runFor(250.milliseconds)
+        val before = registrations.single()
+        task.handle(PeerTaskMessage.StoreRestored)
+        registered(before)
+        val after = runUntilRegistration()
+        assertTrue(after > before, "$registrations")
+        task.handle(PeerTaskMessage.StoreRestored)
+        registered(after)
+        val last = runUntilRegistration()
+        assertTrue(last > after, "the second restore came before the result")
+        registered(last, wasPresent = true)
+        assertEquals("list", registryCalls.last(), "the entry may have been absent until now")
+    }
+
+    @Test
+    fun `an entry of an ended process that the copy contains replaces no running one`() {
+        registerBesideAnother()
+        runBesideAnother(1.seconds)
+        val earlier = record("a", start = 0)
+        val list = RegistryResult.Listed(listOf(earlier, record("ended"), record("self")), isCurrent = true)
+        task.handle(PeerTaskMessage.RegistryCallCompleted(list))
+        assertEquals(record("a"), task.peersByNode.getValue("a").record)
+        runBesideAnother(10.5.seconds)
+        assertEquals(setOf("a"), task.peersByNode.keys, "a process that isn't heard is removed")
+    }
+
+    @Test
+    fun `the processes of a large fleet don't write their entries at the same time`() {
+        val random = Random(7)
+        val writtenAt = List(350) { spreadOf(random) }
+        val busiest = writtenAt.groupingBy { it.inWholeMilliseconds / 250 }.eachCount().values.max()
+        assertTrue(writtenAt.all { it <= 2.25.seconds }, "${writtenAt.max()}")
+        assertTrue(busiest <= 100, "$busiest writes in 250 ms, the store takes 400 a second")
+    }
+
+    /** Time from a restore to the write of the entry of one process that ticks each 250 ms. */
+    private fun spreadOf(random: Random): Duration {
+        var at = Duration.ZERO
+        val writtenAt = mutableListOf<Duration>()
+        val calls = RegistryCalls(record("self"), { writtenAt += at }, {}, random)
+        calls.callIfDue(at, isAlone = true, retryAfter = 1.seconds)
+        calls.completed(RegistryResult.Registered(RegistrationCall(1), wasPresent = false))
+        at = 250.milliseconds * random.nextDouble()
+        calls.storeRestored(0.seconds)
+        while (writtenAt.size < 2) {
+            calls.callIfDue(at, isAlone = true, retryAfter = 1.seconds)
+            at += 250.milliseconds
+        }
+        return writtenAt.last()
+    }
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -274,7 +274,9 @@
         PeerDependencies(
             send = peerSocket::send,
             nextHeartbeat = ::nextHeartbeat,
-            register = { platform.register(self) { peerPost(PeerTaskMessage.RegistryCallCompleted(it)) } },
+            register = { call ->
+                platform.register(self, call) { peerPost(PeerTaskMessage.RegistryCallCompleted(it)) }
+            },
             listRegistry = { allowStale ->
                 platform.listGateways(allowStale) { peerPost(PeerTaskMessage.RegistryCallCompleted(it)) }
             },
