Store usage reports again after a restore of the store

The platform was told two different counts of one window. The content of a report is fixed by a conditional create and only then sent; a store that comes back from an older copy has lost the creates of the last seconds, and the next holder of the lease, which finds no report, fixes the counts that it knows by then and sends them.

Cause: the absence of a report in the store was taken as proof that none was sent.

Change: UsageTaskMessage.StoreRestored. After a restore it stores them again before anything else, whether it holds the lease or not: the lease usually changes at a restore, the next holder reads the store only after 3 s, and a create replaces nothing. The pending call counts as unknown. A holder that had read everything and whose lease was valid within the lease time before knows every report, because a successor would still have been waiting; it goes on as before, also under its next epoch. Any other holder makes no report of a window that could have been fixed before the restore and isn't stored. A missing report can be seen and a wrong one can't be taken back. A content in the store that differs from a known one is not sent.

Nothing posts the message yet.

--- a/process/src/main/kotlin/redwingcross/process/edge/UsageLog.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/UsageLog.kt
@@ -55,6 +55,14 @@
                 val pairs = arrayOf("first" to effect.first, "last" to effect.last, "windows" to windows)
                 log("usage_windows_lost", pairs)
             }
+            is UsageEffect.StoreRestored -> log(
+                "usage_store_restored",
+                arrayOf("reports" to effect.reports, "knows_all" to effect.knowsAll),
+            )
+            is UsageEffect.Withheld -> {
+                countWindows("missed", 1)
+                log("usage_withheld", arrayOf("window" to effect.window))
+            }
             is UsageEffect.Difference -> {
                 difference += effect.counted - effect.reported
                 log(
--- a/process/src/main/kotlin/redwingcross/process/edge/UsageTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/UsageTask.kt
@@ -42,6 +42,9 @@
     /** A call to the store or to the platform has completed. */
     data class CallCompleted(val result: UsageMessage) : UsageTaskMessage
 
+    /** The store has come back from an older copy of its data, which may lack reports. */
+    data object StoreRestored : UsageTaskMessage
+
     /** The process ends now: sends what was not sent. */
     data object Flush : UsageTaskMessage
 }
@@ -124,6 +127,7 @@
                 fleetClock = fleetClock.announced(FleetTime(message.unixMillis), clock.now())
             }
             is UsageTaskMessage.CallCompleted -> step(message.result)
+            UsageTaskMessage.StoreRestored -> step(UsageMessage.StoreRestored)
             UsageTaskMessage.Flush -> sendCounts(Duration.ZERO)
         }
     }
@@ -144,6 +148,8 @@
         if (dependencies.validEpoch() != null) {
             mergeOwnCounts(now)
             step(UsageMessage.Tick)
+        } else if (reporter.unstored.isNotEmpty()) {
+            step(UsageMessage.Tick)
         }
     }
 
--- a/process/src/main/kotlin/redwingcross/process/usage/UsageCallResults.kt
+++ b/process/src/main/kotlin/redwingcross/process/usage/UsageCallResults.kt
@@ -14,8 +14,15 @@
 
 internal fun UsageReporterState.storeUnknown(call: UsageCall, now: Duration): UsageReporterState {
     val next = copy(nextStoreCallAt = now + STORE_RETRY)
-    // A read that recovers is repeated as long as the window is among the remaining ones.
-    return if (call.content == null) next else next.withReport(call.window) { it.copy(mustRead = true) }
+    // A read that recovers and a report that is stored again are repeated as long as the window is among the remaining
+    // ones.
+    return if (call.content == null ||
+        call.isRepeated
+    ) {
+        next
+    } else {
+        next.withReport(call.window) { it.copy(mustRead = true) }
+    }
 }
 
 internal fun UsageReporterState.ifSending(number: Long, next: UsageReporterState.(UsageCall) -> UsageReporterState) =
@@ -52,6 +59,8 @@
         effects += UsageEffect.Missed(call.window, fixed = true, sends = 0)
         return next.withReport(call.window) { it.copy(isAbandoned = true) }
     }
+    val knownBefore = former[call.window]?.content
+    if (knownBefore != null && knownBefore != stored.report) return next.contradicted(call.window, effects)
     effects += UsageEffect.Fixed(stored.report, isOwn)
     return next.withReport(call.window) { it.copy(content = stored.report, mustRead = false) }
 }
@@ -60,7 +69,11 @@
 private fun UsageReporterState.found(window: UsageWindow, settledBefore: UsageWindow?): UsageReporterState {
     val reading = recovery as? Recovery.Reading ?: return this
     val remaining = reading.remaining.filter { it != window && (settledBefore == null || it >= settledBefore) }
-    return copy(recovery = Recovery.Reading(remaining, maxOf(reading.newest ?: window, window)))
+    val settled = listOfNotNull(this.settledBefore, settledBefore).maxOrNull()
+    return copy(
+        recovery = Recovery.Reading(remaining, maxOf(reading.newest ?: window, window)),
+        settledBefore = settled,
+    )
 }
 
 internal fun UsageReporterState.absent(call: UsageCall): UsageReporterState {
--- a/process/src/main/kotlin/redwingcross/process/usage/UsageReporter.kt
+++ b/process/src/main/kotlin/redwingcross/process/usage/UsageReporter.kt
@@ -15,6 +15,8 @@
  *   seen. Calls of the former holder have ended by then.
  * - A new holder reads what its predecessors fixed, from the newest window back to the oldest that can still be sent.
  * - Windows are sent oldest first, one call at a time.
+ * - A report that the store may have lost is stored again before it is sent again. A window that another holder may
+ *   have sent is not reported if its report is lost, because the platform must not get two different ones.
  */
 object UsageReporter {
     /** Computes the next state and effects of [message] at [now]. */
@@ -22,18 +24,20 @@
         val effects = mutableListOf<UsageEffect>()
         val received = when (message) {
             UsageMessage.Tick -> state
+            UsageMessage.StoreRestored -> state.storeRestored(now, effects)
             is UsageMessage.Acknowledged -> state.ifSending(message.call) { acknowledged(it, view, effects) }
             is UsageMessage.SendFailed -> state.ifSending(message.call) { sendFailed(now) }
             is UsageMessage.SendRejected -> state.ifSending(message.call) { rejected(it, now) }
-            is UsageMessage.Created -> state.ifStoring(message.call) { fixed(it, it.content, isOwn = true, effects) }
+            is UsageMessage.Created -> state.ifStoring(message.call) { stored(it, it.content, isOwn = true, effects) }
             is UsageMessage.Existed -> state.ifStoring(message.call) {
-                fixed(it, message.stored, isOwn = false, effects)
+                stored(it, message.stored, isOwn = false, effects)
             }
             is UsageMessage.Absent -> state.ifStoring(message.call) { absent(it) }
             is UsageMessage.StoreFailed -> state.ifStoring(message.call) { storeFailed(now) }
             is UsageMessage.StoreUnknown -> state.ifStoring(message.call) { storeUnknown(it, now) }
         }
-        return Transition(advance(received.withoutLostCalls(now), view, now, effects), effects)
+        val restoring = received.withoutLostCalls(now).restoring(view.time, now, effects)
+        return Transition(advance(restoring, view, now, effects), effects)
     }
 
     private fun advance(
@@ -43,18 +47,36 @@
         effects: MutableList<UsageEffect>,
     ): UsageReporterState {
         val epoch = view.validEpoch ?: return state
-        val held = if (epoch == state.epoch) state else state.holding(epoch, now, effects)
+        val held = (if (epoch == state.epoch) state else state.holding(epoch, now, effects)).copy(validAt = now)
         val time = view.time ?: return held
         if (now < held.actsFrom) return held
         return held.recovering(view, time, effects).expired(view, time, effects).storing(view, time, now, effects)
             .sending(epoch, now, effects)
     }
 
-    /** Forgets what this process knew under a former epoch: another holder may have acted since. */
+    /**
+     * Acts on nothing that this process knew under a former epoch, because another holder may have acted since. The
+     * fixed contents are kept, in case that the store loses them.
+     */
     private fun UsageReporterState.holding(epoch: LeaseEpoch, now: Duration, effects: MutableList<UsageEffect>) =
-        UsageReporterState(bounds, sendInterval, isFirstStart, epoch, now + bounds.leaseTime, calls = calls).also {
-            effects += UsageEffect.HolderStarted(epoch, bounds.leaseTime)
-        }
+        UsageReporterState(
+            bounds,
+            sendInterval,
+            isFirstStart,
+            epoch,
+            actsFrom = now + bounds.leaseTime,
+            former = known,
+            unstored = unstored,
+            risk = risk,
+            calls = calls,
+        ).also { effects += UsageEffect.HolderStarted(epoch, bounds.leaseTime) }
+
+    private fun UsageReporterState.stored(
+        call: UsageCall,
+        found: StoredReport?,
+        isOwn: Boolean,
+        effects: MutableList<UsageEffect>,
+    ) = if (call.isRepeated) repeated(call, found, effects) else fixed(call, found, isOwn, effects)
 
     private fun UsageReporterState.recovering(
         view: UsageView,
@@ -114,13 +136,19 @@
         if (reading != null) return reading.remaining.firstOrNull()?.let { reading(it, now, effects) } ?: this
         val window = view.ledger.windows().firstOrNull { mayFix(it, view.ledger, time, now) } ?: return this
         val report = reports[window]
+        val settledBefore = risk.settledBefore
         return when {
             report?.mustRead == true -> reading(window, now, effects)
+            settledBefore != null && window < settledBefore -> withReport(window) { it.copy(isAcknowledged = true) }
+            isAtRisk(window, time, now) -> withheld(window, effects)
             !isComplete(window, view.ledger) -> abandoned(window, effects)
             else -> creating(UsageReport(window, view.ledger.total(window)), now, effects)
         }
     }
 
+    private fun UsageReporterState.withheld(window: UsageWindow, effects: MutableList<UsageEffect>) =
+        withReport(window) { it.copy(isAbandoned = true) }.also { effects += UsageEffect.Withheld(window) }
+
     private fun UsageReporterState.abandoned(window: UsageWindow, effects: MutableList<UsageEffect>) =
         withReport(window) { it.copy(isAbandoned = true) }.let { next ->
             if (lostThrough != null && window <= lostThrough) return@let next
@@ -155,7 +183,7 @@
     ): UsageReporterState {
         if (send != null || now < nextSendAt || recovery != Recovery.Done) return this
         val (window, report) = reports.entries
-            .filter { (_, report) -> report.content != null && !report.isDone && report.notBefore <= now }
+            .filter { it.key !in unstored && it.value.content != null && !it.value.isDone && it.value.notBefore <= now }
             .minByOrNull { it.key } ?: return this
         val content = report.content ?: return this
         effects += UsageEffect.Send(calls + 1, content, epoch, report.sends + 1)
--- a/process/src/main/kotlin/redwingcross/process/usage/UsageReporterState.kt
+++ b/process/src/main/kotlin/redwingcross/process/usage/UsageReporterState.kt
@@ -27,6 +27,8 @@
     val startedAt: Duration,
     /** The report that the call creates. */
     val content: StoredReport? = null,
+    /** Whether the report was fixed before, and the store may have lost it. */
+    val isRepeated: Boolean = false,
 )
 
 /** Progress of a new holder's reads of the reports that its predecessors fixed. */
@@ -40,6 +42,14 @@
     data object Done : Recovery
 }
 
+/** What tells which windows another holder may have sent although a restored store has no report of them. */
+data class RestoreRisk(
+    /** Time at which this process learned that the store may have lost reports of others; null if it lost none. */
+    val restoredAt: Duration? = null,
+    /** Reports of earlier windows were acknowledged before a restore, and this process doesn't know their content. */
+    val settledBefore: UsageWindow? = null,
+)
+
 /** State of the decision of a process about usage reports, see [UsageReporter]. */
 data class UsageReporterState(
     val bounds: UsageBounds,
@@ -53,6 +63,16 @@
     val actsFrom: Duration = Duration.INFINITE,
     val recovery: Recovery = Recovery.Waiting,
     val reports: Map<UsageWindow, WindowReport> = emptyMap(),
+    /** Reports with a fixed content that this process knew under its former epochs. */
+    val former: Map<UsageWindow, WindowReport> = emptyMap(),
+    /** Windows whose reports the store may have lost, so that they are stored again before anything else. */
+    val unstored: Set<UsageWindow> = emptySet(),
+    /** Which windows another holder may have sent although the store has no report of them. */
+    val risk: RestoreRisk = RestoreRisk(),
+    /** The last time at which [epoch] was seen to be valid. */
+    val validAt: Duration = -Duration.INFINITE,
+    /** Every report of an earlier window was acknowledged, according to the predecessors. */
+    val settledBefore: UsageWindow? = null,
     /** The newest window that was logged as lost. */
     val lostThrough: UsageWindow? = null,
     /** The call to the store in progress; at most one. */
@@ -71,6 +91,9 @@
     /** Whether a report waits for the store or for the platform. */
     val unfinished: Int get() = reports.values.count { !it.isDone }
 
+    /** All reports with a fixed content that this process knows. */
+    internal val known: Map<UsageWindow, WindowReport> get() = former + reports.filterValues { it.content != null }
+
     internal fun withReport(window: UsageWindow, change: (WindowReport) -> WindowReport): UsageReporterState =
         copy(reports = reports + (window to change(reports[window] ?: WindowReport())))
 }
@@ -89,6 +112,9 @@
     /** Time passed. */
     data object Tick : UsageMessage
 
+    /** The store has come back from an older copy of its data and may have lost reports. */
+    data object StoreRestored : UsageMessage
+
     /** The store has the report that the call created. */
     data class Created(val call: Long) : UsageMessage
 
@@ -142,6 +168,15 @@
     /** Counts of these windows were lost with all processes, so they aren't reported. */
     data class Lost(val first: UsageWindow, val last: UsageWindow) : UsageEffect
 
+    /**
+     * The store has come back from an older copy; this process stores [reports] again. [knowsAll] is false if another
+     * process may have sent reports that the store has lost.
+     */
+    data class StoreRestored(val reports: Int, val knowsAll: Boolean) : UsageEffect
+
+    /** A report of the window may have been sent and then lost by the store, so no other content may be sent. */
+    data class Withheld(val window: UsageWindow) : UsageEffect
+
     /** Requests that were counted after the content was fixed. */
     data class Difference(val window: UsageWindow, val counted: Int, val reported: Int) : UsageEffect
 }
