Merge the records across a restore of the store

EdgeProcess tells the usage reports, the controller and the registry of a restore, in this order: whether the reports of this process are complete depends on whether it held the lease.

--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -275,7 +275,9 @@
         PeerDependencies(
             send = peerSocket::send,
             nextHeartbeat = ::nextHeartbeat,
-            register = { platform.register(self) { peerPost(PeerTaskMessage.RegistryCallCompleted(it)) } },
+            register = { call ->
+                platform.register(self, call) { peerPost(PeerTaskMessage.RegistryCallCompleted(it)) }
+            },
             listRegistry = { allowStale ->
                 platform.listGateways(allowStale) { peerPost(PeerTaskMessage.RegistryCallCompleted(it)) }
             },
@@ -394,7 +396,10 @@
     /** Tells every owner of state that is kept in the store. */
     private fun storeRestored(era: StoreEra) {
         events.warn("store_restored", arrayOf("era" to era.value))
+        // Before the lease ends, because the reports depend on whether this process held it.
+        usage?.storeRestored()
         controllerPost(ControllerMessage.StoreRestored(era))
+        peerPost(PeerTaskMessage.StoreRestored)
     }
 
     private val pauseOfConfiguration: Duration get() = configurationPause(bounds.configurationApply)
--- a/programs/edge/src/main/kotlin/redwingcross/edge/UsageReports.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/UsageReports.kt
@@ -97,6 +97,9 @@
     /** Does what is due; called several times a second with the other checks of the process. */
     fun check(): Unit = task.post(UsageTaskMessage.Check)
 
+    /** Stores again what the store has lost, after it has come back from an older copy of its data. */
+    fun storeRestored(): Unit = task.post(UsageTaskMessage.StoreRestored)
+
     /** Sends the counts that were not sent, because the process ends now. */
     fun flush(): Unit = usage.handle(UsageTaskMessage.Flush)
 
