--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -13,11 +13,10 @@
 import redwingcross.version.fleet.ServiceRoutes
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
-import redwingcross.version.fleet.StoreRevision
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.fleet.servingGroups
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** The routes of one service, as announced by the active controller. */
 data class AnnouncedRoutes(
@@ -68,8 +67,10 @@
     val usesAnnouncedServers: Boolean = true,
     /** Whether the platform's complete list was received since this process last used announced routes instead. */
     val isListComplete: Boolean = false,
-    /** Revision up to which the changes of the platform's list were received. */
-    val listRevision: StoreRevision = StoreRevision(0),
+    /** Point up to which the changes of the platform's list were received. */
+    val listPosition: StorePosition = StorePosition.START,
+    /** What is known beyond the store's copy after a restore of the store. */
+    val recovery: StoreRecovery = StoreRecovery(),
 ) {
     /**
      * Groups that this process derives from the list of back ends, without an announcement. Computed on first use,
@@ -106,14 +107,17 @@
     /** Applies an update from the store. */
     fun onUpdate(state: FleetState, update: FleetUpdate, now: Duration): FleetState = when (update) {
         is FleetUpdate.ConfigurationChanged -> configured(state, update.configuration)
-        is FleetUpdate.EvacuatedZonesChanged ->
-            state.withTable(state.table.withEvacuatedZones(update.zones, now, coldTimeAfterEvacuation(state)))
-        is FleetUpdate.ServerChanged -> state.copy(pendingRemovals = state.pendingRemovals - update.server.id)
+        is FleetUpdate.EvacuatedZonesChanged -> RestoreDecision.zonesReceived(state, update, now)
+        is FleetUpdate.ServerChanged -> RestoreDecision.entryChanged(state, update.server.id)
+            .copy(pendingRemovals = state.pendingRemovals - update.server.id)
             .withTable(state.table.withListed(update.server, now))
-        is FleetUpdate.ServerRemoved -> removed(state, setOf(update.server), now)
+        is FleetUpdate.ServerRemoved ->
+            removed(RestoreDecision.withdrawn(state, setOf(update.server), now), setOf(update.server), now)
         is FleetUpdate.ServersListed -> listed(state, update, now)
         is FleetUpdate.Confirmed -> confirmed(state, update, now)
-        is FleetUpdate.Interrupted -> state.copy(storeLostAt = state.storeLostAt ?: now)
+        is FleetUpdate.StoreRestored -> RestoreDecision.restored(state, now)
+        is FleetUpdate.Interrupted ->
+            RestoreDecision.interrupted(state, update.source, now).copy(storeLostAt = state.storeLostAt ?: now)
     }
 
     /** Applies a report that [engine] sent about itself. */
@@ -185,9 +189,10 @@
                 state
             }
         if (changes.servers.isEmpty() && changes.removedServers.isEmpty()) return confirmed
-        val removed = changes.removedServers.fold(state.table) { table, id -> table.without(id) }
-        val table = changes.servers.fold(removed) { table, server -> table.withRouted(server, now) }
-        return confirmed.withTable(table)
+        val removed = without(confirmed, changes.removedServers, now)
+        return changes.servers.fold(removed) { next, server ->
+            RestoreDecision.entryChanged(next, server.status.id).withTable(next.table.withRouted(server, now))
+        }
     }
 
     /**
@@ -195,7 +200,8 @@
      * requests, and following them costs no calls to the store.
      */
     fun announcedServersUsed(state: FleetState, now: Duration): FleetState {
-        val start = state.copy(
+        val draining = state.table.engines.values.filter { it.status.draining }.map { it.id }
+        val start = RestoreDecision.listDiscarded(RestoreDecision.withdrawn(state, draining, now)).copy(
             table = state.table.copy(engines = persistentHashMapOf()),
             pendingRemovals = emptyMap(),
             usesAnnouncedServers = true,
@@ -209,14 +215,20 @@
     /** Uses the platform's list again; the announced back ends stay until the list is received. */
     fun listedServersUsed(state: FleetState): FleetState = state.copy(usesAnnouncedServers = false)
 
+    /** Applies what is due at [now]: the end of the grace periods after an outage or a restore of the store. */
+    fun expired(state: FleetState, now: Duration): FleetState = removalsDue(RestoreDecision.ended(state, now), now)
+
     /** Removes back ends whose entries were not written again within the grace period. */
-    fun expired(state: FleetState, now: Duration): FleetState {
+    private fun removalsDue(state: FleetState, now: Duration): FleetState {
         val due = state.pendingRemovals.filterValues { now >= it }.keys
         if (due.isEmpty()) return state
-        val table = due.fold(state.table) { table, id -> table.without(id) }
-        return state.copy(pendingRemovals = state.pendingRemovals - due).withTable(table)
+        return without(state.copy(pendingRemovals = state.pendingRemovals - due), due, now)
     }
 
+    private fun without(state: FleetState, servers: Collection<BackendServer>, now: Duration): FleetState =
+        RestoreDecision.withdrawn(state, servers, now)
+            .withTable(servers.fold(state.table) { table, id -> table.without(id) })
+
     /** Ignores a configuration that is older than the current one. */
     private fun configured(state: FleetState, next: FleetConfiguration): FleetState {
         val current = state.configuration
@@ -226,25 +238,27 @@
 
     private fun listed(state: FleetState, update: FleetUpdate.ServersListed, now: Duration): FleetState {
         val listed = update.servers.mapTo(mutableSetOf()) { it.id }
-        val table = update.servers.fold(state.table) { table, server -> table.withListed(server, now) }
-        val next = state.copy(pendingRemovals = state.pendingRemovals - listed, isListComplete = true).withTable(table)
+        val next = RestoreDecision.serversListed(state, update.servers, now).copy(isListComplete = true)
         return removed(next, state.table.engines.keys - listed, now)
     }
 
     /**
-     * Removes back ends whose entries are missing. Entries that expired while the store was unavailable are written
-     * again shortly after it recovers, so removal is delayed until the end of a grace period in that case.
+     * Removes back ends whose entries are missing. Entries that expired while the store was unavailable, or that its
+     * copy lacks after a restore, are written again shortly after it recovers, so removal is delayed until the end of a
+     * grace period in that case.
      */
     private fun removed(state: FleetState, servers: Set<BackendServer>, now: Duration): FleetState {
         if (servers.isEmpty()) return state
-        val graceEnd = state.storeRegainedAt?.plus(STORE_RECOVERY_GRACE)
-        val isInGracePeriod = state.storeLostAt != null || (graceEnd != null && now < graceEnd)
-        if (!isInGracePeriod) {
-            val table = servers.fold(state.table) { table, id -> table.without(id) }
-            return state.copy(pendingRemovals = state.pendingRemovals - servers).withTable(table)
+        val recoveredAt = if (state.storeLostAt != null) {
+            now
+        } else {
+            listOfNotNull(state.storeRegainedAt, state.recovery.entries?.since).maxOrNull()
         }
-        val due = graceEnd ?: (now + STORE_RECOVERY_GRACE)
-        return state.copy(pendingRemovals = servers.associateWith { due } + state.pendingRemovals)
+        val graceEnd = recoveredAt?.plus(RestoreDecision.STORE_RECOVERY_GRACE)
+        if (graceEnd == null || now >= graceEnd) {
+            return without(state.copy(pendingRemovals = state.pendingRemovals - servers), servers, now)
+        }
+        return state.copy(pendingRemovals = servers.associateWith { graceEnd } + state.pendingRemovals)
     }
 
     private fun confirmed(state: FleetState, update: FleetUpdate.Confirmed, now: Duration): FleetState {
@@ -252,17 +266,11 @@
         val isList = update.source == UpdateSource.BACKEND_SERVERS
         return state.copy(
             confirmedAt = state.confirmedAt + (update.source to now),
-            listRevision = if (isList) update.revision else state.listRevision,
+            listPosition = if (isList) update.position else state.listPosition,
             storeLostAt = null,
             storeRegainedAt = regained,
         )
     }
 
-    private fun coldTimeAfterEvacuation(state: FleetState): Duration =
-        state.configuration?.services?.values?.maxOfOrNull { it.coldDuration } ?: Duration.ZERO
-
     private fun FleetState.withTable(next: EngineTable): FleetState = copy(table = next)
-
-    /** Entries are written again within about two seconds after the store recovers. */
-    private val STORE_RECOVERY_GRACE = 2300.milliseconds
 }
--- a/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
@@ -27,9 +27,9 @@
 import redwingcross.version.fleet.OrderOutcome
 import redwingcross.version.fleet.ReportAnswer
 import redwingcross.version.fleet.ServiceSpec
-import redwingcross.version.fleet.StoreRevision
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.lease.LeaseMessage
-import redwingcross.version.lease.LeaseVersion
+import redwingcross.version.placement.LeaseEpoch
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -54,8 +54,10 @@
     private val orders = mutableListOf<FormationEffect.Send>()
     private val reports = mutableListOf<FormationEffect.RequestReport>()
     private val announcements = mutableListOf<RouteAnnouncement>()
-    private var listRevision = StoreRevision(1_000)
+    private var listPosition = StorePosition.inFirstEra(1_000)
     private var catchUps = 0
+    private var isStoreSilent = false
+    private val logged = mutableListOf<Pair<String, Map<String, Any?>>>()
 
     private fun status(name: String, start: Long, membership: GroupMembership?) = EngineStatus(
         id = BackendServer(name),
@@ -83,14 +85,24 @@
             applyReport = { id, report -> fleet = FleetDecision.reported(fleet, id, report, now) },
             applyLeave = { id, count -> fleet = FleetDecision.left(fleet, id, count, now) },
             discardReports = { fleet = FleetDecision.reportsDiscarded(fleet) },
-            readLease = { later += ControllerMessage.Lease(LeaseMessage.ReadAnswered(it, null)) },
+            readLease = {
+                if (!isStoreSilent) later += ControllerMessage.Lease(LeaseMessage.ReadAnswered(it, null))
+            },
             writeLease = { call, expected, _ ->
-                later += ControllerMessage.Lease(LeaseMessage.Written(call, LeaseVersion((expected?.value ?: 0) + 1)))
+                later +=
+                    ControllerMessage.Lease(
+                        LeaseMessage.Written(
+                            call,
+                            StorePosition.inFirstEra(
+                                (expected?.revision?.value ?: 0) + 1,
+                            ),
+                        ),
+                    )
             },
             requestReport = { _, request -> reports += request },
             sendOrder = { _, order -> orders += order },
             isListComplete = { true },
-            listRevision = { listRevision },
+            listPosition = { listPosition },
             catchUpList = { catchUps++ },
             announcedRoutes = { null },
             announce = { _, _, announcement, _ -> announcements += announcement },
@@ -98,7 +110,7 @@
             becameController = { },
         ),
         MonotonicClock { now },
-        { _, _ -> },
+        { event, pairs -> logged += event to pairs.toMap() },
     )
 
     private fun tick() {
@@ -204,14 +216,14 @@
 
     @Test
     fun `a new controller announces and orders nothing before its list is as new as its lease`() {
-        listRevision = StoreRevision(0)
+        listPosition = StorePosition.inFirstEra(0)
         listEngines()
         repeat(20) { tick() }
         assertTrue(task.isActiveController)
         assertTrue(catchUps > 0, "the changes of the list were not requested")
         assertEquals(emptyList(), announcements)
         assertEquals(emptyList<Any>(), takeOrders() + takeReports())
-        listRevision = StoreRevision(1)
+        listPosition = StorePosition.inFirstEra(1)
         tick()
         assertTrue(announcements.isNotEmpty(), "no routes are announced with a current list")
     }
@@ -224,4 +236,15 @@
         assertEquals(old, fleet.table.engines.getValue(e1).status.membership)
         assertEquals(OrderCount(3), fleet.table.engines.getValue(e1).orders)
     }
+
+    @Test
+    fun `a process that knows no controller says why it doesn't take over`() {
+        isStoreSilent = true
+        repeat(40) { tick() }
+        val lines = logged.filter { it.first == "controller_absent" }.map { it.second["obstacle"] }
+        assertEquals(listOf<Any?>("lease_not_read"), lines)
+        assertTrue(task.controllerAbsence >= 4.seconds, "${task.controllerAbsence}")
+        task.handle(ControllerMessage.RoutesAnnounced(LeaseEpoch(3)))
+        assertEquals(Duration.ZERO, task.controllerAbsence)
+    }
 }
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDecisionTest.kt
@@ -16,7 +16,8 @@
 import redwingcross.version.fleet.RouteChanges
 import redwingcross.version.fleet.ServiceSpec
 import redwingcross.version.fleet.ServingGroup
-import redwingcross.version.fleet.StoreRevision
+import redwingcross.version.fleet.StoreEra
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.UpdateSource
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -55,6 +56,16 @@
         assertEquals(ConfigurationVersion(7), state.configuration?.version)
     }
 
+    @Test
+    fun `a configuration of the copy does not replace a newer one, and one that is written again is taken`() {
+        val versions = listOf(7L, 5L, 7L, 8L)
+        val written = versions.map(::configuration)
+        val steps = written.map { 2.seconds to FleetUpdate.ConfigurationChanged(it) }
+        val restored = 1.5.seconds to FleetUpdate.StoreRestored(StoreEra(6))
+        val states = (2..4).map { applyAll(steps.first(), restored, *steps.take(it).drop(1).toTypedArray()) }
+        assertEquals(listOf(written[0], written[2], written[3]), states.map { it.configuration })
+    }
+
     @Test
     fun `a back end whose entry is deleted is removed at once while the store is available`() {
         val state = applyAll(
@@ -69,7 +80,7 @@
         val state = applyAll(
             1.seconds to FleetUpdate.ServerChanged(server("e1")),
             2.seconds to FleetUpdate.Interrupted(UpdateSource.BACKEND_SERVERS, null),
-            6.seconds to FleetUpdate.Confirmed(UpdateSource.BACKEND_SERVERS, StoreRevision(1)),
+            6.seconds to FleetUpdate.Confirmed(UpdateSource.BACKEND_SERVERS, StorePosition.inFirstEra(1)),
             6.seconds to FleetUpdate.ServersListed(emptyList()),
         )
         assertTrue(id in FleetDecision.expired(state, 7.seconds).table.engines)
@@ -78,6 +89,21 @@
         assertTrue(id in FleetDecision.expired(returned, 9.seconds).table.engines)
     }
 
+    @Test
+    fun `back ends whose entries expired in a second outage of the store are kept as in the first`() {
+        val confirmed = FleetUpdate.Confirmed(UpdateSource.BACKEND_SERVERS, StorePosition.inFirstEra(1))
+        val state = applyAll(
+            1.seconds to FleetUpdate.ServerChanged(server("e1")),
+            2.seconds to FleetUpdate.Interrupted(UpdateSource.BACKEND_SERVERS, null),
+            6.seconds to confirmed,
+            50.seconds to FleetUpdate.Interrupted(UpdateSource.BACKEND_SERVERS, null),
+            60.seconds to FleetUpdate.ServersListed(emptyList()),
+            60.seconds to confirmed,
+        )
+        assertTrue(id in FleetDecision.expired(state, 61.seconds).table.engines)
+        assertFalse(id in FleetDecision.expired(state, 63.seconds).table.engines)
+    }
+
     @Test
     fun `an announcement of groups under an older lease epoch is ignored`() {
         val app = ServiceName("app")
@@ -123,8 +149,8 @@
         val configured = FleetConfiguration(ConfigurationVersion(7), emptyList(), specs, limits, emptyList())
         val start = applyAll(
             1.seconds to FleetUpdate.ConfigurationChanged(configured),
-            1.seconds to FleetUpdate.Confirmed(UpdateSource.CONFIGURATION, StoreRevision(1)),
-            1.seconds to FleetUpdate.Confirmed(UpdateSource.EVACUATIONS, StoreRevision(1)),
+            1.seconds to FleetUpdate.Confirmed(UpdateSource.CONFIGURATION, StorePosition.inFirstEra(1)),
+            1.seconds to FleetUpdate.Confirmed(UpdateSource.EVACUATIONS, StorePosition.inFirstEra(1)),
         )
         val updates = services.map { RouteUpdate(it, 1, 1, null, RouteChanges(), emptySet(), 9.seconds) }
         val first = FleetDecision.announced(start, updates[0], 1.seconds)
@@ -136,13 +162,13 @@
     fun `the view is not usable until configuration, zones and back ends were read once`() {
         val state = applyAll(
             1.seconds to FleetUpdate.ConfigurationChanged(configuration(7)),
-            1.seconds to FleetUpdate.Confirmed(UpdateSource.CONFIGURATION, StoreRevision(1)),
-            1.seconds to FleetUpdate.Confirmed(UpdateSource.EVACUATIONS, StoreRevision(1)),
+            1.seconds to FleetUpdate.Confirmed(UpdateSource.CONFIGURATION, StorePosition.inFirstEra(1)),
+            1.seconds to FleetUpdate.Confirmed(UpdateSource.EVACUATIONS, StorePosition.inFirstEra(1)),
         )
         assertFalse(state.isUsable)
         val confirmed = FleetDecision.onUpdate(
             state,
-            FleetUpdate.Confirmed(UpdateSource.BACKEND_SERVERS, StoreRevision(1)),
+            FleetUpdate.Confirmed(UpdateSource.BACKEND_SERVERS, StorePosition.inFirstEra(1)),
             2.seconds,
         )
         assertTrue(confirmed.isUsable)
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -47,6 +47,7 @@
 import redwingcross.request.ServiceName
 import redwingcross.version.fleet.CallerLimits
 import redwingcross.version.fleet.FleetUpdate
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.fleet.UpdateSource
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.lease.LeaseMessage
@@ -243,7 +244,7 @@
             requestReport = engines::requestReport,
             sendOrder = engines::sendOrder,
             isListComplete = { fleet.isListComplete },
-            listRevision = { fleet.listRevision },
+            listPosition = { fleet.listPosition },
             catchUpList = { platform.catchUp(UpdateSource.BACKEND_SERVERS) },
             announcedRoutes = { fleet.announced[it] },
             announce = relay::announce,
@@ -274,7 +275,9 @@
         PeerDependencies(
             send = peerSocket::send,
             nextHeartbeat = ::nextHeartbeat,
-            register = { platform.register(self) { peerPost(PeerTaskMessage.RegistryCallCompleted(it)) } },
+            register = { call ->
+                platform.register(self, call) { peerPost(PeerTaskMessage.RegistryCallCompleted(it)) }
+            },
             listRegistry = { allowStale ->
                 platform.listGateways(allowStale) { peerPost(PeerTaskMessage.RegistryCallCompleted(it)) }
             },
@@ -367,7 +370,9 @@
         val now = clock.now()
         metrics.recordLoopDelay((now - lastCheckAt - CHECK_INTERVAL).coerceAtLeast(Duration.ZERO))
         lastCheckAt = now
-        fleet = FleetDecision.expired(fleet, now)
+        val before = fleet
+        fleet = FleetDecision.expired(before, now)
+        updateLog.recordZones(before, fleet)
         relay.updateServerSource(peers.rank, controller.isActiveController)
         gateway.checkProgress()
         crashRelay.sendIfDue()
@@ -386,6 +391,16 @@
         val now = clock.now()
         fleet = FleetDecision.onUpdate(fleet, update, now)
         updateLog.record(update, before, fleet, now)
+        if (update is FleetUpdate.StoreRestored) storeRestored(update.era)
+    }
+
+    /** Tells every owner of state that is kept in the store. */
+    private fun storeRestored(era: StoreEra) {
+        events.warn("store_restored", arrayOf("era" to era.value))
+        // Before the lease ends, because the reports depend on whether this process held it.
+        usage?.storeRestored()
+        controllerPost(ControllerMessage.StoreRestored(era))
+        peerPost(PeerTaskMessage.StoreRestored)
     }
 
     private val pauseOfConfiguration: Duration get() = configurationPause(bounds.configurationApply)
