--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayPlaceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayPlaceTest.kt
@@ -118,6 +118,34 @@
         assertTrue("data: b" in rest && !wasReset, "'$rest', reset: $wasReset")
     }
 
+    @Test
+    fun `a request that waits for a place is sent when another owner follows`() {
+        startEngines(2)
+        val caller = generate("x", "plain-generation")
+        val asked = nextReport()
+        onLoop {
+            gateway.placeMessageReceived(PlaceMessage.Answer(epoch, PlaceAnswer.Queued(PlaceNumber(asked.sequence))))
+            epoch++
+            gateway.checkProgress()
+        }
+        nextArrival().respondSigned("ok")
+        assertTrue("ok" in caller.readAnswer())
+    }
+
+    @Test
+    fun `a request that is queued by an owner that falls silent is answered`() {
+        startEngines(2)
+        val caller = generate("x", "plain-generation")
+        val asked = nextReport()
+        answer(PlaceAnswer.Queued(PlaceNumber(asked.sequence)))
+        val answered = generateSequence {
+            onLoop(gateway::checkProgress)
+            listOfNotNull(outcomes.poll(50, TimeUnit.MILLISECONDS))
+                .also { arrivals.poll()?.respondSigned("ok") }
+        }.take(100).flatten().first()
+        assertEquals("HTTP/1.1 ${if (answered.sends > 0) 200 else 503}", caller.readAnswer().substring(0, 12))
+    }
+
     @Test
     fun `without answers requests are soon sent without asking`() {
         startEngines(2)
--- a/process/src/test/kotlin/redwingcross/process/edge/StartupRequestsTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/StartupRequestsTest.kt
@@ -26,6 +26,20 @@
         }
     }
 
+    @Test
+    fun `a request that is held for too long is refused as not run`() {
+        generate("p1").use { caller ->
+            awaitHeld()
+            val deadline = TimeSource.Monotonic.markNow() + 5.seconds
+            while (onLoop { gateway.runningRequests } > 0 && deadline.hasNotPassedNow()) {
+                onLoop(gateway::checkProgress)
+                Thread.sleep(10)
+            }
+            val answer = caller.readAnswer()
+            assertTrue("503" in answer && "Retry-Delay" in answer, answer)
+        }
+    }
+
     @Test
     fun `a request that is held when the process stops is refused as not run`() {
         generate("p1").use { caller ->
