Restore the store from older copies in the soak

A third mix of faults: the store comes back from a copy of 0.5 to 4 s ago, and the operator and the engines write again what it has lost within 2 s, while processes are killed and paused, engines crash and the store fails. The guarantees are those of the other mixes.

--- a/systemtests/src/test/kotlin/redwingcross/systemtests/platform/FabricStandin.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/platform/FabricStandin.kt
@@ -101,6 +101,23 @@
         loop.schedule({ add(engine.createNextLife()) }, startMillis, TimeUnit.MILLISECONDS)
     }
 
+    /**
+     * Restores the store from [copy]. After [rewriteMillis] the engines and [rewrite] write again what it has lost, and
+     * the entries of engines that have ended are gone.
+     */
+    fun restoreStore(copy: StoreStandin.Copy, rewriteMillis: Long, rewrite: () -> Unit) {
+        copy.restore()
+        loop.schedule(
+            {
+                rewrite()
+                store.names(SERVERS).filter { it !in engines }.forEach { store.remove(SERVERS, it) }
+                engines.values.forEach(EngineStandin::publishEntry)
+            },
+            rewriteMillis,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
     private fun end(id: String, expiryMillis: Long): EngineStandin? {
         val engine = engines.remove(id) ?: return null
         engine.stop()
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/platform/StoreStandin.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/platform/StoreStandin.kt
@@ -81,6 +81,9 @@
         recordChange(kind, json(name, Stored(revision, old.spec)), removed = true)
     }
 
+    /** Names of the objects of [kind]. */
+    fun names(kind: String): Set<String> = kinds[kind]?.keys.orEmpty().toSet()
+
     /** Drops the change history, so that watches from earlier revisions receive 410 and clients have to list again. */
     fun compact() {
         history.clear()
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
@@ -81,6 +81,9 @@
         writeConfiguration(statusService, versionSteps = 1)
     }
 
+    /** Writes the latest configuration again; called on the event loop, after the store may have lost it. */
+    fun rewriteConfiguration(): Unit = writeConfiguration(statusService, versionSteps = 0)
+
     private fun writeConfiguration(service: String, versionSteps: Int) {
         version += versionSteps
         statusService = service
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakFaults.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakFaults.kt
@@ -4,6 +4,7 @@
 import redwingcross.systemtests.platform.FabricStandin
 import redwingcross.systemtests.platform.LinkFault
 import redwingcross.systemtests.platform.StoreFault
+import redwingcross.systemtests.platform.StoreStandin
 import kotlin.random.Random
 
 /** A kind of fault; [inject] starts one at the given time in ms. */
@@ -15,14 +16,21 @@
  */
 internal class SoakFaultMix(val pauseMillis: LongRange, vararg val faults: SoakFault, val isSound: Boolean = false)
 
+/** What the operator of a deployment does in a run. */
+internal class SoakOperator(
+    /** Writes a configuration with the given idle time of callers' connections in ms. */
+    val configureIdleTime: (Long) -> Unit,
+    /** Writes the latest configuration again; called on the event loop of the stand-ins. */
+    val rewriteConfiguration: () -> Unit,
+)
+
 /** Injects faults into processes, links, the store and engines; each fault ends after a time or with [healAll]. */
 internal class SoakFaults(
     private val nodes: List<EdgeNode>,
     private val fabric: FabricStandin,
     private val random: Random,
     private val onLoop: (() -> Unit) -> Unit,
-    /** Writes a configuration with the given idle time of callers' connections in ms. */
-    private val configureIdleTime: (Long) -> Unit,
+    private val operator: SoakOperator,
 ) {
     private class ScheduledAction(val atMillis: Long, val action: () -> Unit)
 
@@ -70,6 +78,17 @@
         isSound = true,
     )
 
+    /** A store that comes back from older copies of its data, while processes and engines end. */
+    val restoreFaults = SoakFaultMix(
+        400L..1500L,
+        SoakFault("restore", ::restoreStore),
+        SoakFault("restore", ::restoreStore),
+        SoakFault("kill", ::kill),
+        SoakFault("pause", ::pause),
+        SoakFault("store", ::disturbStore),
+        SoakFault("engine crash") { crashEngine() },
+    )
+
     /** Injects a random fault of [mix]. */
     fun inject(mix: SoakFaultMix, now: Long) {
         val fault = mix.faults.random(random)
@@ -147,6 +166,16 @@
         schedule(now, 300..2500) { onLoop { fabric.store.fault = { StoreFault.NONE } } }
     }
 
+    private fun restoreStore(now: Long) {
+        lateinit var copy: StoreStandin.Copy
+        onLoop { copy = fabric.store.Copy() }
+        val rewriteMillis = random.nextLong(MAX_REWRITE_MILLIS)
+        schedule(now, COPY_AGE_MILLIS) {
+            injectedFaults += "restored from the copy of $now"
+            onLoop { fabric.restoreStore(copy, rewriteMillis, operator.rewriteConfiguration) }
+        }
+    }
+
     private fun crashEngine() {
         val engine = randomEngine()
         val replacement = engine.createReplacement("${engine.id}-${++crashes}")
@@ -173,7 +202,7 @@
     private fun changeIdleTime() {
         val millis = IDLE_TIMES_MILLIS.random(random)
         injectedFaults += "idle time $millis ms"
-        configureIdleTime(millis)
+        operator.configureIdleTime(millis)
     }
 
     private fun reuseAddresses(now: Long) {
@@ -204,6 +233,11 @@
         /** Starts at `grace-s` of the settings, which is 5 s. */
         val GRACE_PERIOD_MILLIS = 5000..5200
 
+        val COPY_AGE_MILLIS = 500..4000
+
+        /** The operator and the engines write again what a restore has lost within about two seconds. */
+        const val MAX_REWRITE_MILLIS = 2000L
+
         /** A second or so, after which a sound engine goes on. */
         val SILENCE_MILLIS = 600..1600
 
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakRun.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakRun.kt
@@ -13,7 +13,8 @@
     private val random = Random(seed)
     private val deployment = SoakDeployment(folder.resolve("seed-$seed"), 1 + seed.mod(SUBNETS), NODES)
     private val fabric = deployment.fabric
-    private val faults = SoakFaults(deployment.nodes, fabric, random, deployment::onLoop, deployment::configureIdleTime)
+    private val operator = SoakOperator(deployment::configureIdleTime, deployment::rewriteConfiguration)
+    private val faults = SoakFaults(deployment.nodes, fabric, random, deployment::onLoop, operator)
     private val startedAt = System.nanoTime()
 
     private fun now() = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt)
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakTest.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakTest.kt
@@ -29,6 +29,14 @@
         assertNoFindings(seeds(silenceSeeds), Path.of("target", "soak-silence"), SoakFaults::soundEvents)
     }
 
+    /** Guards against state that is lost, taken back or read in the wrong order when the store has been restored. */
+    @Test
+    fun `guarantees hold while the store comes back from older copies`() {
+        val results =
+            assertNoFindings(seeds(restoreSeeds), Path.of("target", "soak-restore"), SoakFaults::restoreFaults)
+        assertTrue(results.any { run -> run.faults.any { "restored" in it } }, "no store was restored")
+    }
+
     private fun assertNoFindings(
         seeds: List<Long>,
         folder: Path,
@@ -60,6 +68,7 @@
         val regressions = listOf(28L)
 
         val silenceSeeds = listOf(1L)
+        val restoreSeeds = listOf(1L)
 
         /** Seeds on which orders and reports without `Expect-Instance` let a group open with an ended engine. */
         val engineLifeSeeds = listOf(1L, 4L)
