--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakTest.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakTest.kt
@@ -68,7 +68,7 @@
         val regressions = listOf(28L)
 
         val silenceSeeds = listOf(1L)
-        val restoreSeeds = listOf(1L)
+        val restoreSeeds = listOf(2L)
 
         /** Seeds on which orders and reports without `Expect-Instance` let a group open with an ended engine. */
         val engineLifeSeeds = listOf(1L, 4L)
