--- a/process/src/test/kotlin/redwingcross/process/edge/PeerTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/PeerTaskTest.kt
@@ -77,10 +77,9 @@
 
     private fun runBesideAnother(time: Duration) = runFor(time) { receiveHeartbeat("a", ++heardSequence) }
 
-    /** Restores the store and runs until the process writes its entry again. */
+    /** Runs until the process writes its entry again. */
     private fun runUntilRegistration(): RegistrationCall {
         val before = registrations.size
-        task.handle(PeerTaskMessage.StoreRestored)
         repeat(9) { if (registrations.size == before) runBesideAnother(250.milliseconds) }
         return registrations[before]
     }
@@ -131,6 +130,7 @@
     @Test
     fun `a process writes its entry again after the store has lost changes`() {
         registerBesideAnother()
+        task.handle(PeerTaskMessage.StoreRestored)
         val call = runUntilRegistration()
         assertEquals(listOf("register"), registryCalls)
         registered(call)
@@ -142,6 +142,7 @@
     @Test
     fun `a process whose entry survived the restore reads no list`() {
         registerBesideAnother()
+        task.handle(PeerTaskMessage.StoreRestored)
         registered(runUntilRegistration(), wasPresent = true)
         runBesideAnother(10.seconds)
         assertEquals(listOf("register"), registryCalls)
@@ -150,6 +151,7 @@
     @Test
     fun `an entry that a repeated call finds may be a new one`() {
         registerBesideAnother()
+        task.handle(PeerTaskMessage.StoreRestored)
         val first = runUntilRegistration()
         task.handle(PeerTaskMessage.RegistryCallCompleted(RegistryResult.Failed))
         runBesideAnother(2.seconds)
