--- a/process/src/test/kotlin/redwingcross/process/usage/UsageReporterTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/usage/UsageReporterTest.kt
@@ -230,6 +230,19 @@
         assertEquals(listOf<UsageEffect>(missed), step(UsageMessage.Existed(create.call, other)))
         assertEquals(emptyList(), tick(20.seconds))
         epoch = LeaseEpoch(10_001)
-        assertEquals(emptyList(), takeOver().filterIsInstance<UsageEffect.Send>())
+        assertEquals(emptyList(), takeOver(stored = window).filterIsInstance<UsageEffect.Send>())
+    }
+
+    @Test
+    fun `a window that the predecessor stated as settled is not reported again after a restore`() {
+        now = 13.seconds
+        takeOver(stored = window + 1)
+        count(window, 3, at = now)
+        val create = assertIs<UsageEffect.Create>(restore().last())
+        assertEquals(window + 1, create.stored.report.window)
+        val others = step(UsageMessage.Created(create.call)) + tick(now + 1.seconds)
+        assertEquals(emptyList(), others.filterIsInstance<UsageEffect.Create>())
+        epoch = LeaseEpoch(10_001)
+        assertEquals(emptyList(), takeOver(stored = window + 1).filterIsInstance<UsageEffect.Create>())
     }
 }
