Tell the usage reports of the era at the start of a process

A process that starts shortly after a restore of the store was told of no restore, since its first answer states the era that it knows from then on. With the lease it could have fixed a second content for a window that a former holder had reported, and the platform would be told two counts. The reports now hear the era of each answer of the store and treat the first one above 0 like a restore, as usage-reports.md states. Found by reading; no test runs the whole process beside a store in a later era.

--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -392,13 +392,13 @@
         fleet = FleetDecision.onUpdate(fleet, update, now)
         updateLog.record(update, before, fleet, now)
         if (update is FleetUpdate.StoreRestored) storeRestored(update.era)
+        if (update is FleetUpdate.Confirmed) usage?.storeAnswered(update.position.era)
     }
 
     /** Tells every owner of state that is kept in the store. */
     private fun storeRestored(era: StoreEra) {
         events.warn("store_restored", arrayOf("era" to era.value))
-        // Before the lease ends, because the reports depend on whether this process held it.
-        usage?.storeRestored()
+        usage?.storeAnswered(era)
         controllerPost(ControllerMessage.StoreRestored(era))
         peerPost(PeerTaskMessage.StoreRestored)
     }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/UsageReports.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/UsageReports.kt
@@ -21,6 +21,7 @@
 import redwingcross.process.edge.UsageTaskMessage
 import redwingcross.process.usage.UsageSettings
 import redwingcross.request.MonotonicClock
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.forwarding.ForwardJob
 
 /** What the usage reports need of the process. */
@@ -61,6 +62,7 @@
         ),
         clock,
     )
+    private var newestEra = StoreEra.FIRST
     private val task: EventLoopTask<UsageTaskMessage> = EventLoopTask(
         environment.loop,
         MAILBOX_CAPACITY,
@@ -97,8 +99,15 @@
     /** Does what is due; called several times a second with the other checks of the process. */
     fun check(): Unit = task.post(UsageTaskMessage.Check)
 
-    /** Stores again what the store has lost, after it has come back from an older copy of its data. */
-    fun storeRestored(): Unit = task.post(UsageTaskMessage.StoreRestored)
+    /**
+     * Called with the era of an answer of the store. In a newer era than before, what the store has lost is stored
+     * again; so it is at the first answer, because a process that starts can't know when the restore was.
+     */
+    fun storeAnswered(era: StoreEra) {
+        if (era <= newestEra) return
+        newestEra = era
+        task.post(UsageTaskMessage.StoreRestored)
+    }
 
     /** Sends the counts that were not sent, because the process ends now. */
     fun flush(): Unit = usage.handle(UsageTaskMessage.Flush)
