Read what callers have sent before a stopping process ends

What callers would see: a reset connection in place of the refusal, if they sent a request on an open connection shortly before a stopping process ended.

Cause: StopSequence gives callers' last requests 50 ms to be read and refused. When the event loop was late, the timer for the end could run before the sockets were read: no request was running, no bytes were unsent, and the process ended with the requests unread.

Change: before it looks whether anything is in progress, the sequence asks the listener to read all connections until nothing more arrives, for at most 64 rounds. StopCloseTest shows that two requests of 900 kB that lay unread are served within the call.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -37,6 +37,9 @@
     private val connections = HashSet<CallerConnection>()
     private var channel: Channel? = null
 
+    /** Number of bytes received from callers so far. */
+    private var receivedBytes = 0L
+
     /** Number of connections accepted so far. */
     private var accepted = 0L
 
@@ -84,6 +87,15 @@
     /** Whether a caller has not been sent all bytes of the responses that were written to it. */
     val hasUnsentBytes: Boolean get() = connections.any(CallerConnection::hasUnsentBytes)
 
+    /** Reads and serves what callers have sent by now; on the event loop, but not while a connection is being read. */
+    fun receivePending() {
+        repeat(MAXIMUM_ROUNDS) {
+            val before = receivedBytes
+            connections.toList().forEach { if (it.channel.isActive) it.channel.readPending() }
+            if (receivedBytes == before) return
+        }
+    }
+
     /** Stops accepting new connections, after those that callers have opened by now. */
     fun stopAccepting() {
         val bound = channel ?: return
@@ -131,9 +143,11 @@
      * Reports received bytes before they are decoded, so that the head timeout starts with the first byte of a request,
      * and discards those after the last response.
      */
-    private class ReceiveTracker(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
+    private inner class ReceiveTracker(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (connection.onBytesReceived((message as ByteBuf).readableBytes())) {
+            val bytes = (message as ByteBuf).readableBytes()
+            receivedBytes += bytes
+            if (connection.onBytesReceived(bytes)) {
                 context.fireChannelRead(message)
             } else {
                 message.release()
@@ -145,6 +159,9 @@
         /** Large, because a full accept queue delays new callers by seconds. */
         const val BACKLOG = 1024
 
+        /** One round reads some hundreds of kilobytes of a connection, and a request is seldom longer than that. */
+        const val MAXIMUM_ROUNDS = 64
+
         /** Time after a response in which a caller that uses its connection all the time sends its next request. */
         val NEXT_REQUEST_DELAY = 200.milliseconds
 
--- a/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import java.io.InputStream
+import java.net.Socket
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -66,6 +67,25 @@
         }
     }
 
+    @Test
+    fun `long requests that lie unread are served before the process ends`() {
+        val sockets = List(2) { fixture.connect() }
+        sleep(SETTLE)
+        fixture.delayLoop(
+            afterwards = {
+                fixture.listener.receivePending()
+                assertEquals(2, fixture.exchanges.size)
+            },
+        ) {
+            for (socket in sockets) {
+                socket.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: $BODY_BYTES\r\n\r\n")
+                socket.getOutputStream().write(ByteArray(BODY_BYTES))
+            }
+            sleep(SETTLE)
+        }
+        sockets.forEach(Socket::close)
+    }
+
     @Test
     fun `a connection that was not accepted yet is served when the listener stops`() {
         fixture.connect().use { socket ->
@@ -83,6 +103,9 @@
         /** More than the socket buffers of both ends of a loopback connection hold. */
         const val ANSWER_BYTES = 30_000_000
 
+        /** More than one read of a connection takes, and less than its socket buffers hold. */
+        const val BODY_BYTES = 900_000
+
         /** More than one read of the listening socket accepts. */
         const val CONNECTIONS = 40
         val SETTLE = 200.milliseconds
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
@@ -67,6 +67,9 @@
     /** Whether a caller has not been sent all bytes of its response. */
     val hasUnsentBytes: Boolean get() = callers.hasUnsentBytes
 
+    /** Reads what callers have sent by now. */
+    fun receiveFromCallers(): Unit = callers.receivePending()
+
     /** Closes the listening socket for callers, so that they can tell at once that the process takes no request. */
     fun stopAcceptingCallers(): Unit = callers.stopAccepting()
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeShutdown.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeShutdown.kt
@@ -29,6 +29,7 @@
             gateway.endRequests()
             listeners.stopAcceptingCallers()
         },
+        receiveRequests = listeners::receiveFromCallers,
         endProcess = {
             log("stopped", arrayOf("running" to gateway.runningRequests))
             endProcess()
--- a/programs/edge/src/main/kotlin/redwingcross/edge/StopSequence.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/StopSequence.kt
@@ -13,6 +13,8 @@
     val closeGracefully: () -> Unit,
     /** Answers the requests in flight, refuses further ones and accepts no new connections. */
     val endRequests: () -> Unit,
+    /** Reads what callers have sent by now. */
+    val receiveRequests: () -> Unit,
     val endProcess: () -> Unit,
 )
 
@@ -64,6 +66,8 @@
     }
 
     private fun endWhenSent() {
+        // After a pause, this can run before the sockets are read.
+        actions.receiveRequests()
         if (progress.isIdle || clock.now() >= processEndsAt) {
             actions.endProcess()
         } else {
--- a/programs/edge/src/test/kotlin/redwingcross/edge/StopSequenceTest.kt
+++ b/programs/edge/src/test/kotlin/redwingcross/edge/StopSequenceTest.kt
@@ -16,6 +16,7 @@
     private val steps = mutableListOf<Pair<String, Duration>>()
     private var running = 1
     private var unsent = false
+    private var unread = 0
 
     private val sequence = StopSequence(
         grace = 8.seconds,
@@ -30,6 +31,10 @@
             limitRequests = { record("limit until ${it - 100.seconds}") },
             closeGracefully = { record("close connections") },
             endRequests = { record("end requests") },
+            receiveRequests = {
+                running += unread
+                unread = 0
+            },
             endProcess = { record("end process") },
         ),
     )
@@ -70,6 +75,20 @@
         assertTrue(timeOf("end process") in 7700.milliseconds..7800.milliseconds, "$steps")
     }
 
+    @Test
+    fun `requests that lay unread after a pause are answered before the process ends`() {
+        running = 0
+        sequence.start()
+        runUntil(3299.milliseconds)
+        unread = 1
+        runUntil(5.seconds)
+        assertTrue(steps.none { it.first == "end process" }, "$steps")
+        assertEquals(0, unread)
+        running = 0
+        runUntil(8.seconds)
+        assertTrue(timeOf("end process") < 5100.milliseconds, "$steps")
+    }
+
     @Test
     fun `a process without requests ends soon after the address lists have expired`() {
         running = 0
