Report no close for a connection that its caller has closed

What operators would see: caller_connection_closed reason=stop for a connection that the caller had closed first, 200 ms after a stream that ended during a stop.

Cause: the delayed close looked whether the connection waits for a request, but not whether it is still open.

Evidence: the new test of StopCloseTest failed before the change with one report (mvn -o -pl connection -am -Dtest=StopCloseTest test).

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -239,7 +239,7 @@
     }
 
     private val isIdle: Boolean
-        get() = exchange == null && !discarding && wait.stage == CallerWaitStage.NEXT_REQUEST
+        get() = channel.isActive && exchange == null && !discarding && wait.stage == CallerWaitStage.NEXT_REQUEST
 
     private fun decide(now: Duration): CallerWaitDecision {
         progress = progress.observed(channel.unsentBytes, now)
--- a/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -54,6 +54,17 @@
         }
     }
 
+    @Test
+    fun `a connection that its caller closed after a stream is not reported as closed by the process`() {
+        fixture.connect().use { socket ->
+            socket.send(GET)
+            streamAcrossStop(fixture.nextExchange())
+            socket.getInputStream().readStream()
+        }
+        sleep(SETTLE * 3)
+        assertTrue(fixture.closes.isEmpty(), "${fixture.closes}")
+    }
+
     @Test
     fun `a response that its caller has not read yet is complete although the process begins to stop`() {
         fixture.connect().use { socket ->
