Keep a group whose engines are silent for a moment

Callers saw answers broken off while a sound engine fell silent for a second or so and then went on.

Cause: an engine counted as lost after 0.6 s without a report, or after one failed request if a gateway suspected its group. The group moved to LOST, gateways took its streams away and the members that answered were ordered to leave, so they broke off what still ran. If all members were silent, the group was dissolved at once and those that answered first were ordered to leave before it could be adopted again. A stream that was moved to a second such group had no send left and was reset.

Change: silence and loss are two things. An engine that does not respond is unresponsive: it gets no orders and joins no group. It is lost if its connection is refused, another start answers at its address or its entry is gone, as before, and otherwise only if it does not respond to a request sent 1.8 s (silenceTolerance) after the first that failed. The time is taken between requests, so that the wait for the last response does not count as silence.

A serving group with an unresponsive member is SUSPENDED: not announced as serving, not announced as lost, and its members are asked for reports and keep their places. It serves again once each member has reported since then and the head is open. JOINING and OPENING groups wait in the same way and RETIRING groups go on closing. Demand formation counts a suspended group as supply together with its requests, counts no loss and cancels no move for it.

Where a member stays silent for good, the replacement begins about 1.2 to 1.5 s later than before; streams that stall are moved by the gateways meanwhile. Nothing changes for engines that are certainly absent.

Ruled out: resuming from the list alone, which lags behind; a longer timeout for everything, under which a silent group would get requests.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -159,7 +159,7 @@
 
     /** The group [id] if this process is the active controller and requests run there; else null. */
     fun runningGroup(id: GroupId): FormedGroup? = formations.values.firstNotNullOfOrNull { it.groups[id] }
-        ?.takeIf { it.stage == GroupStage.SERVING || it.stage == GroupStage.RETIRING }
+        ?.takeIf { it.runsRequests }
 
     /** Whether this process is the active controller. */
     val isActiveController: Boolean get() = activeEpoch != null
--- a/process/src/main/kotlin/redwingcross/process/edge/DemandFollower.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/DemandFollower.kt
@@ -11,7 +11,6 @@
 import redwingcross.version.fleet.EngineTable
 import redwingcross.version.fleet.FormationDemand
 import redwingcross.version.fleet.FormationState
-import redwingcross.version.fleet.GroupStage
 import redwingcross.version.fleet.ModelDemand
 import redwingcross.version.fleet.ModelPool
 import redwingcross.version.fleet.ServiceSpec
@@ -64,7 +63,7 @@
     private fun measure(service: ServiceSpec, pool: ModelPool, formation: FormationState): List<ModelDemand> {
         val load = dependencies.fleetLoad()
         val inFlight = formation.groups.values
-            .filter { it.stage == GroupStage.SERVING || it.stage == GroupStage.RETIRING }
+            .filter { it.runsRequests }
             .groupBy({ it.model }, { load[it.members.first()] ?: 0 })
         val waiting = dependencies.waitingDemand(service.name).associateBy { it.model }
         return pool.models.map { spec ->
--- a/version/src/main/kotlin/redwingcross/version/fleet/DemandFormation.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/DemandFormation.kt
@@ -79,13 +79,13 @@
     val events = mutableListOf<DemandEvent>()
     val pool = view.pool
     private val groups = view.formation.groups.values
-    private val servingCounts = groups.filter { it.stage == GroupStage.SERVING }.groupingBy { it.model }.eachCount()
+    private val servingCounts = groups.filter { it.isInService }.groupingBy { it.model }.eachCount()
 
     fun log(event: String, vararg pairs: Pair<String, Any?>) {
         events += DemandEvent(event, pairs.toList())
     }
 
-    /** Number of groups of [model] that serve. */
+    /** Number of groups of [model] in service; a member that is silent for a moment does not change the supply. */
     fun serving(model: ModelName): Int = servingCounts[model] ?: 0
 
     fun openSlots(model: ModelName): Int = serving(model) * pool.slots
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationDecision.kt
@@ -38,7 +38,7 @@
         val lifecycle = GroupLifecycle(step)
         lifecycle.adoptGroups()
         lifecycle.advanceGroups()
-        lifecycle.releaseUnmanagedEngines()
+        UnmanagedGroups(step).releaseEngines()
         FormationPlanner(step).plan()
         step.requestReports()
         return step.result()
@@ -77,13 +77,17 @@
         return state.copy(
             calls = state.calls - engine,
             unresponsiveSince = state.unresponsiveSince - engine,
+            unresponsive = state.unresponsive - engine,
             lost = state.lost - engine,
             needsReport = if (state.isStale(engine, report.orders)) state.needsReport else state.needsReport - engine,
             loads = if (finished) state.loads - engine else state.loads,
         )
     }
 
-    /** An engine that is certainly absent counts as lost at once. */
+    /**
+     * An engine that is certainly absent counts as lost at once. One that only does not respond counts as lost when it
+     * did not respond to a request that was sent after the tolerated silence; until then it may go on where it was.
+     */
     private fun reportFailed(
         state: FormationState,
         engine: BackendServer,
@@ -93,10 +97,13 @@
     ): FormationState {
         val since = state.unresponsiveSince[engine] ?: (now - TIME_BEFORE_FIRST_FAILURE)
         val isSuspected = state.suspected[engine]?.let { now - it < SUSPICION_LIFETIME } == true
-        val lost = isAbsent || isSuspected || now - since >= settings.unresponsiveTimeout
+        val silence = state.calls.getValue(engine).sentAt - since
+        val lost = isAbsent || silence >= settings.silenceTolerance
+        val isUnresponsive = lost || isSuspected || now - since >= settings.unresponsiveTimeout
         return state.copy(
             calls = state.calls - engine,
             unresponsiveSince = state.unresponsiveSince + (engine to since),
+            unresponsive = if (isUnresponsive) state.unresponsive + engine else state.unresponsive,
             lost = if (lost) state.lost + (engine to now) else state.lost,
             loads = if (lost) state.loads - engine else state.loads,
         )
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationState.kt
@@ -75,7 +75,16 @@
 }
 
 /** Lifecycle stage of a group that this process manages. */
-enum class GroupStage { JOINING, OPENING, SERVING, RETIRING, LOST }
+enum class GroupStage {
+    JOINING,
+    OPENING,
+    SERVING,
+
+    /** A member does not respond: the group gets no new requests, its streams stay, and it may serve again. */
+    SUSPENDED,
+    RETIRING,
+    LOST,
+}
 
 /** A group that this process formed or adopted. */
 data class FormedGroup(
@@ -88,7 +97,13 @@
     val since: Duration,
     /** Whether the group is closed to give its engines to another model; its requests in flight are never rejected. */
     val isRetiredForDemand: Boolean = false,
-)
+) {
+    /** Whether the group serves, or will again as soon as its silent members respond. */
+    val isInService: Boolean get() = stage == GroupStage.SERVING || stage == GroupStage.SUSPENDED
+
+    /** Whether requests may be running in the group. */
+    val runsRequests: Boolean get() = isInService || stage == GroupStage.RETIRING
+}
 
 /** An unanswered order, or an unanswered report request if [order] is null. */
 data class PendingCall(
@@ -119,8 +134,13 @@
     val reportInterval: Duration = 120.milliseconds,
     /** The same interval before the first request of a caller. */
     val idleReportInterval: Duration = 250.milliseconds,
-    /** Time without a response after which an engine counts as lost. */
+    /** Time without a response after which an engine counts as unresponsive and its group gets no new requests. */
     val unresponsiveTimeout: Duration = 600.milliseconds,
+    /**
+     * Length of a silence after which an engine counts as lost. A sound engine may fall silent for a second or so and
+     * then go on; a group that is given up earlier breaks off answers that would have been completed.
+     */
+    val silenceTolerance: Duration = 1.8.seconds,
     /** Interval of report requests to a lost engine; it stops counting as lost when it is observed again. */
     val lostRetryInterval: Duration = 1.seconds,
     /** Time that a group may take to become ready beyond the expected load time. */
@@ -151,9 +171,11 @@
     val lastModel: PersistentMap<BackendServer, ModelName> = persistentHashMapOf(),
     /** Time of the first failed report request since the engine last responded. */
     val unresponsiveSince: Map<BackendServer, Duration> = emptyMap(),
-    /** Engines that do not respond, with the time of the last failed request. */
+    /** Engines that do not respond but may only be silent for a moment; they are given no orders. */
+    val unresponsive: Set<BackendServer> = emptySet(),
+    /** Engines that are absent or were silent for too long, with the time of the last failed request. */
     val lost: Map<BackendServer, Duration> = emptyMap(),
-    /** Members of groups without progress, with the time of the suspicion; one failed request makes them lost. */
+    /** Members of groups without progress, with the time of the suspicion; one failed request shows their silence. */
     val suspected: Map<BackendServer, Duration> = emptyMap(),
     /** Engines whose report is needed before the next order, for example because an order's outcome is unknown. */
     val needsReport: PersistentSet<BackendServer> = persistentHashSetOf(),
--- a/version/src/main/kotlin/redwingcross/version/fleet/FormationStep.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FormationStep.kt
@@ -51,6 +51,7 @@
             acceptedOrders = state.acceptedOrders.retain(listed),
             lastModel = state.lastModel.retain(listed),
             unresponsiveSince = state.unresponsiveSince.filterKeys { it in listed },
+            unresponsive = state.unresponsive.filterTo(mutableSetOf()) { it in listed },
             needsReport = state.needsReport.mutate { it.retainAll(listed) },
             loads = state.loads.retain(listed),
         )
@@ -105,10 +106,11 @@
     /** Sends an order and returns true, unless a call to the engine is pending or its report is needed first. */
     fun send(id: BackendServer, order: FormationOrder): Boolean {
         val engine = view.table.engines[id] ?: return false
-        if (id in state.calls || id in state.needsReport || isUnavailable(id)) return false
+        if (isUnavailable(id) || isUnresponsive(id)) return false
+        if (id in state.calls || id in state.needsReport) return false
         val orders = engine.orders.takeUnless { engine.conflictsWithListing }?.takeUnless { state.isStale(id, it) }
         if (orders == null) {
-            state = state.copy(needsReport = state.needsReport + id)
+            requireReport(id)
             return false
         }
         val call = CallNumber(state.lastCall.value + 1)
@@ -135,13 +137,6 @@
         group.members.forEach { join(group, it) }
     }
 
-    /** Orders [member] to join [group] unless it is in a group. */
-    fun join(group: FormedGroup, member: BackendServer) {
-        val engine = view.table.engines[member] ?: return
-        if (engine.status.membership != null) return
-        send(member, FormationOrder.Join(group.id, group.epoch, group.model, group.members))
-    }
-
     /** Loads weights onto the host of an idle engine. */
     fun stage(engine: TrackedEngine, model: ModelSpec) {
         if (!send(engine.id, FormationOrder.Stage(model.name))) return
@@ -173,6 +168,7 @@
         engine.status.membership == null &&
         view.table.acceptsWork(engine) &&
         !isUnavailable(engine.id) &&
+        !isUnresponsive(engine.id) &&
         engine.id !in state.calls &&
         engine.id !in state.needsReport &&
         engine.id !in state.loads &&
@@ -181,6 +177,11 @@
     /** Whether an engine is unlisted or lost. */
     fun isUnavailable(id: BackendServer): Boolean = id !in view.table.engines || id in state.lost
 
+    /** Has the report of [id] requested before anything else is decided about it. */
+    fun requireReport(id: BackendServer) {
+        state = state.copy(needsReport = state.needsReport + id)
+    }
+
     /** Stops managing a group. */
     fun remove(group: FormedGroup) {
         state = state.copy(groups = state.groups - group.id)
@@ -222,6 +223,16 @@
     }
 }
 
+/** Orders [member] to join [group] unless it is in a group. */
+internal fun FormationStep.join(group: FormedGroup, member: BackendServer) {
+    val engine = view.table.engines[member] ?: return
+    if (engine.status.membership != null) return
+    send(member, FormationOrder.Join(group.id, group.epoch, group.model, group.members))
+}
+
+/** Whether an engine does not respond; unless it is lost as well, it may only be silent for a moment. */
+internal fun FormationStep.isUnresponsive(id: BackendServer): Boolean = id in state.unresponsive
+
 /** Whether engines were listed, removed or restarted since the state was computed. */
 private fun FormationState.haveEnginesChanged(table: EngineTable): Boolean = starts.size != table.engines.size ||
     table.engines.values.any { it.id !in starts || starts[it.id] != it.status.start }
@@ -231,7 +242,7 @@
 
 private val FormedGroup.canBeOpen: Boolean get() = stage != GroupStage.JOINING
 
-/** Number of groups of [model] that serve or are being formed. */
+/** Number of groups of [model] that serve, are suspended or are being formed. */
 internal fun FormationState.liveGroups(model: ModelName): Int =
     groups.values.count { it.model == model && it.stage != GroupStage.LOST && it.stage != GroupStage.RETIRING }
 
--- a/version/src/main/kotlin/redwingcross/version/fleet/GroupLifecycle.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/GroupLifecycle.kt
@@ -6,6 +6,7 @@
 import redwingcross.version.fleet.GroupStage.OPENING
 import redwingcross.version.fleet.GroupStage.RETIRING
 import redwingcross.version.fleet.GroupStage.SERVING
+import redwingcross.version.fleet.GroupStage.SUSPENDED
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -48,6 +49,7 @@
                 JOINING -> advanceJoining(group)
                 OPENING -> advanceOpening(group)
                 SERVING -> advanceServing(group)
+                SUSPENDED -> advanceSuspended(group)
                 RETIRING -> advanceRetiring(group)
                 LOST -> advanceLost(group)
             }
@@ -60,6 +62,7 @@
         when {
             missing.isNotEmpty() -> step.move(group, LOST, "member" to missing.first())
             group.members.any { leaves(it) } -> step.move(group, LOST, "reason" to "member_leaves")
+            step.unresponsiveMember(group) != null -> Unit
             group.members.all { view.table.phaseIn(group, it) == MemberPhase.READY } -> open(group)
             now > limit -> step.move(group, LOST, "reason" to "join_timeout")
             else -> group.members.filter { view.table.phaseIn(group, it) == null }.forEach { step.join(group, it) }
@@ -74,8 +77,8 @@
         val head = view.table.phaseIn(group, group.members.first())
         val due = group.since + view.pool.openingTime + OPENING_GRACE
         when {
-            group.members.any { step.isUnavailable(it) || view.table.phaseIn(group, it) == null } ->
-                step.move(group, LOST, "reason" to "member_lost")
+            step.goneMember(group) != null -> step.move(group, LOST, "reason" to "member_lost")
+            step.unresponsiveMember(group) != null -> Unit
             head == MemberPhase.OPEN || hasBegunToOpen(group) -> step.move(group, SERVING)
             head == MemberPhase.BROKEN -> step.move(group, LOST, "reason" to "broken")
             head == MemberPhase.READY && now > due -> step.move(group, JOINING, "reason" to "open_not_done")
@@ -92,8 +95,9 @@
     }
 
     private fun advanceServing(group: FormedGroup) {
-        val gone = group.members.firstOrNull { step.isUnavailable(it) || view.table.phaseIn(group, it) == null }
-        val broken = group.members.firstOrNull { view.table.phaseIn(group, it) == MemberPhase.BROKEN }
+        val gone = step.goneMember(group)
+        val broken = step.brokenMember(group)
+        val unresponsive = step.unresponsiveMember(group)
         when {
             gone != null -> step.move(group, LOST, "member" to gone)
             view.table.phaseIn(group, group.members.first()) == MemberPhase.READY &&
@@ -102,12 +106,32 @@
                 step.move(group, JOINING, "reason" to "open_not_done")
             broken != null -> step.move(group, LOST, "broken" to broken)
             group.members.any { leaves(it) } -> step.move(group, RETIRING)
+            unresponsive != null -> step.move(group, SUSPENDED, "member" to unresponsive)
             view.demand?.retire == group.id && canRetire(group) ->
                 step.move(group.copy(isRetiredForDemand = true), RETIRING, "reason" to "demand")
             else -> Unit
         }
     }
 
+    /** A suspended group serves again once each member has reported since then that it is still part of it. */
+    private fun advanceSuspended(group: FormedGroup) {
+        val gone = step.goneMember(group)
+        val broken = step.brokenMember(group)
+        val head = view.table.phaseIn(group, group.members.first())
+        when {
+            gone != null -> step.move(group, LOST, "member" to gone)
+            broken != null -> step.move(group, LOST, "broken" to broken)
+            group.members.any { leaves(it) } -> step.move(group, RETIRING)
+            !group.members.all { hasReportedSince(group, it) } -> Unit
+            head == MemberPhase.OPEN -> step.move(group, SERVING)
+            head == MemberPhase.CLOSING -> step.move(group, RETIRING)
+            else -> step.move(group, JOINING, "reason" to "head_not_open")
+        }
+    }
+
+    private fun hasReportedSince(group: FormedGroup, id: BackendServer): Boolean =
+        id !in state.unresponsiveSince && view.table.engines[id]?.reportedAt?.let { it >= group.since } == true
+
     /**
      * Whether a group may be closed for another model now; the plan may be half a second old. At most one group moves
      * at a time, the last two groups of a model never do, and none does during an evacuation.
@@ -122,7 +146,7 @@
     private fun advanceRetiring(group: FormedGroup) {
         val head = group.members.first()
         val phase = view.table.phaseIn(group, head)
-        val gone = group.members.any { step.isUnavailable(it) || view.table.phaseIn(group, it) == null }
+        val gone = step.goneMember(group) != null
         val age = now - group.since
         when {
             gone || phase == MemberPhase.READY || phase == MemberPhase.BROKEN ->
@@ -147,17 +171,6 @@
         }
     }
 
-    /** Orders engines to leave groups that this process does not manage, so that they can join others. */
-    fun releaseUnmanagedEngines() {
-        val present = view.table.engines.values.filter {
-            it.status.service == view.service.name && !it.status.draining && !step.isUnavailable(it.id)
-        }
-        for (engine in present) {
-            val membership = engine.status.membership?.takeIf { it.group !in state.groups } ?: continue
-            step.send(engine.id, FormationOrder.Leave(membership.group, membership.epoch))
-        }
-    }
-
     private fun leaves(id: BackendServer): Boolean = view.table.engines[id]?.let { !view.table.acceptsWork(it) } == true
 
     private fun expectedJoin(group: FormedGroup): Duration {
@@ -180,3 +193,13 @@
         val CLOSING_DELAY = 400.milliseconds
     }
 }
+
+/** A member that is absent, was silent for too long or reports that it is no longer in the group. */
+private fun FormationStep.goneMember(group: FormedGroup): BackendServer? =
+    group.members.firstOrNull { isUnavailable(it) || view.table.phaseIn(group, it) == null }
+
+private fun FormationStep.brokenMember(group: FormedGroup): BackendServer? =
+    group.members.firstOrNull { view.table.phaseIn(group, it) == MemberPhase.BROKEN }
+
+private fun FormationStep.unresponsiveMember(group: FormedGroup): BackendServer? =
+    group.members.firstOrNull { isUnresponsive(it) }
--- a/version/src/main/kotlin/redwingcross/version/fleet/GroupMoveProgress.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/GroupMoveProgress.kt
@@ -1,5 +1,7 @@
 package redwingcross.version.fleet
 
+import redwingcross.request.GroupId
+
 /**
  * Takes a group move from one stage to the next or gives it up. It handles losses, evacuations and the end of the surge
  * during the move: until a group is closed, giving up costs callers nothing. Engines of a closed group form groups of
@@ -30,7 +32,7 @@
         // A group that is being closed no longer counts among the serving groups of its model.
         val remaining = move.donors.drop(if (isClosing(move)) move.retired + 1 else move.retired)
         val isDonorLost = move.stage == MoveStage.STAGING &&
-            remaining.any { step.view.formation.groups[it]?.stage != GroupStage.SERVING }
+            remaining.any { !isInService(it) }
         return step.obstacle() ?: when {
             surge == null && !move.isReturn -> "surge_ended"
             surge != null && move.isReturn -> "surge"
@@ -41,7 +43,9 @@
     }
 
     private fun isClosing(move: GroupMove): Boolean = move.stage == MoveStage.RETIRING &&
-        step.view.formation.groups[move.donors[move.retired]]?.stage != GroupStage.SERVING
+        !isInService(move.donors[move.retired])
+
+    private fun isInService(group: GroupId): Boolean = step.view.formation.groups[group]?.isInService == true
 
     /** Whether the last group that has to be closed is closing or closed, so that its engines are best used. */
     private fun isCommitted(move: GroupMove): Boolean =
--- a/version/src/main/kotlin/redwingcross/version/fleet/MoveCandidates.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/MoveCandidates.kt
@@ -49,6 +49,7 @@
         view.table.acceptsWork(engine) &&
         engine.id !in inGroups &&
         engine.id !in formation.lost &&
+        engine.id !in formation.unresponsive &&
         engine.id !in formation.loads
 
     private fun TrackedEngine.hasWeights() = receiver.name in status.staged
--- a/version/src/test/kotlin/redwingcross/version/fleet/FormationProperties.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/FormationProperties.kt
@@ -51,6 +51,22 @@
         assertEquals(emptyList(), simulation.violations, "seed $seed")
     }
 
+    @Property(tries = 25, seed = "54")
+    fun `silent engines, crashes and a new controller open no partial group`(
+        @ForAll @IntRange(min = 0, max = 9999) seed: Int,
+    ) {
+        val simulation = FormationSimulation(seed, controllers = 1, engineCount = 20, lateOrderFraction = 0.2)
+        simulation.run(12.seconds, trafficStarted = false)
+        repeat(4) { round ->
+            simulation.silenceSome(8)
+            simulation.run(1.seconds, trafficStarted = true)
+            simulation.crash(1, returnAfter = 2.seconds)
+            if (round % 2 == 1) simulation.takeOver(unlisted = emptySet())
+            simulation.run(3.seconds, trafficStarted = true)
+        }
+        assertEquals(emptyList(), simulation.violations, "seed $seed")
+    }
+
     @Property(tries = 25, seed = "53")
     fun `engines at the addresses of lost ones open no partial group`(
         @ForAll @IntRange(min = 0, max = 9999) seed: Int,
--- a/version/src/test/kotlin/redwingcross/version/fleet/FormationSimulation.kt
+++ b/version/src/test/kotlin/redwingcross/version/fleet/FormationSimulation.kt
@@ -19,6 +19,12 @@
     var start: Long = 1L,
 ) {
     var alive = true
+
+    /** Whether connections to the engine are refused; otherwise one that has ended doesn't answer them. */
+    var refuses = false
+
+    /** Time until which the engine answers nothing; it goes on where it was then. */
+    var silentUntil = Duration.ZERO
     var orders = 0L
     var staged = emptyList<ModelName>()
     var staging: Pair<ModelName, Duration>? = null
@@ -46,6 +52,7 @@
 
     fun restart() {
         start++
+        refuses = false
         orders = 0
         membership = null
         openAt = null
@@ -56,7 +63,8 @@
 
 /**
  * Runs one controller, or two that do not coordinate, against simulated engines in virtual time. Orders may be carried
- * out seconds late, reports lag, and engines crash and restart. [violations] lists the violated invariants.
+ * out seconds late, reports lag, and engines crash, restart and fall silent. [violations] lists the violated
+ * invariants.
  */
 internal class FormationSimulation(
     seed: Int,
@@ -85,6 +93,14 @@
     var now = Duration.ZERO
         private set
 
+    /** Engines that were ordered to leave a group, in order. */
+    val ordersToLeave = mutableListOf<BackendServer>()
+
+    /** The groups that the first controller manages. */
+    val groups: Collection<FormedGroup> get() = states[0].groups.values
+
+    fun engine(id: BackendServer): FakeEngine = byId.getValue(id)
+
     /** Number of groups that could serve a request at [now]. */
     fun servingGroups(): Int = engines.count { head ->
         val membership = head.membership
@@ -102,6 +118,56 @@
         }
     }
 
+    /** Ends [id] for good; gateways see that the streams of its group make no progress. */
+    fun end(id: BackendServer, refuses: Boolean) {
+        byId.getValue(id).let {
+            it.alive = false
+            it.refuses = refuses
+        }
+        suspectFrom(now + SUSPICION_DELAY, listOf(id))
+    }
+
+    /** Makes engines fall silent for the given times; gateways see that the streams of their groups stall. */
+    fun silence(durations: Map<BackendServer, Duration>) {
+        durations.forEach { (id, duration) -> byId.getValue(id).silentUntil = now + duration }
+        durations.values.maxOrNull()?.let {
+            suspectFrom(now + SUSPICION_DELAY, durations.keys.toList(), until = now + it)
+        }
+    }
+
+    /** Silences [count] engines for a time each that a sound engine may need. */
+    fun silenceSome(count: Int) = silence(
+        engines.filter { it.alive }.shuffled(random).take(count).associate { engine ->
+            engine.id to 600.milliseconds + 1.seconds * random.nextDouble()
+        },
+    )
+
+    /** Lists [id] as about to leave. */
+    fun drain(id: BackendServer) = repeat(controllers) {
+        val status = tables[it].engines.getValue(id).status
+        tables[it] = tables[it].withListed(status.copy(draining = true), now)
+    }
+
+    /** A new controller takes over; the list does not yet contain the memberships of [unlisted]. */
+    fun takeOver(unlisted: Set<BackendServer>) {
+        val lease = LeaseEpoch(states[0].lease.value + controllers)
+        val epoch = GroupEpoch(EPOCHS_PER_CONTROLLER * lease.value)
+        states[0] = FormationState(lease, epoch = epoch, lastCall = states[0].lastCall)
+        tables[0] = EngineTable()
+        engines.filter { it.alive }.forEach { list(0, it) }
+        for (id in unlisted) {
+            val status = tables[0].engines.getValue(id).status
+            tables[0] = tables[0].withListed(status.copy(membership = null), now)
+        }
+    }
+
+    private fun suspectFrom(time: Duration, members: List<BackendServer>, until: Duration = time) {
+        at(time) {
+            repeat(controllers) { suspectGroups(it, members) }
+            if (time + SUSPICION_INTERVAL < until) suspectFrom(time + SUSPICION_INTERVAL, members, until)
+        }
+    }
+
     /**
      * Ends [count] engines of one domain for good. New engines with other ids take over their addresses in another
      * order, while the former ones stay listed for some seconds.
@@ -110,7 +176,7 @@
         val domain = engines.filter { it.alive }.random(random).domain
         val former = engines.filter { it.alive && it.domain == domain }.shuffled(random).take(count)
         former.forEach { it.alive = false }
-        at(now + SUSPICION_DELAY) { repeat(controllers) { suspectGroups(it, former.map(FakeEngine::id)) } }
+        suspectFrom(now + SUSPICION_DELAY, former.map(FakeEngine::id))
         former.shuffled(random).forEach { old ->
             at(now + TAKEOVER_DELAY + TAKEOVER_DELAY * random.nextDouble()) {
                 val start = now.inWholeMilliseconds
@@ -177,7 +243,10 @@
     private fun carryOut(controller: Int, effect: FormationEffect, trafficStarted: Boolean) {
         when (effect) {
             is FormationEffect.RequestReport -> requestReport(controller, effect)
-            is FormationEffect.Send -> order(controller, effect, trafficStarted)
+            is FormationEffect.Send -> {
+                if (effect.order is FormationOrder.Leave) ordersToLeave += effect.engine
+                order(controller, effect, trafficStarted)
+            }
             is FormationEffect.LogDecision -> Unit
         }
     }
@@ -186,11 +255,12 @@
 
     private fun requestReport(controller: Int, effect: FormationEffect.RequestReport) {
         val id = effect.engine
-        val report = holderOf(effect.address)?.let {
+        val isRefused = engines.last { it.address == effect.address }.refuses
+        val report = holderOf(effect.address)?.takeIf { now >= it.silentUntil }?.let {
             EngineReport(EngineStart(it.start), OrderCount(it.orders), it.staged, it.membership)
         }
-        at(now + if (report != null) 5.milliseconds else 300.milliseconds) {
-            val answer = ReportAnswer(effect.call, id, report, isAbsent = false)
+        at(now + if (report != null || isRefused) 5.milliseconds else 300.milliseconds) {
+            val answer = ReportAnswer(effect.call, id, report, isAbsent = isRefused)
             val applicable = FormationDecision.applicableReport(states[controller], tables[controller], answer)
             states[controller] = FormationDecision.reportAnswered(
                 states[controller],
@@ -208,6 +278,10 @@
         val engine = holderOf(effect.address)
             ?: return answer(controller, effect, OrderOutcome.UNKNOWN, 400.milliseconds)
         if (engine.id != effect.engine) return answer(controller, effect, OrderOutcome.REJECTED, 5.milliseconds)
+        if (now < engine.silentUntil) {
+            at(engine.silentUntil) { accept(engine, effect, trafficStarted) }
+            return answer(controller, effect, OrderOutcome.UNKNOWN, 400.milliseconds)
+        }
         if (random.nextDouble() < lateOrderFraction) {
             at(now + 2.seconds + 10.seconds * random.nextDouble()) { accept(engine, effect, trafficStarted) }
             return answer(controller, effect, OrderOutcome.UNKNOWN, 400.milliseconds)
@@ -294,6 +368,7 @@
         const val ENGINES_PER_DOMAIN = 10
         const val EPOCHS_PER_CONTROLLER = 100_000L
         val SUSPICION_DELAY = 600.milliseconds
+        val SUSPICION_INTERVAL = 400.milliseconds
         val TAKEOVER_DELAY = 500.milliseconds
         val LISTED_AFTER_END = 2.seconds
     }
