Don't take a report from before a suspension for an answer

A report that was on its way when a group was suspended could end the suspension although its sender was still awaited. A suspended group serves again only when no report of its members is awaited, and the members of an incomplete group are asked in parallel with the engines that may belong to it. ControllerTaskTest now checks that no engine is ordered to leave before the other possible member has reported.

--- a/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/ControllerTaskTest.kt
@@ -156,7 +156,12 @@
     private fun orderLeave(): FormationEffect.Send {
         listEngines()
         repeat(60) { if (reports.none { it.engine == e1 }) tick() }
-        report(takeReports().first { it.engine == e1 }, 1, 3, old)
+        val requests = takeReports()
+        report(requests.first { it.engine == e1 }, 1, 3, old)
+        // Until e2 reports that it is in no group, it may be the other member.
+        tick()
+        assertEquals(emptyList(), takeOrders().filter { it.engine == e1 })
+        report(requests.first { it.engine != e1 }, 1, 0, null)
         tick()
         return takeOrders().single { it.engine == e1 }.also { assertIs<FormationOrder.Leave>(it.order) }
     }
--- a/version/src/main/kotlin/redwingcross/version/fleet/GroupLifecycle.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/GroupLifecycle.kt
@@ -129,8 +129,9 @@
         }
     }
 
-    private fun hasReportedSince(group: FormedGroup, id: BackendServer): Boolean =
-        id !in state.unresponsiveSince && view.table.engines[id]?.reportedAt?.let { it >= group.since } == true
+    private fun hasReportedSince(group: FormedGroup, id: BackendServer): Boolean = id !in state.unresponsiveSince &&
+        id !in state.needsReport &&
+        view.table.engines[id]?.reportedAt?.let { it >= group.since } == true
 
     /**
      * Whether a group may be closed for another model now; the plan may be half a second old. At most one group moves
--- a/version/src/main/kotlin/redwingcross/version/fleet/UnmanagedGroups.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/UnmanagedGroups.kt
@@ -33,8 +33,9 @@
         val domain = group.members.first().status.domain
         val isIncomplete = group.members.size < model.groupSize
         val candidates = if (isIncomplete) possibleMembers(domain) - group.members.toSet() else emptyList()
-        candidates.forEach { step.requireReport(it.id) }
-        return candidates.isNotEmpty()
+        if (candidates.isEmpty()) return false
+        (candidates + group.members.filter { it.orders == null }).forEach { step.requireReport(it.id) }
+        return true
     }
 
     /** Engines of [domain] without a managed group whose present membership no report has shown. */
