Answer pipelined requests that were read before a stop

Around a planned stop, a caller that had sent further requests on its connection before the response to the first one got no answer to them, even if they had been read whole long before: the response in progress announced the close of the connection, and everything behind it was discarded (caller_connection_closed, reason=stop, request=whole). The cause is that a close for a stop was treated like one that the caller itself asked for. A close by the idle check was ruled out: the report of the close names the stop, and comes with the response.

A stop now announces the close only with a response behind which no whole request is queued; the queued requests are served, or refused by the admission of the stopping process, before that. Nothing is discarded that way, and a caller that keeps requests queued is still bounded by the end of the stop sequence. A close that the caller asks for, or that a refused request needs, is as before (RFC 9112, section 9.6).

Against the code before, both new tests of StopCloseTest fail with "no request was served". With the change they pass, as do IdleCloseTest, LingeringCloseTest, CallerCloseReportTest, SlowReaderTest and CallerListenerTest.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -55,9 +55,12 @@
     private var progress = SendProgress(0, listener.now())
     private var isCloseReported = false
 
-    /** Whether the connection closes after the response that is being sent. */
+    /** Whether the connection closes after a response behind which no whole request is queued. */
     val isClosing: Boolean get() = listener.isClosing
 
+    /** Whether a whole request waits for the response that is being sent. */
+    val hasQueuedRequest: Boolean get() = pipelined.hasWholeRequest
+
     /** Whether bytes of a response have not reached the socket yet. */
     val hasUnsentBytes: Boolean get() = channel.unsentBytes > 0
 
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
@@ -46,7 +46,10 @@
     /** False while the caller reads too slowly; the source of the response should then be paused. */
     val isWritable: Boolean get() = channel.isWritable
 
-    /** Closes the connection after the response, so that the caller opens a new one for its next request. */
+    /**
+     * Closes the connection after the response, so that the caller opens a new one for its next request. If a next
+     * request is already here, the connection stays open for it.
+     */
     fun closeAfterResponse() {
         requestedClose = CallerCloseReason.STOP
     }
@@ -113,10 +116,12 @@
     }
 
     private fun closeReason(): CallerCloseReason? = when {
-        requestedClose != null -> requestedClose
-        connection.isClosing -> CallerCloseReason.STOP
+        requestedClose == CallerCloseReason.CALLER -> CallerCloseReason.CALLER
         streaming && version != HttpVersion.HTTP_1_1 -> CallerCloseReason.CALLER
-        else -> null
+        // Requests after an announced close get no answer, so a stop waits for those that are already here.
+        connection.hasQueuedRequest -> null
+        connection.isClosing -> CallerCloseReason.STOP
+        else -> requestedClose
     }
 
     private companion object {
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -43,7 +43,7 @@
     /** Number of connections accepted so far. */
     private var accepted = 0L
 
-    /** Once true, each connection closes after the response that is being sent. */
+    /** Once true, each connection closes after a response behind which no whole request is queued. */
     var isClosing = false
         private set
 
@@ -78,7 +78,7 @@
             .addLast(connection)
     }
 
-    /** Closes idle connections; each of the others closes after its current request has been served. */
+    /** Closes idle connections; each of the others closes after the requests that have been read have been served. */
     fun closeGracefully() {
         isClosing = true
         connections.toList().forEach(CallerConnection::closeIfIdle)
--- a/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -43,6 +43,44 @@
         }
     }
 
+    @Test
+    fun `pipelined requests that were read whole before a stop are answered`() {
+        fixture.connect().use { socket ->
+            socket.send(GET + GET + GET)
+            val first = fixture.nextExchange()
+            sleep(SETTLE)
+            fixture.onLoop(fixture.listener::closeGracefully)
+            fixture.respond(first)
+            val second = fixture.nextExchange()
+            fixture.onLoop {
+                second.beginStream(200, DefaultHttpHeaders())
+                second.endStream()
+            }
+            val last = fixture.nextExchange()
+            fixture.onLoop {
+                last.closeAfterResponse()
+                last.respond(503, DefaultHttpHeaders(), ByteArray(0))
+            }
+            val heads = List(4) { socket.getInputStream().readHead().lowercase() }
+            assertTrue("200" in heads[0] && "200" in heads[1] && "503" in heads[3], "$heads")
+            assertEquals(listOf(3), heads.indices.filter { "connection: close" in heads[it] })
+            assertEquals(-1, socket.getInputStream().read())
+        }
+    }
+
+    @Test
+    fun `a refusal by a stopping process leaves the connection open for a request that was read whole`() {
+        fixture.connect().use { socket ->
+            socket.send(GET + GET)
+            val first = fixture.nextExchange()
+            sleep(SETTLE)
+            fixture.onLoop(first::closeAfterResponse)
+            fixture.respond(first)
+            fixture.respond(fixture.nextExchange())
+            repeat(2) { assertTrue("200" in socket.getInputStream().readHead()) }
+        }
+    }
+
     @Test
     fun `a connection is closed soon after a stream that ended during a stop`() {
         fixture.connect().use { socket ->
