Wait for the rest of a head that arrived during a response

A caller that sent a part of its next request while it still received a response had its connection closed as idle, at a stop or after the idle time, instead of getting an answer or 408; the report said request=none. The cause is that bytes received while a request is served don't begin the wait for its head, and nothing makes up for that after the response: the wait began anew as if nothing had been received. Queued parts were ruled out: a head that is not complete is held by the decoder, so it is in no queue.

After a response the wait for the rest of the head begins, with the usual head timeout, and reports of a close count the part. Asking the decoder is exact where the received bytes are not: the same read can hold the end of one request and the beginning of the next.

Against the code before, the first new test of StopCloseTest fails with "no request was served"; the second one, on empty lines, passes before and after and guards against the opposite fault. StopCloseTest, IdleCloseTest, LingeringCloseTest, CallerCloseReportTest, SlowReaderTest and CallerListenerTest pass.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -41,6 +41,8 @@
     private val listener: CallerListener,
     private val limits: () -> CallerConnectionLimits,
     private val bodyBudget: RequestBodyBudget,
+    /** Whether a part of a head has been received that is not decoded yet. */
+    private val isHeadBegun: () -> Boolean,
     private val serve: ServeExchange,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
@@ -191,6 +193,7 @@
     private fun serveNext() {
         exchange = null
         while (exchange == null && !pipelined.isEmpty) accept(pipelined.removeFirst())
+        if (exchange == null && isHeadBegun()) wait = wait.received(limits(), listener.now())
         if (!pipelined.isFull) channel.config().isAutoRead = true
         if (isIdle && isClosing) listener.closeIfIdleLater(this)
     }
@@ -263,7 +266,7 @@
             pipelined.hasWholeRequest || exchange?.isFinished == false || reason == CallerCloseReason.ABORTED ->
                 HeldRequest.WHOLE
             exchange == null && wait.stage != CallerWaitStage.NEXT_REQUEST -> HeldRequest.PART
-            pipelined.isEmpty -> HeldRequest.NONE
+            pipelined.isEmpty && !isHeadBegun() -> HeldRequest.NONE
             else -> HeldRequest.PART
         }
         val limit = wait.effectiveLimits(limits()).idleTimeout
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -70,10 +70,11 @@
     private fun prepare(channel: SocketChannel) {
         accepted++
         TcpKeepAlive.apply(channel)
-        val connection = CallerConnection(this, limits, bodyBudget, serve)
+        val decoder = StrictRequestDecoder(maximumHeadBytes())
+        val connection = CallerConnection(this, limits, bodyBudget, decoder::isHeadBegun, serve)
         channel.pipeline()
             .addLast(ReceiveTracker(connection))
-            .addLast(StrictRequestDecoder(maximumHeadBytes()))
+            .addLast(decoder)
             .addLast(HttpResponseEncoder())
             .addLast(connection)
     }
--- a/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -81,6 +81,44 @@
         }
     }
 
+    @Test
+    fun `a head that partly arrived during a response is not taken for an idle connection`() {
+        val parts = listOf(GET.take(3), GET.take(20), GET.dropLast(1)).flatMap { listOf(GET to it, GET + GET to it) }
+        val sockets = parts.map { (whole, part) ->
+            fixture.connect().also { socket ->
+                socket.send(whole + part.take(1))
+                val first = fixture.nextExchange()
+                socket.send(part.drop(1))
+                sleep(SETTLE)
+                fixture.respond(first)
+                socket.getInputStream().readHead()
+                if (whole.length > GET.length) {
+                    fixture.respond(fixture.nextExchange())
+                    socket.getInputStream().readHead()
+                }
+            }
+        }
+        fixture.onLoop(fixture.listener::closeGracefully)
+        for ((socket, sent) in sockets zip parts) {
+            socket.send(GET.drop(sent.second.length))
+            fixture.respond(fixture.nextExchange())
+            assertTrue("connection: close" in socket.getInputStream().readHead().lowercase())
+            socket.close()
+        }
+    }
+
+    @Test
+    fun `an empty line after a request does not keep a connection open`() {
+        fixture.connect().use { socket ->
+            socket.send(GET + "\r\n")
+            fixture.respond(fixture.nextExchange())
+            socket.getInputStream().readHead()
+            sleep(SETTLE)
+            fixture.onLoop(fixture.listener::closeGracefully)
+            assertEquals(HeldRequest.NONE, fixture.nextClose().request)
+        }
+    }
+
     @Test
     fun `a connection is closed soon after a stream that ended during a stop`() {
         fixture.connect().use { socket ->
