Keep a stopping process while its connections hold requests

A stopping process could end while it held requests that it had read: the end of the stop sequence looked only at running requests and unsent bytes. Requests that are queued behind a response that has just been sent, and requests whose body was half received, got no answer. The running requests themselves were ruled out as the cause: the gateway counts a request only once it has been passed on, which happens after the previous response and after the end of its body.

The end of the sequence now also waits for connections that hold a whole request or a part of one. A connection that was refused or announced its close holds nothing. The bounds stay: a request that never arrives as a whole delays the end of requests to the same time before the kill as a running one.

With the change StopSequenceTest, StopCloseTest, CallerCloseReportTest, LingeringCloseTest and IdleCloseTest pass.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -63,6 +63,11 @@
     /** Whether a whole request waits for the response that is being sent. */
     val hasQueuedRequest: Boolean get() = pipelined.hasWholeRequest
 
+    /** Whether a whole request, or a part of one, has been received that has no complete response yet. */
+    val holdsRequest: Boolean
+        get() = !discarding &&
+            (exchange?.isFinished == false || request != null || !pipelined.isEmpty || isHeadBegun())
+
     /** Whether bytes of a response have not reached the socket yet. */
     val hasUnsentBytes: Boolean get() = channel.unsentBytes > 0
 
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -88,6 +88,9 @@
     /** Whether a caller has not been sent all bytes of the responses that were written to it. */
     val hasUnsentBytes: Boolean get() = connections.any(CallerConnection::hasUnsentBytes)
 
+    /** Whether a whole request, or a part of one, has been received that has no complete response yet. */
+    val holdsRequests: Boolean get() = connections.any(CallerConnection::holdsRequest)
+
     /** Reads and serves what callers have sent by now; on the event loop, but not while a connection is being read. */
     fun receivePending() {
         repeat(MAXIMUM_ROUNDS) {
--- a/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -107,6 +107,39 @@
         }
     }
 
+    private fun assertHeld(isHeld: Boolean) {
+        sleep(SETTLE)
+        fixture.onLoop { assertEquals(isHeld, fixture.listener.holdsRequests) }
+    }
+
+    @Test
+    fun `queued requests and parts of requests are held until they are answered`() {
+        val post = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+        for (sent in listOf(GET.take(20), post.dropLast(2))) {
+            fixture.connect().use { socket ->
+                assertHeld(false)
+                socket.send(sent)
+                assertHeld(true)
+            }
+        }
+        fixture.connect().use { socket ->
+            assertHeld(false)
+            socket.send(GET + post.dropLast(2))
+            fixture.respond(fixture.nextExchange())
+            assertHeld(true)
+            socket.send(post.takeLast(2) + GET)
+            val second = fixture.nextExchange()
+            fixture.onLoop {
+                second.respond(200, DefaultHttpHeaders(), ByteArray(0))
+                assertTrue(fixture.listener.holdsRequests, "a request is queued")
+            }
+            fixture.respond(fixture.nextExchange())
+            assertHeld(false)
+            socket.send("GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n")
+            assertHeld(false)
+        }
+    }
+
     @Test
     fun `an empty line after a request does not keep a connection open`() {
         fixture.connect().use { socket ->
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
@@ -67,6 +67,9 @@
     /** Whether a caller has not been sent all bytes of its response. */
     val hasUnsentBytes: Boolean get() = callers.hasUnsentBytes
 
+    /** Whether a caller has sent a request, or a part of one, that has no complete response yet. */
+    val holdsRequests: Boolean get() = callers.holdsRequests
+
     /** Reads what callers have sent by now. */
     fun receiveFromCallers(): Unit = callers.receivePending()
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeShutdown.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeShutdown.kt
@@ -17,7 +17,11 @@
 ) {
     /** Starts to stop the process, which the platform kills after [grace]; see [StopSequence]. */
     fun start(grace: Duration, listLifetime: Duration) {
-        val progress = StopProgress({ gateway.runningRequests }, { listeners.hasUnsentBytes })
+        val progress = StopProgress(
+            runningRequests = { gateway.runningRequests },
+            holdsRequests = { listeners.holdsRequests },
+            hasUnsentBytes = { listeners.hasUnsentBytes },
+        )
         StopSequence(grace, listLifetime, clock, runLater, progress, actions()).start()
     }
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/StopSequence.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/StopSequence.kt
@@ -18,16 +18,23 @@
     val endProcess: () -> Unit,
 )
 
-/** What is still in progress while a process stops. */
-internal class StopProgress(val runningRequests: () -> Int, val hasUnsentBytes: () -> Boolean) {
-    val isIdle: Boolean get() = runningRequests() == 0 && !hasUnsentBytes()
+/**
+ * What is still in progress while a process stops. Requests that are queued on a connection, or received in part, don't
+ * run yet but are held.
+ */
+internal class StopProgress(
+    val runningRequests: () -> Int,
+    val holdsRequests: () -> Boolean,
+    val hasUnsentBytes: () -> Boolean,
+) {
+    val isIdle: Boolean get() = runningRequests() == 0 && !holdsRequests() && !hasUnsentBytes()
 }
 
 /**
  * Stops a process without cutting off requests. From the start of the sequence its address is no longer returned to
  * callers. Once their address lists have expired, each connection is closed after its current response. The process
- * ends when no request is running, at the latest shortly before the platform kills it. Each request that arrives until
- * then gets an answer: callers that know no other address stay to the end.
+ * ends when no request is running or held, at the latest shortly before the platform kills it. Each request that
+ * arrives until then gets an answer: callers that know no other address stay to the end.
  */
 internal class StopSequence(
     grace: Duration,
--- a/programs/edge/src/test/kotlin/redwingcross/edge/StopSequenceTest.kt
+++ b/programs/edge/src/test/kotlin/redwingcross/edge/StopSequenceTest.kt
@@ -15,6 +15,7 @@
     private val timers = mutableListOf<Pair<Duration, () -> Unit>>()
     private val steps = mutableListOf<Pair<String, Duration>>()
     private var running = 1
+    private var held = false
     private var unsent = false
     private var unread = 0
 
@@ -26,7 +27,7 @@
             timers += (now + delay) to action
             CancelTimer {}
         },
-        StopProgress({ running }, { unsent }),
+        StopProgress({ running }, { held }, { unsent }),
         StopActions(
             limitRequests = { record("limit until ${it - 100.seconds}") },
             closeGracefully = { record("close connections") },
@@ -75,6 +76,28 @@
         assertTrue(timeOf("end process") in 7700.milliseconds..7800.milliseconds, "$steps")
     }
 
+    @Test
+    fun `the process does not end under a request that is queued or received in part`() {
+        running = 0
+        held = true
+        sequence.start()
+        runUntil(5.seconds)
+        assertTrue(steps.none { it.first == "end requests" }, "$steps")
+        held = false
+        runUntil(8.seconds)
+        assertTrue(timeOf("end process") < 5200.milliseconds, "$steps")
+    }
+
+    @Test
+    fun `a request that never arrives as a whole does not delay the end of the process beyond its limit`() {
+        running = 0
+        held = true
+        sequence.start()
+        runUntil(8.seconds)
+        assertEquals(7500.milliseconds, timeOf("end requests"))
+        assertTrue(timeOf("end process") in 7700.milliseconds..7800.milliseconds, "$steps")
+    }
+
     @Test
     fun `requests that lay unread after a pause are answered before the process ends`() {
         running = 0
