Close idle and stopped connections without a reset

A caller that still read its last response could lose the end of it: the connection was closed as idle or for a stop as soon as the response had been written to the socket, and a byte that the caller sent after that reset the connection and discarded what was still in the send buffer. The closes after an announced last response already linger; these two closed the socket at once. Bytes that are not written yet were ruled out, as both closes wait for them.

Both closes now close the output and read what the caller still sends, within the bounds of LingeringClose. A connection whose caller doesn't read, or that lingered long enough, is still closed at once. A lingering connection holds no request and has no unsent bytes, so that it doesn't delay the end of a stop; the test checks this.

Against the code before, the new test of LingeringCloseTest fails with "Connection reset". With the change it passes, as do StopCloseTest, IdleCloseTest, CallerCloseReportTest, SlowReaderTest and CallerListenerTest.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -234,7 +234,12 @@
             CallerWaitDecision.REFUSE -> refuse(HttpResponseStatus.REQUEST_TIMEOUT)
             CallerWaitDecision.CLOSE -> {
                 reportClose(CallerCloseReason.IDLE)
-                context.close()
+                if (!isIdle || hasUnsentBytes) {
+                    context.close()
+                    return
+                }
+                discarding = true
+                lingering.begin(context.newSucceededFuture())
             }
         }
     }
@@ -246,7 +251,8 @@
         if (!isIdle) return
         if (hasUnsentBytes) return listener.closeIfIdleLater(this)
         reportClose(CallerCloseReason.STOP)
-        context.close()
+        discarding = true
+        lingering.begin(context.newSucceededFuture())
     }
 
     private val isIdle: Boolean
--- a/connection/src/main/kotlin/redwingcross/connection/http/LingeringClose.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/LingeringClose.kt
@@ -40,7 +40,7 @@
     /** Whether the last response has been passed on, so that received bytes are discarded. */
     val isBegun: Boolean get() = state != null
 
-    /** Begins with [lastWrite], the write of the end of the last response. */
+    /** Begins with [lastWrite], the write of the end of the last response; a completed one if all has been written. */
     fun begin(lastWrite: ChannelFuture) {
         val channel = lastWrite.channel()
         state = LingerState()
--- a/connection/src/test/kotlin/redwingcross/connection/http/LingeringCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/LingeringCloseTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Guards against the last response of a connection that is lost, because closing a connection with unread bytes resets
@@ -55,6 +56,32 @@
         }
     }
 
+    private fun assertWholeAfterLateBytes(reason: CallerCloseReason, closeIdle: () -> Unit) {
+        fixture.connect().use { socket ->
+            socket.send(GET)
+            fixture.respond(fixture.nextExchange(), ByteArray(ANSWER_BYTES))
+            sleep(SETTLE)
+            closeIdle()
+            assertEquals(reason, fixture.nextClose().reason)
+            fixture.onLoop { assertTrue(!fixture.listener.hasUnsentBytes && !fixture.listener.holdsRequests) }
+            socket.send(GET)
+            sleep(SETTLE)
+            val input = socket.getInputStream()
+            assertTrue("200" in input.readHead())
+            assertEquals(ANSWER_BYTES, input.readNBytes(ANSWER_BYTES).size)
+            assertEquals(-1, input.read())
+            assertTrue(fixture.exchanges.isEmpty(), "a request was served after the close")
+        }
+    }
+
+    @Test
+    fun `a caller that sends bytes to a connection closed as idle or for a stop receives the whole last response`() {
+        fixture.limits = fixture.limits.copy(idleTimeout = SETTLE)
+        assertWholeAfterLateBytes(CallerCloseReason.IDLE) {}
+        fixture.limits = fixture.limits.copy(idleTimeout = 5.seconds)
+        assertWholeAfterLateBytes(CallerCloseReason.STOP) { fixture.onLoop(fixture.listener::closeGracefully) }
+    }
+
     @Test
     fun `a caller that does not close the connection, or sends without end, is cut off`() {
         fixture.connect().use { socket ->
