Keep the limit of queued requests when a process stops

A stopping process could take megabytes of queued requests from a single caller: the reads that make up for a pause, before a process ends or a connection is closed, ignored that reading of a connection stops while its queue of requests is full. A caller whose queue was full had 3.2 MB more accepted by one such read of the listener, where the limit is 64 KiB. The regular reads were ruled out: without the extra read, the caller's buffers stay full.

These reads now leave out connections whose queue is full. Nothing is lost by that, as such a connection holds a request and is read again once its queue has been served.

Against the code before, the new test of StopCloseTest fails with "expected: <0> but was: <3211264>". With the change it passes, as do the rest of StopCloseTest, IdleCloseTest, LingeringCloseTest, CallerCloseReportTest, SlowReaderTest and CallerListenerTest.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -68,6 +68,9 @@
         get() = !discarding &&
             (exchange?.isFinished == false || request != null || !pipelined.isEmpty || isHeadBegun())
 
+    /** Whether what the caller has sent may be read; a connection whose queue is full serves its requests first. */
+    val canReceive: Boolean get() = channel.isActive && !pipelined.isFull
+
     /** Whether bytes of a response have not reached the socket yet. */
     val hasUnsentBytes: Boolean get() = channel.unsentBytes > 0
 
@@ -227,7 +230,7 @@
      */
     fun checkTimeouts(now: Duration) {
         if (decide(now) == CallerWaitDecision.WAIT) return
-        channel.readPending()
+        if (canReceive) channel.readPending()
         channel.writePending()
         when (decide(listener.now())) {
             CallerWaitDecision.WAIT -> Unit
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -95,7 +95,7 @@
     fun receivePending() {
         repeat(MAXIMUM_ROUNDS) {
             val before = receivedBytes
-            connections.toList().forEach { if (it.channel.isActive) it.channel.readPending() }
+            connections.toList().forEach { if (it.canReceive) it.channel.readPending() }
             if (receivedBytes == before) return
         }
     }
--- a/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.nio.channels.SocketChannel
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -42,6 +43,8 @@
 
     fun connect(): Socket = Socket(address.address, address.port).also { it.soTimeout = 5000 }
 
+    fun connectChannel(): SocketChannel = SocketChannel.open(address)
+
     fun onLoop(action: () -> Unit) {
         loop.submit(action).get()
     }
--- a/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -3,6 +3,8 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import java.io.InputStream
 import java.net.Socket
+import java.nio.ByteBuffer
+import java.nio.channels.SocketChannel
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -195,6 +197,29 @@
         sockets.forEach(Socket::close)
     }
 
+    /** Sends requests until neither the listener nor the buffers of the sockets take more; returns their bytes. */
+    private fun SocketChannel.fill(): Long {
+        val requests = GET.repeat(1000).toByteArray()
+        var sent = 0L
+        var sentBefore = -1L
+        while (sent > sentBefore) {
+            sentBefore = sent
+            while (true) sent += write(ByteBuffer.wrap(requests)).takeIf { it > 0 } ?: break
+            sleep(SETTLE)
+        }
+        return sent
+    }
+
+    @Test
+    fun `a caller that has filled its queue of requests is not read further when the process stops`() {
+        fixture.connectChannel().use { channel ->
+            channel.configureBlocking(false)
+            assertTrue(channel.fill() > 0)
+            fixture.onLoop(fixture.listener::receivePending)
+            assertEquals(0, channel.fill())
+        }
+    }
+
     @Test
     fun `a connection that was not accepted yet is served when the listener stops`() {
         fixture.connect().use { socket ->
