--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -41,6 +41,8 @@
     private val listener: CallerListener,
     private val limits: () -> CallerConnectionLimits,
     private val bodyBudget: RequestBodyBudget,
+    /** Whether a part of a head has been received that is not decoded yet. */
+    private val isHeadBegun: () -> Boolean,
     private val serve: ServeExchange,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
@@ -55,9 +57,20 @@
     private var progress = SendProgress(0, listener.now())
     private var isCloseReported = false
 
-    /** Whether the connection closes after the response that is being sent. */
+    /** Whether the connection closes after a response behind which no whole request is queued. */
     val isClosing: Boolean get() = listener.isClosing
 
+    /** Whether a whole request waits for the response that is being sent. */
+    val hasQueuedRequest: Boolean get() = pipelined.hasWholeRequest
+
+    /** Whether a whole request, or a part of one, has been received that has no complete response yet. */
+    val holdsRequest: Boolean
+        get() = !discarding &&
+            (exchange?.isFinished == false || request != null || !pipelined.isEmpty || isHeadBegun())
+
+    /** Whether what the caller has sent may be read; a connection whose queue is full serves its requests first. */
+    val canReceive: Boolean get() = channel.isActive && !pipelined.isFull
+
     /** Whether bytes of a response have not reached the socket yet. */
     val hasUnsentBytes: Boolean get() = channel.unsentBytes > 0
 
@@ -188,6 +201,7 @@
     private fun serveNext() {
         exchange = null
         while (exchange == null && !pipelined.isEmpty) accept(pipelined.removeFirst())
+        if (exchange == null && isHeadBegun()) wait = wait.received(limits(), listener.now())
         if (!pipelined.isFull) channel.config().isAutoRead = true
         if (isIdle && isClosing) listener.closeIfIdleLater(this)
     }
@@ -216,14 +230,19 @@
      */
     fun checkTimeouts(now: Duration) {
         if (decide(now) == CallerWaitDecision.WAIT) return
-        channel.readPending()
+        if (canReceive) channel.readPending()
         channel.writePending()
         when (decide(listener.now())) {
             CallerWaitDecision.WAIT -> Unit
             CallerWaitDecision.REFUSE -> refuse(HttpResponseStatus.REQUEST_TIMEOUT)
             CallerWaitDecision.CLOSE -> {
                 reportClose(CallerCloseReason.IDLE)
-                context.close()
+                if (!isIdle || hasUnsentBytes) {
+                    context.close()
+                    return
+                }
+                discarding = true
+                lingering.begin(context.newSucceededFuture())
             }
         }
     }
@@ -235,7 +254,8 @@
         if (!isIdle) return
         if (hasUnsentBytes) return listener.closeIfIdleLater(this)
         reportClose(CallerCloseReason.STOP)
-        context.close()
+        discarding = true
+        lingering.begin(context.newSucceededFuture())
     }
 
     private val isIdle: Boolean
@@ -260,7 +280,7 @@
             pipelined.hasWholeRequest || exchange?.isFinished == false || reason == CallerCloseReason.ABORTED ->
                 HeldRequest.WHOLE
             exchange == null && wait.stage != CallerWaitStage.NEXT_REQUEST -> HeldRequest.PART
-            pipelined.isEmpty -> HeldRequest.NONE
+            pipelined.isEmpty && !isHeadBegun() -> HeldRequest.NONE
             else -> HeldRequest.PART
         }
         val limit = wait.effectiveLimits(limits()).idleTimeout
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -43,7 +43,7 @@
     /** Number of connections accepted so far. */
     private var accepted = 0L
 
-    /** Once true, each connection closes after the response that is being sent. */
+    /** Once true, each connection closes after a response behind which no whole request is queued. */
     var isClosing = false
         private set
 
@@ -70,15 +70,16 @@
     private fun prepare(channel: SocketChannel) {
         accepted++
         TcpKeepAlive.apply(channel)
-        val connection = CallerConnection(this, limits, bodyBudget, serve)
+        val decoder = StrictRequestDecoder(maximumHeadBytes())
+        val connection = CallerConnection(this, limits, bodyBudget, decoder::isHeadBegun, serve)
         channel.pipeline()
             .addLast(ReceiveTracker(connection))
-            .addLast(StrictRequestDecoder(maximumHeadBytes()))
+            .addLast(decoder)
             .addLast(HttpResponseEncoder())
             .addLast(connection)
     }
 
-    /** Closes idle connections; each of the others closes after its current request has been served. */
+    /** Closes idle connections; each of the others closes after the requests that have been read have been served. */
     fun closeGracefully() {
         isClosing = true
         connections.toList().forEach(CallerConnection::closeIfIdle)
@@ -87,11 +88,14 @@
     /** Whether a caller has not been sent all bytes of the responses that were written to it. */
     val hasUnsentBytes: Boolean get() = connections.any(CallerConnection::hasUnsentBytes)
 
+    /** Whether a whole request, or a part of one, has been received that has no complete response yet. */
+    val holdsRequests: Boolean get() = connections.any(CallerConnection::holdsRequest)
+
     /** Reads and serves what callers have sent by now; on the event loop, but not while a connection is being read. */
     fun receivePending() {
         repeat(MAXIMUM_ROUNDS) {
             val before = receivedBytes
-            connections.toList().forEach { if (it.channel.isActive) it.channel.readPending() }
+            connections.toList().forEach { if (it.canReceive) it.channel.readPending() }
             if (receivedBytes == before) return
         }
     }
--- a/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/StopCloseTest.kt
@@ -3,6 +3,8 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import java.io.InputStream
 import java.net.Socket
+import java.nio.ByteBuffer
+import java.nio.channels.SocketChannel
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -43,6 +45,115 @@
         }
     }
 
+    @Test
+    fun `pipelined requests that were read whole before a stop are answered`() {
+        fixture.connect().use { socket ->
+            socket.send(GET + GET + GET)
+            val first = fixture.nextExchange()
+            sleep(SETTLE)
+            fixture.onLoop(fixture.listener::closeGracefully)
+            fixture.respond(first)
+            val second = fixture.nextExchange()
+            fixture.onLoop {
+                second.beginStream(200, DefaultHttpHeaders())
+                second.endStream()
+            }
+            val last = fixture.nextExchange()
+            fixture.onLoop {
+                last.closeAfterResponse()
+                last.respond(503, DefaultHttpHeaders(), ByteArray(0))
+            }
+            val heads = List(4) { socket.getInputStream().readHead().lowercase() }
+            assertTrue("200" in heads[0] && "200" in heads[1] && "503" in heads[3], "$heads")
+            assertEquals(listOf(3), heads.indices.filter { "connection: close" in heads[it] })
+            assertEquals(-1, socket.getInputStream().read())
+        }
+    }
+
+    @Test
+    fun `a refusal by a stopping process leaves the connection open for a request that was read whole`() {
+        fixture.connect().use { socket ->
+            socket.send(GET + GET)
+            val first = fixture.nextExchange()
+            sleep(SETTLE)
+            fixture.onLoop(first::closeAfterResponse)
+            fixture.respond(first)
+            fixture.respond(fixture.nextExchange())
+            repeat(2) { assertTrue("200" in socket.getInputStream().readHead()) }
+        }
+    }
+
+    @Test
+    fun `a head that partly arrived during a response is not taken for an idle connection`() {
+        val parts = listOf(GET.take(3), GET.take(20), GET.dropLast(1)).flatMap { listOf(GET to it, GET + GET to it) }
+        val sockets = parts.map { (whole, part) ->
+            fixture.connect().also { socket ->
+                socket.send(whole + part.take(1))
+                val first = fixture.nextExchange()
+                socket.send(part.drop(1))
+                sleep(SETTLE)
+                fixture.respond(first)
+                socket.getInputStream().readHead()
+                if (whole.length > GET.length) {
+                    fixture.respond(fixture.nextExchange())
+                    socket.getInputStream().readHead()
+                }
+            }
+        }
+        fixture.onLoop(fixture.listener::closeGracefully)
+        for ((socket, sent) in sockets zip parts) {
+            socket.send(GET.drop(sent.second.length))
+            fixture.respond(fixture.nextExchange())
+            assertTrue("connection: close" in socket.getInputStream().readHead().lowercase())
+            socket.close()
+        }
+    }
+
+    private fun assertHeld(isHeld: Boolean) {
+        sleep(SETTLE)
+        fixture.onLoop { assertEquals(isHeld, fixture.listener.holdsRequests) }
+    }
+
+    @Test
+    fun `queued requests and parts of requests are held until they are answered`() {
+        val post = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+        for (sent in listOf(GET.take(20), post.dropLast(2))) {
+            fixture.connect().use { socket ->
+                assertHeld(false)
+                socket.send(sent)
+                assertHeld(true)
+            }
+        }
+        fixture.connect().use { socket ->
+            assertHeld(false)
+            socket.send(GET + post.dropLast(2))
+            fixture.respond(fixture.nextExchange())
+            assertHeld(true)
+            socket.send(post.takeLast(2) + GET)
+            val second = fixture.nextExchange()
+            fixture.onLoop {
+                second.respond(200, DefaultHttpHeaders(), ByteArray(0))
+                assertTrue(fixture.listener.holdsRequests, "a request is queued")
+            }
+            fixture.respond(fixture.nextExchange())
+            assertHeld(false)
+            socket.send("GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n")
+            assertHeld(false)
+        }
+    }
+
+    @Test
+    fun `an empty line after a request does not keep a connection open`() {
+        fixture.connect().use { socket ->
+            socket.send(GET + "\r\n")
+            fixture.respond(fixture.nextExchange())
+            socket.getInputStream().readHead()
+            sleep(SETTLE)
+            fixture.onLoop(fixture.listener::closeGracefully)
+            assertEquals(HeldRequest.NONE, fixture.nextClose().request)
+        }
+    }
+
     @Test
     fun `a connection is closed soon after a stream that ended during a stop`() {
         fixture.connect().use { socket ->
@@ -97,6 +208,29 @@
         sockets.forEach(Socket::close)
     }
 
+    /** Sends requests until neither the listener nor the buffers of the sockets take more; returns their bytes. */
+    private fun SocketChannel.fill(): Long {
+        val requests = GET.repeat(1000).toByteArray()
+        var sent = 0L
+        var sentBefore = -1L
+        while (sent > sentBefore) {
+            sentBefore = sent
+            while (true) sent += write(ByteBuffer.wrap(requests)).takeIf { it > 0 } ?: break
+            sleep(SETTLE)
+        }
+        return sent
+    }
+
+    @Test
+    fun `a caller that has filled its queue of requests is not read further when the process stops`() {
+        fixture.connectChannel().use { channel ->
+            channel.configureBlocking(false)
+            assertTrue(channel.fill() > 0)
+            fixture.onLoop(fixture.listener::receivePending)
+            assertEquals(0, channel.fill())
+        }
+    }
+
     @Test
     fun `a connection that was not accepted yet is served when the listener stops`() {
         fixture.connect().use { socket ->
