Keep what was known before a restore while the store is lost again

Callers would see requests sent to an evacuated zone or to a draining or removed engine, and a live engine that the restored copy lacks dropped, if the store stops answering within the grace times after a restore.

Cause: the ends of the grace times for zones (2.3 s), entries (4.2 s) and pending removals were applied by the clock alone. Only an interruption before the first list of the new era began them anew. After that list, the operators and engines had no chance to write their entries again, and the older copy applied.

Ruled out: the existing restart of the grace time covered only sources without a list of the new era, so longer grace times would move the fault without fixing it.

Change: none of the three ends is applied while storeLostAt is set. The first confirmation after an interruption starts all three anew, and a restore extends removals that are pending. The age of the copy now counts from the restore itself and not from the start of the grace time, so that a long interruption does not forget the removals. The separate case of an interruption before the first list is no longer needed.

RestoredZonesTest applied a list after an interruption without the confirmation that PlatformFleet sends with each list, so that the store stayed lost in the test. It now applies both; its checks are unchanged.

--- a/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/FleetState.kt
@@ -116,8 +116,7 @@
         is FleetUpdate.ServersListed -> listed(state, update, now)
         is FleetUpdate.Confirmed -> confirmed(state, update, now)
         is FleetUpdate.StoreRestored -> RestoreDecision.restored(state, now)
-        is FleetUpdate.Interrupted ->
-            RestoreDecision.interrupted(state, update.source, now).copy(storeLostAt = state.storeLostAt ?: now)
+        is FleetUpdate.Interrupted -> state.copy(storeLostAt = state.storeLostAt ?: now)
     }
 
     /** Applies a report that [engine] sent about itself. */
@@ -220,6 +219,7 @@
 
     /** Removes back ends whose entries were not written again within the grace period. */
     private fun removalsDue(state: FleetState, now: Duration): FleetState {
+        if (state.storeLostAt != null) return state
         val due = state.pendingRemovals.filterValues { now >= it }.keys
         if (due.isEmpty()) return state
         return without(state.copy(pendingRemovals = state.pendingRemovals - due), due, now)
@@ -262,13 +262,14 @@
     }
 
     private fun confirmed(state: FleetState, update: FleetUpdate.Confirmed, now: Duration): FleetState {
-        val regained = if (state.storeLostAt != null) now else state.storeRegainedAt
+        val isRegained = state.storeLostAt != null
         val isList = update.source == UpdateSource.BACKEND_SERVERS
-        return state.copy(
+        val current = if (isRegained) RestoreDecision.regained(state, now) else state
+        return current.copy(
             confirmedAt = state.confirmedAt + (update.source to now),
             listPosition = if (isList) update.position else state.listPosition,
             storeLostAt = null,
-            storeRegainedAt = regained,
+            storeRegainedAt = if (isRegained) now else state.storeRegainedAt,
         )
     }
 
--- a/process/src/main/kotlin/redwingcross/process/edge/StoreRecovery.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StoreRecovery.kt
@@ -6,7 +6,6 @@
 import redwingcross.version.fleet.EngineStatus
 import redwingcross.version.fleet.EngineTable
 import redwingcross.version.fleet.FleetUpdate
-import redwingcross.version.fleet.UpdateSource
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -16,7 +15,7 @@
  * them again within about two seconds.
  */
 data class ZoneRecovery(
-    /** When the store was restored, or did not answer before its first list of the new era. */
+    /** When the store was restored, or last answered again after an interruption since then. */
     val since: Duration,
     /** Zones that were evacuated when the store was restored. */
     val before: Set<AvailabilityZone>,
@@ -32,10 +31,10 @@
 
 /** Back ends after a restore, until their entries have changed or the time for it is over. */
 data class EntryRecovery(
-    /** When the store was restored, or did not answer before its first list of the new era. */
-    val since: Duration,
-    /** Whether a list of the new era was received. */
-    val isListed: Boolean = false,
+    /** When the store was restored; the age of its copy counts from here. */
+    val restoredAt: Duration,
+    /** When the store was restored, or last answered again after an interruption since then. */
+    val since: Duration = restoredAt,
     /** Entries that were only listed and say nothing newer than what is known; the copy may be older. */
     val copied: Map<BackendServer, EngineStatus> = emptyMap(),
 )
@@ -56,23 +55,23 @@
 /** Decides after a restore of the store which of its statements are news, and which are a copy of the past. */
 internal object RestoreDecision {
     /** Records the restore: everything that is known now is newer than the first lists of the new era. */
-    fun restored(state: FleetState, now: Duration): FleetState = state.copy(
+    fun restored(state: FleetState, now: Duration): FleetState = withLaterRemovals(state, now).copy(
         recovery = state.recovery.copy(
             zones = ZoneRecovery(now, state.table.evacuatedZones),
             entries = EntryRecovery(now),
         ),
     )
 
-    /** Nothing can be written again while the store does not answer, so the grace period begins anew. */
-    fun interrupted(state: FleetState, source: UpdateSource, now: Duration): FleetState {
-        val recovery = state.recovery
-        val zones = recovery.zones?.takeIf { source == UpdateSource.EVACUATIONS && it.stored == null }
-        val entries = recovery.entries?.takeIf { source == UpdateSource.BACKEND_SERVERS && !it.isListed }
-        return when {
-            zones != null -> state.copy(recovery = recovery.copy(zones = zones.copy(since = now)))
-            entries != null -> state.copy(recovery = recovery.copy(entries = entries.copy(since = now)))
-            else -> state
-        }
+    /** Nothing could be written again while the store did not answer, so the grace periods begin anew. */
+    fun regained(state: FleetState, now: Duration): FleetState {
+        val (removals, entries, zones) = state.recovery
+        val recovery = StoreRecovery(removals, entries?.copy(since = now), zones?.copy(since = now))
+        return withLaterRemovals(state, now).copy(recovery = recovery)
+    }
+
+    private fun withLaterRemovals(state: FleetState, now: Duration): FleetState {
+        val graceEnd = now + STORE_RECOVERY_GRACE
+        return state.copy(pendingRemovals = state.pendingRemovals.mapValues { (_, end) -> maxOf(end, graceEnd) })
     }
 
     /** Applies the zones that the store states; in the grace period after a restore only those that changed in it. */
@@ -97,7 +96,7 @@
         val presentIds = present.mapTo(mutableSetOf()) { it.id }
         val recovery = state.recovery.copy(
             removals = state.recovery.removals - presentIds,
-            entries = entries?.copy(isListed = true, copied = copied.associateBy { it.id }),
+            entries = entries?.copy(copied = copied.associateBy { it.id }),
         )
         return state.copy(
             table = table,
@@ -108,7 +107,7 @@
 
     private fun wasRemoved(state: FleetState, entries: EntryRecovery, server: EngineStatus): Boolean {
         val removal = state.recovery.removals[server.id] ?: return false
-        return removal.at >= entries.since - MAXIMUM_COPY_AGE && server.start?.isAfter(removal.start) != true
+        return removal.at >= entries.restoredAt - MAXIMUM_COPY_AGE && server.start?.isAfter(removal.start) != true
     }
 
     private fun isCopyOfKnown(table: EngineTable, server: EngineStatus): Boolean {
@@ -127,7 +126,7 @@
 
     /** Forgets what was listed, because the view is no longer made of the platform's list. */
     fun listDiscarded(state: FleetState): FleetState {
-        val entries = state.recovery.entries?.copy(isListed = false, copied = emptyMap())
+        val entries = state.recovery.entries?.copy(copied = emptyMap())
         return state.copy(recovery = state.recovery.copy(entries = entries))
     }
 
@@ -135,7 +134,7 @@
     fun withdrawn(state: FleetState, servers: Collection<BackendServer>, now: Duration): FleetState {
         if (servers.isEmpty()) return state
         val recovery = state.recovery
-        val oldest = now - MAXIMUM_COPY_AGE - LISTED_COPY_TIME
+        val oldest = (recovery.entries?.restoredAt ?: now) - MAXIMUM_COPY_AGE - LISTED_COPY_TIME
         val added = servers.associateWith {
             RecentRemoval(now, state.table.engines[it]?.status?.start ?: recovery.removals[it]?.start)
         }
@@ -147,12 +146,12 @@
         return state.copy(recovery = recovery.copy(removals = kept, entries = entries))
     }
 
-    /** Applies the state of the store at the end of the grace periods. */
+    /** Applies the state of the store at the end of the grace periods, which do not end while it does not answer. */
     fun ended(state: FleetState, now: Duration): FleetState = entriesEnded(zonesEnded(state, now), now)
 
     private fun entriesEnded(state: FleetState, now: Duration): FleetState {
         val entries = state.recovery.entries ?: return state
-        if (now < entries.since + LISTED_COPY_TIME) return state
+        if (state.storeLostAt != null || now < entries.since + LISTED_COPY_TIME) return state
         val table = entries.copied.values.fold(state.table) { table, server -> table.withListed(server, now) }
         val removals = state.recovery.removals - entries.copied.keys
         return state.copy(table = table, recovery = state.recovery.copy(removals = removals, entries = null))
@@ -160,8 +159,9 @@
 
     private fun zonesEnded(state: FleetState, now: Duration): FleetState {
         val zones = state.recovery.zones ?: return state
-        if (zones.stored == null || now < zones.since + STORE_RECOVERY_GRACE) return state
-        return state.copy(recovery = state.recovery.copy(zones = null)).withZones(zones.stored, now)
+        if (state.storeLostAt != null || now < zones.since + STORE_RECOVERY_GRACE) return state
+        val stored = zones.stored ?: return state
+        return state.copy(recovery = state.recovery.copy(zones = null)).withZones(stored, now)
     }
 
     private fun FleetState.withZones(zones: Set<AvailabilityZone>, now: Duration): FleetState {
--- a/process/src/test/kotlin/redwingcross/process/edge/RestoredZonesTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/RestoredZonesTest.kt
@@ -3,6 +3,7 @@
 import redwingcross.request.AvailabilityZone
 import redwingcross.version.fleet.FleetUpdate
 import redwingcross.version.fleet.StoreEra
+import redwingcross.version.fleet.StorePosition
 import redwingcross.version.fleet.UpdateSource
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -99,6 +100,7 @@
         restored(10.seconds)
         apply(14.seconds, FleetUpdate.Interrupted(UpdateSource.EVACUATIONS, 503))
         listed(14.1.seconds)
+        apply(14.1.seconds, FleetUpdate.Confirmed(UpdateSource.EVACUATIONS, StorePosition.inFirstEra(1)))
         assertEquals(setOf("a"), zones)
         expire(16.4.seconds)
         assertEquals(emptySet(), zones)
