Take an answer without an era as one of the newest era known

Callers would be served from an outdated view until the process restarts, because it uses no more answers of the store: neither its lists nor its lease, while other processes work normally.

Cause: an answer without the header Store-Era, or with an invalid one, counted as one of era 0. Once an era of at least 1 was seen, it was outdated: reads failed and writes were unknown. A platform that is put back to a release without eras, or a proxy that drops the header, locks the process out.

Evidence: StoreClientEraTest, run with the previous rule. "an answer without a valid era after a known era" fails with a failed read in place of the object of era 4, and the test of the log line with an empty log. The test of a conditional write that a restore met passes on both sides; it guards against a rule that uses the era of the call alone.

Ruled out: an answer with a status that a proxy may give (503) had no effect on the era before and has none now.

Change: an answer without a stated era belongs to the newest era known, including that of the version which a write expects, and to era 0 if none is known. It never begins an era other than the first one. A call that was sent before a restore stays unknown. store_era_lower is logged once per newest era when the store states a lower era for 30 s without an answer of the newest one in between; a late answer comes at most 25 s after a restore (24 s wait of a watch and its timeout). What is done with such answers is unchanged. The clock is a parameter for this; StoreWatchTest and MalformedEntryProperties name the last argument because the clock has a default before it.

--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -105,7 +105,9 @@
             network.controlClient::call,
             { delay, action -> runLater(delay, action) },
             metrics.countStoreCall,
-        ) { event, pairs -> events.warn(event, pairs.toTypedArray()) }
+            { event, pairs -> events.warn(event, pairs.toTypedArray()) },
+            clock,
+        )
     private val peerSocket = DatagramSocket(
         group,
         onReceived = { peerPost(PeerTaskMessage.Received(it)) },
