Log configurations that are ignored or change under the same version

Operators would see no reason why a configuration of a lower version, as after a restore of the store, has no effect, and no line for a configuration that was changed without a new version.

Cause: FleetDecision ignores a lower version without an effect that the log could see, and FleetUpdateLog compared versions only, while a configuration of the same version is adopted.

Evidence: FleetUpdateLogTest. Before the change to the log, the tests of the ignored and of the changed configuration fail, since configuration_ignored is missing and configuration_adopted is logged once in place of twice. The former test of repeated lists ignored version 11 silently; it now expects the line and is otherwise unchanged.

Ruled out: comparing identity would log each repeated list as adopted, because each one is decoded anew.

--- a/programs/edge/src/test/kotlin/redwingcross/edge/FleetUpdateLogTest.kt
+++ b/programs/edge/src/test/kotlin/redwingcross/edge/FleetUpdateLogTest.kt
@@ -30,13 +30,13 @@
         log.record(update, before, state, 1.seconds)
     }
 
-    private fun configured(version: Long) = apply(
+    private fun configured(version: Long, headerBytes: Int = 16_384) = apply(
         FleetUpdate.ConfigurationChanged(
             FleetConfiguration(
                 ConfigurationVersion(version),
                 emptyList(),
                 emptyMap(),
-                CallerLimits(16_384, 4_194_304, 3.seconds, 15.seconds),
+                CallerLimits(headerBytes, 4_194_304, 3.seconds, 15.seconds),
                 emptyList(),
             ),
         ),
@@ -44,7 +44,23 @@
 
     @Test
     fun `a configuration that is listed again is not logged as adopted again`() {
-        listOf(12L, 12L, 11L, 13L).forEach(::configured)
+        for (version in listOf(12L, 12L, 11L, 13L)) configured(version)
+        val expected = listOf("configuration_adopted", "configuration_ignored", "configuration_adopted")
+        assertEquals(expected, logged)
+    }
+
+    @Test
+    fun `a configuration of a lower version is logged as ignored once`() {
+        for (version in listOf(12L, 11L, 11L, 10L, 11L)) configured(version)
+        assertEquals(listOf("configuration_adopted", "configuration_ignored", "configuration_ignored"), logged)
+    }
+
+    @Test
+    fun `a changed configuration is logged as adopted although it keeps its version`() {
+        configured(12, headerBytes = 16_384)
+        configured(12, headerBytes = 8_192)
+        configured(12, headerBytes = 8_192)
         assertEquals(listOf("configuration_adopted", "configuration_adopted"), logged)
+        assertEquals("FleetConfiguration(version=12)", state.configuration.toString())
     }
 }
--- a/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/FleetConfiguration.kt
@@ -16,7 +16,7 @@
 }
 
 /** A complete operator configuration: routes, services, limits for callers and tenants. */
-class FleetConfiguration(
+data class FleetConfiguration(
     val version: ConfigurationVersion,
     val routes: List<Route>,
     val services: Map<ServiceName, ServiceSpec>,
@@ -27,6 +27,9 @@
         .mapValues { (_, sameHost) -> sameHost.sortedByDescending { it.pathPrefix.length } }
     private val tenantsByKey = tenants.flatMap { tenant -> tenant.keys.map { it to tenant } }.toMap()
 
+    /** States only the version, so that no API key gets into a log. */
+    override fun toString(): String = "FleetConfiguration(version=${version.value})"
+
     /** Whether callers have to present an API key. */
     val requiresKeys: Boolean get() = tenants.isNotEmpty()
 
