Keep one highest era, below which group epochs fit in 53 bits

Callers would see no difference until about era 9,007,199; above it, group epochs could lose digits in JSON parsers that read numbers as floating point.

Its stated reason, that epochs fit in 53 bits, did not hold: group epochs are era * 10,000 * 100,000, which reaches 2^53 at about era 9,007,199. Other comments gave era 9,000 for the same point.

Ruled out: fewer epochs per era, because an era would then sooner reach the range of the next one.

The comments on the ranges of epochs state the same figures. MalformedPeerMessageProperties claimed era 9,999,999 as a possible one; it now claims the highest possible era.

--- a/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/ControllerTask.kt
@@ -340,8 +340,7 @@
 
         /**
          * Maximum number of groups that one holder of the lease can form; later holders use higher epochs. Lease epochs
-         * stay below 1.1e11 with eras up to 10,000,000, so group epochs stay below 1.1e16, and below 2^53 up to era
-         * 9,000.
+         * reach 9e10 at the highest era (9,000,000), so group epochs stay below 2^53 and keep every digit in JSON.
          */
         const val EPOCHS_PER_LEASE = 100_000L
 
--- a/process/src/test/kotlin/redwingcross/process/edge/MalformedPeerMessageProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/MalformedPeerMessageProperties.kt
@@ -210,7 +210,7 @@
 
     @Example
     fun `a sender that claims an era that the store isn't in restarts each watch once`() {
-        receiveClaims(era = 9_999_999)
+        receiveClaims(era = StoreEra.MAXIMUM)
         assertEquals(progress.size, watchRestarts)
     }
 
--- a/version/src/main/kotlin/redwingcross/version/fleet/StorePosition.kt
+++ b/version/src/main/kotlin/redwingcross/version/fleet/StorePosition.kt
@@ -18,8 +18,11 @@
         /** The era of a store that states none. */
         val FIRST: StoreEra = StoreEra(0)
 
-        /** More restores than a store has in its life; the epochs of the lease, which grow with the era, stay valid. */
-        const val MAXIMUM: Long = 10_000_000
+        /**
+         * More restores than a store has in its life. An era has 10,000 lease epochs with 100,000 group epochs each, so
+         * group epochs stay below 2^53, which they reach at era 9,007,199; JSON numbers above it may lose digits.
+         */
+        const val MAXIMUM: Long = 9_000_000
     }
 }
 
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseRestore.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseRestore.kt
@@ -14,9 +14,8 @@
  * One case remains: the write of a process that doesn't know of the restore takes effect on a lease of the new era that
  * has the same revision. A process that has neither read nor heard of that lease before uses its epoch again later.
  *
- * Epochs stay below 1.1e11 with eras up to 10,000,000, and the group epochs, which are 100,000 times as high, below
- * 1.1e16, far from the limit of a Long. Up to era 9,000 both are below 2^53, so JSON parsers that read numbers as
- * floating point keep every digit.
+ * Epochs stay below 9.1e10 with eras up to 9,000,000, and the group epochs, which are 100,000 times as high, below 2^53
+ * (9.007e15), so JSON parsers that read numbers as floating point keep every digit.
  */
 internal const val EPOCHS_PER_ERA = 10_000L
 
