Take the era of the store from its answers only

A process that received one damaged message with an era that the store is not in never took the controller lease again, and a holder lost it: every true read then counted as one of an earlier era, and every write as sent in a newer era than the one that answered.

Cause: the era of an announced lease raised LeaseState.era like that of an answer of the store. The check on receipt only excludes eras above the maximum.

Evidence: before the change, 6 of 23 tests of LeaseRestoreTest fail (`an era that only a message claims does not keep a process from the lease`: not taken; the others: no read, or the lease lost), and `a message that claims an era in which the store is not does not keep the processes from acting` in ControllerRestoreTest fails (`n0 doesn't act any more`). All pass with it. `a controller that the store does not answer does not act beside one of a newer era` passed before as well and guards what has to stay.

Ruled out: ignoring such a message. A standby that takes the lease in the earlier era may then replace a record of the newer one that has the same revision. A stricter maximum would still let a lower era through.

Change: an announced lease of a newer era makes the process read the lease at once, once for each era above those claimed before. A call in progress no longer counts, as it may be answered from before the restore, and a standby forgets the lease until the read is answered. If the store has come back, its answer states the era and ends the earlier lease; if not, the process goes on as before. A holder that was overtaken ends its role because the announced epoch is higher, without regard to the era.

--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
@@ -41,7 +41,7 @@
         LeaseMessage.Tick -> tick(state, now)
         is LeaseMessage.CallEnded -> state.ifPending(message.call) { callEnded(it, message, now) }
         is LeaseMessage.HolderAnnounced -> state.holderAnnounced(message.epoch, now).with()
-        is LeaseMessage.HolderRenewed -> state.holderRenewed(message.lease, message.age, now)
+        is LeaseMessage.HolderRenewed -> holderRenewed(state, message, now)
         is LeaseMessage.StoreRestored ->
             if (message.era > state.era) restored(state, message.era, message.isActing, now) else state.with()
         is LeaseMessage.EpochSeen -> state.withEpochSeen(message.epoch).with()
@@ -50,6 +50,12 @@
         LeaseMessage.Release -> tick(state.copy(releasing = true, nextCallAt = now), now)
     }
 
+    private fun holderRenewed(state: LeaseState, message: LeaseMessage.HolderRenewed, now: Duration): Step {
+        val claimed = message.lease.version.era
+        val next = state.holderRenewed(message.lease, message.age, now)
+        return if (next.isEraUnverified(claimed)) read(next.eraClaimed(claimed)) else next.with()
+    }
+
     private fun callEnded(state: LeaseState, message: LeaseMessage.CallEnded, now: Duration): Step = when (message) {
         is LeaseMessage.ReadAnswered -> answered(state, message, now)
         is LeaseMessage.Written -> written(state, message.version, now)
@@ -84,11 +90,10 @@
         if (now < held.renewedAt + state.settings.renewInterval) {
             state.with()
         } else {
-            write(state, held.seen.record.nextRenewal(), held.seen.version, now)
+            val record = held.seen.record
+            write(state, record.copy(renewal = record.renewal + 1), held.seen.version, now)
         }
 
-    private fun LeaseRecord.nextRenewal() = copy(renewal = renewal + 1)
-
     private fun takeOver(state: LeaseState, now: Duration): Step {
         val number = state.acquisitions + 1
         val record =
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseHolder.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseHolder.kt
@@ -1,7 +1,6 @@
 package redwingcross.version.lease
 
-import redwingcross.request.Transition
-import redwingcross.request.with
+import redwingcross.version.fleet.StoreEra
 import redwingcross.version.placement.LeaseEpoch
 import kotlin.time.Duration
 
@@ -15,20 +14,24 @@
 
 /**
  * Records the version that the holder announced, so that a standby can take over without reading the lease first if the
- * holder ends. A holder in a newer era has seen the restore, which ends a lease of an earlier era; one in an earlier
- * era has not, and is ignored.
+ * holder ends. A holder in an earlier era has not seen the restore, and is ignored. One in a newer era is not recorded
+ * either, because only the store tells its era.
  */
-internal fun LeaseState.holderRenewed(
-    lease: StoredLease,
-    age: Duration,
-    now: Duration,
-): Transition<LeaseState, LeaseEffect> {
-    val announced = lease.version.era
-    val ended = if (announced > era) restored(announced, isActing = false, now) else this.with()
-    val known = ended.state.withEpochSeen(lease.record.epoch)
-    return Transition(if (announced < era) known else known.withRenewal(lease, age, now), ended.effects)
+internal fun LeaseState.holderRenewed(lease: StoredLease, age: Duration, now: Duration): LeaseState {
+    val known = withEpochSeen(lease.record.epoch)
+    return if (lease.version.era == era) known.withRenewal(lease, age, now) else known
 }
 
+/** Whether [claimed], which another process named, is a newer era for which the lease has not been read yet. */
+internal fun LeaseState.isEraUnverified(claimed: StoreEra): Boolean = !releasing && claimed > maxOf(era, claimedEra)
+
+/**
+ * Prepares the read that shows whether the store is in the era [claimed]. A call in progress may be answered from
+ * before the restore, so it no longer counts; a standby doesn't take over before the read is answered.
+ */
+internal fun LeaseState.eraClaimed(claimed: StoreEra): LeaseState =
+    copy(claimedEra = claimed, call = null, seen = seen.takeIf { held != null })
+
 /** A renewal postpones the next call; a holder that is heard but doesn't renew the lease postpones nothing. */
 private fun LeaseState.withRenewal(lease: StoredLease, age: Duration, now: Duration): LeaseState {
     val known = seen?.version
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseMessage.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseMessage.kt
@@ -36,7 +36,10 @@
     /** Gossip announced that the zone has a holder with [epoch]. */
     data class HolderAnnounced(val epoch: LeaseEpoch) : LeaseMessage
 
-    /** The holder announced that it holds [lease] and sent its last renewal [age] ago. */
+    /**
+     * The holder announced that it holds [lease] and sent its last renewal [age] ago. An era that is newer than the
+     * known one only causes a read, because a damaged message may name any era.
+     */
     data class HolderRenewed(val lease: StoredLease, val age: Duration = Duration.ZERO) : LeaseMessage
 
     /** The store has come back from an older copy; [isActing] if this process acted when it learned so. */
--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseState.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseState.kt
@@ -48,8 +48,10 @@
     val calls: Long = 0,
     /** Number of attempted acquisitions so far; makes their nonces unique. */
     val acquisitions: Long = 0,
-    /** The newest era of the store that this process knows. */
+    /** The newest era that the store stated to this process. */
     val era: StoreEra = StoreEra.FIRST,
+    /** The newest era that another process named and for which this process has read the lease. */
+    val claimedEra: StoreEra = StoreEra.FIRST,
     /** When this process learned of [era]; null in the first era. */
     val eraObservedAt: Duration? = null,
     /**
