Let a restore reach the lease by one message only

A restore reached the lease decision in two ways with different values of whether the process acts: StoreRestored from the controller task, which also counts a role that is kept through an outage of the store, and an answer of a newer era, for which only the validity of the lease counted. A holder for which the second way applied would wait for the lease duration instead of going on at once.

Evidence: `an answer of a newer era does not end the lease before it is known whether the process acts` fails before the change (the lease is lost) and passes with it.

Change: without a StoreRestored before it, an answer of a newer era counts as a call with unknown outcome: the lease is neither extended nor ended, and a write stays pending. LeaseRestoreTest passes the message on before such an answer, as the controller task does; its assertions are unchanged.

Ruled out: removing StoreRestored and deciding from the answers alone. The lease doesn't know of the role kept through an outage, and other calls of the process learn of the restore earlier.

--- a/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
+++ b/version/src/main/kotlin/redwingcross/version/lease/LeaseDecision.kt
@@ -21,11 +21,16 @@
  * has lost may act for that long.
  */
 object LeaseDecision {
-    /** Computes the next state and effects of [message] at [now]. */
+    /**
+     * Computes the next state and effects of [message] at [now]. The owning task passes a [LeaseMessage.StoreRestored]
+     * before the first answer of a newer era, because only the task knows whether the process acts. Without it, the
+     * answer counts as one that was lost.
+     */
     fun step(state: LeaseState, message: LeaseMessage, now: Duration): Step {
         val era = message.answeredEra
-        return if (era != null && era > state.era) {
-            restored(state, era, isActing = state.validEpoch(now) != null, now)
+        val isUnannounced = era != null && era > state.era
+        return if (isUnannounced && message is LeaseMessage.CallEnded) {
+            stepInEra(state, LeaseMessage.OutcomeUnknown(message.call), now)
         } else {
             stepInEra(state, message, now)
         }
--- a/version/src/test/kotlin/redwingcross/version/lease/LeaseRestoreTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/lease/LeaseRestoreTest.kt
@@ -27,12 +27,21 @@
     private var state = LeaseState(ProcessName("n1"), "7", settings)
     private var effects = emptyList<LeaseEffect>()
 
-    private fun step(message: LeaseMessage) {
+    private fun stepOnce(message: LeaseMessage) {
         val transition = LeaseDecision.step(state, message, now)
         state = transition.state
         effects = transition.effects
     }
 
+    /** Passes [message] on as the owning task does: a newer era that it states comes first. */
+    private fun step(message: LeaseMessage) {
+        val era = message.answeredEra?.takeIf { it > state.era } ?: return stepOnce(message)
+        stepOnce(LeaseMessage.StoreRestored(era, isActing = state.validEpoch(now) != null))
+        val ofRestore = effects
+        stepOnce(message)
+        effects = ofRestore + effects
+    }
+
     private fun at(era: Long, revision: Long) = StorePosition(StoreEra(era), StoreRevision(revision))
 
     private fun record(holder: String?, epoch: Long, nonce: String = "$holder-7-1") =
@@ -208,6 +217,24 @@
         assertNull(state.holderHeardAt)
     }
 
+    @Test
+    fun `an answer of a newer era does not end the lease before it is known whether the process acts`() {
+        acquire()
+        val held = state.held
+        now += 600.milliseconds
+        step(LeaseMessage.Tick)
+        stepOnce(LeaseMessage.Written(write.call, at(1, 42)))
+        assertEquals(emptyList(), effects)
+        assertEquals(held, state.held)
+        assertEquals(StoreEra.FIRST, state.era)
+        now += settings.retryInterval
+        step(LeaseMessage.Tick)
+        assertEquals(listOf<LeaseEffect>(LeaseEffect.Read(call)), effects, "the outcome of the write is unknown")
+        restored(isActing = true)
+        answer(StoredLease(at(1, 42), record("n1", 3)), 1)
+        assertEquals(LeaseEpoch(10_001), write.record.epoch)
+    }
+
     private val claimed = StoredLease(at(9, 50), record("n2", 90_001))
 
     @Test
