Leave a lost group only once another place is secured

Callers saw a request of a group that was reported as lost be cancelled at once. With a retry but without a place elsewhere it then waited, and was broken off when that wait ended, although the report can be wrong and the first engine would have gone on. A plain request that could not move at the moment of the report was not tried again: at a machine that vanished without a reset it waited to its deadline, also when the retry budget had refilled.

Cause: ForwardTask.onGroupLost cancelled the exchange first and chose a back end after that, and it ran once. StreamProgress moves streams only.

Now the target is chosen and the retry taken before the exchange is cancelled, with the steps that a silent request takes already; they are in MoveAttempts. A request that can't leave keeps its exchange and is tried again at each check until its back end ends it, it moves, or its deadline comes. These requests are tried before the waiting ones, because they may have run. As before, they count as resuming for the limits of a group.

All requests of the group are now recorded for the attribution of crashes at the report, also those that stay; before, those without a retry were not. The loss of the connection later is the same loss and is not recorded again.

Evidence, on the code before (GatewaySilenceTest, GatewayCrashTest): the stream without another place was broken off, the plain request was not sent again within 5 s, and the request that stayed was not among the suspects (no crash recorded). The test of a stream that moves once another group has a place passed before as well, from the waiting line; it guards the repeated attempts.

Ruled out: waiting in the line while the exchange goes on. A waiting request is by its contract at no back end.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -329,12 +329,12 @@
         notice.pause?.let { dependencies.log("back_end_paused", arrayOf("server" to server, "for" to it)) }
     }
 
-    /** Moves the streams of groups that have lost a member to other groups. */
+    /** Moves the requests of groups that have lost a member to other groups, now or at a later check. */
     fun groupsLost(groups: Set<GroupId>) {
         if (groups.isEmpty()) return
         sharedHealth?.stalls?.groupsLost(groups)
         forwardTasks.filter { it.group in groups }.forEach(ForwardTask::onGroupLost)
-        // Confirms also the ends of the connections that have just been cancelled.
+        // Confirms also the losses that the requests have just recorded.
         crashes.groupsLost(groups)
     }
 
@@ -343,6 +343,8 @@
         crashes.check()
         startup?.check()
         places?.check()
+        // Before the waiting requests: those of a lost group may have run already.
+        forwardTasks.toList().forEach(ForwardTask::leaveLostGroup)
         waiting.serve()
         endUnsendableRequests()
         progress.check(watchedTasks())
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
@@ -151,6 +151,20 @@
         assertEquals(suspectAtEach(engines), suspectsOnceLost(engines))
     }
 
+    @Test
+    fun `a request that stays at a lost group is a suspect of the loss and counted once`() {
+        retryExtra = 0.0
+        startEngines(2)
+        val caller = generate("p1,p2")
+        val arrival = nextArrival()
+        val engine = nextSend()
+        repeat(2) { onLoop { gateway.groupsLost(setOfNotNull(engine.group)) } }
+        assertEquals(listOf("7"), onLoop { crashes.evidence().crashes }.single().requests.map { it.attempt })
+        onLoop(arrival::abort)
+        assertTrue("502" in caller.readAnswer())
+        assertEquals(1, logged.count { it.startsWith("engine_end_observed ") }, "$logged")
+    }
+
     @Test
     fun `a stream that is moved from a lost group after an event is no suspect and goes on`() {
         startEngines(4)
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -118,7 +118,7 @@
             onBlocked = { gateway.endUnsendableRequests() },
             countCrash = {},
             countBlocked = blockedRequests::put,
-            log = { _, _ -> },
+            log = ::writeLog,
         ),
         MonotonicClock { MonotonicClock.system.now() + timePassed },
     )
@@ -155,12 +155,15 @@
         reportSuspectedGroup = {},
         coldReported = { _, _ -> },
         recordOutcome = outcomes::put,
-        log = { event, pairs -> logged.put("$event ${pairs.joinToString(" ") { (name, value) -> "$name=$value" }}") },
+        log = ::writeLog,
         sharedHealth = sharedHealth,
         places = places(),
         runBegan = begun::put,
     )
 
+    private fun writeLog(event: String, pairs: Array<out Pair<String, Any?>>): Unit =
+        logged.put("$event ${pairs.joinToString(" ") { (name, value) -> "$name=$value" }}")
+
     /** Reaches the owner of the places; null if the gateway chooses by itself. */
     protected open fun places(): PlaceNetwork? = null
 
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
@@ -164,6 +164,49 @@
         assertGoesOn(caller, arrival)
     }
 
+    @Test
+    fun `a stream of a group that is reported lost is not broken off if no other group has a place`() {
+        startEngines(1)
+        val caller = generate("p1")
+        val group = nextGroup()
+        val arrival = nextArrival()
+        arrival.beginEvents()
+        caller.readThrough("data: a\n\n")
+        onLoop { gateway.groupsLost(setOf(group)) }
+        checkProgressFor(LONG_SILENCE)
+        assertGoesOn(caller, arrival)
+    }
+
+    @Test
+    fun `a stream of a group that is reported lost moves once another group has a place`() {
+        startEngines(1)
+        val caller = generate("p1")
+        val group = nextGroup()
+        val arrival = nextArrival()
+        arrival.beginEvents()
+        caller.readThrough("data: a\n\n")
+        onLoop { gateway.groupsLost(setOf(group)) }
+        assertFalse(onLoop { arrival.isFinished })
+        startEngines(2)
+        checkProgressFor(CHECK_INTERVAL * 2)
+        assertEquals("1", nextArrival().head.headers.get("Resume"))
+        caller.close()
+    }
+
+    @Test
+    fun `a plain request of a group that is reported lost moves once a retry is left`() {
+        retryExtra = 0.0
+        startEngines(2)
+        val caller = generate("p1", "plain-generation")
+        val group = nextGroup()
+        nextArrival()
+        onLoop { gateway.groupsLost(setOf(group)) }
+        onLoop { retryExtra = 100.0 }
+        checkProgressFor(CHECK_INTERVAL * 2)
+        nextArrival().respondSigned("whole")
+        assertTrue("whole" in caller.readAnswer())
+    }
+
     private companion object {
         /** Together far more than the buffers of the sockets hold. */
         const val LONG_EVENT_BYTES = 100_000
--- a/version/src/main/kotlin/redwingcross/version/forwarding/CrashSignals.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/CrashSignals.kt
@@ -14,8 +14,8 @@
     /** Called with the shared parts of a request that an engine began to answer. */
     val answerBegan: (List<PromptPart>) -> Unit,
     /**
-     * Called when the connection of a request to a back end ended, or when the request was moved from a group that has
-     * lost a member. The flag is true if an answer had begun there.
+     * Called when the connection of a request to a back end ended, or when the group that the request is at has lost a
+     * member; once for both. The flag is true if an answer had begun there.
      */
     val connectionLost: (ChosenBackend, InboundRequest, Boolean) -> Unit,
 ) {
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -22,7 +22,7 @@
 typealias SendToBackend =
     (ChosenBackend, RequestHead, ByteArray, Repeatability, ResponseMatcher, ResponseListener) -> PendingExchange
 
-/** Decides with [ForwardTask.moveSilent] whether a request leaves a back end that is silent. */
+/** Decides whether a request leaves a back end that is silent or whose group was reported as lost. */
 class MoveAdmission(
     /** Whether the retry budget of a service has a retry left; takes nothing. */
     val hasRetry: (ServiceName) -> Boolean,
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -9,7 +9,6 @@
 import redwingcross.request.forward.ForwardState
 import redwingcross.request.forward.ForwardStep
 import redwingcross.request.forward.OfferResult
-import redwingcross.request.stream.EventBatch
 import redwingcross.request.stream.EventSplitter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -27,6 +26,7 @@
     private val splitter = EventSplitter()
     private val response = CallerResponse(exchange, context.codec.refusal)
     private val log = OfferLog(job.request.attempt, context.log)
+    private val moves = MoveAttempts(this, context, log)
     private var offer: Offer? = null
     private var timer = CancelTimer {}
     private var lastEventId: Long? = job.request.resumeAfter.takeIf { route.repeatability.isStream }
@@ -48,7 +48,7 @@
     private val latestEnd: Duration get() = minOf(job.deadline, context.shutdown.endsAt)
 
     /** What this request needs from the next back end that it is sent to. */
-    fun choiceRequest() = job.choiceRequest(state.offered.toSet(), isResuming)
+    fun choiceRequest() = job.choiceRequest(state.offered.toSet(), isResuming || offer?.loss?.isReported == true)
 
     override val inbound get() = job.request
 
@@ -218,46 +218,49 @@
     }
 
     /**
-     * Moves the request to another back end, because its group has lost a member. Without a retry it stays until its
-     * back end or its caller ends it: the loss may be a mistake, and ending it here would certainly fail it.
+     * Called when the controller reports that the group has lost a member. The request counts as one that was there at
+     * the loss, also if it stays for now.
      */
     fun onGroupLost() {
         val current = offer ?: return
-        context.reasonToStay(state, job)?.let { return log.stayed(current.backend, "group_lost", it) }
-        val isLoss = current.pending?.wasSent == true
-        if (isLoss) context.crashes.connectionLost(current.backend, job.request, current.hasEvents)
-        abandon(current, if (isLoss && !current.hasEvents) OfferResult.GroupLost else OfferResult.Stalled, "group_lost")
+        current.loss.isReported = true
+        if (current.pending?.wasSent == true) current.loss.count()
+        leaveLostGroup()
+    }
+
+    /**
+     * Moves the request to another back end if its group was reported as lost; called at the report and at each check
+     * after it. It leaves only with a retry and a place elsewhere, because the report may be a mistake.
+     */
+    fun leaveLostGroup() {
+        val from = offer?.takeIf { it.loss.isReported } ?: return
+        leave(from, "group_lost", canLeave = { true }) {
+            if (from.loss.isCounted && !from.hasEvents) OfferResult.GroupLost else OfferResult.Stalled
+        }
     }
 
     override fun moveSilent(end: OfferResult, detail: String, onMoved: () -> Unit) {
-        val from = offer ?: return
+        val from = offer?.takeIf { it.pending?.wasSent == true && !it.loss.isReported } ?: return
         val silentSince = progressAt
-        if (from.pending?.wasSent != true) return
-        context.reasonToStay(state, job)?.let { return log.stayed(from.backend, detail, it) }
-        context.beforeChoice(this) {
-            if (offer !== from) return@beforeChoice
-            val canLeave = progressAt == silentSince && context.reasonToStay(state, job) == null
-            val target = if (canLeave) context.moves.choose(choiceRequest()) else null
-            if (target == null || !context.tryAcquireRetry(job.service)) {
-                context.moves.stayed(this)
-                if (canLeave) log.stayed(from.backend, detail, "no_place")
-            } else {
-                onMoved()
-                abandon(from, end, detail, target)
-            }
+        leave(from, detail, canLeave = { progressAt == silentSince }) {
+            onMoved()
+            end
         }
     }
 
-    private fun abandon(current: Offer, end: OfferResult, detail: String, target: ChosenBackend? = null) {
-        current.pending?.cancel()
-        offerEnded(current, end, detail, target)
-    }
+    private fun leave(from: Offer, detail: String, canLeave: () -> Boolean, end: () -> OfferResult) =
+        moves.attempt(from.backend, detail, { context.reasonToStay(state, job) }, canLeave) { target ->
+            val result = end()
+            from.pending?.cancel()
+            offerEnded(from, result, detail, target)
+        }
 
     private inner class Offer(val backend: ChosenBackend, val startedAt: Duration) : ResponseListener {
         var pending: PendingExchange? = null
         var head: ResponseHead? = null
         var hasEvents = false
         private var isError = false
+        val loss = GroupLoss { context.crashes.connectionLost(backend, job.request, hasEvents) }
 
         override fun onHead(head: ResponseHead) {
             this.head = head
@@ -300,11 +303,11 @@
             val batch = splitter.accept(bytes)
             if (splitter.pendingBytes > MAX_COLLECTED_BYTES) return reject(OfferResult.Lost, "event_too_long")
             if (batch == null) return
-            countRun(batch)
+            if (isFirst(batch.events)) context.runBegan(job)
             val now = context.clock.now()
             ResponseCheck.ofEvents(batch, lastEventId, isFirst = !hasEvents)?.let { return reject(it) }
             if (hasEvents || batch.events > 0) context.progressed(backend, now - progressAt, !hasEvents)
-            if (!hasEvents && batch.events > 0) {
+            if (isFirst(batch.events)) {
                 hasEvents = true
                 context.crashes.answerBegan(sharedParts)
             }
@@ -317,9 +320,7 @@
             if (!exchange.isWritable) pending?.pauseReading()
         }
 
-        private fun countRun(batch: EventBatch) {
-            if (!hasEvents && batch.events > 0) context.runBegan(job)
-        }
+        private fun isFirst(events: Int) = !hasEvents && events > 0
 
         // An engine may send comments before it ends under the request, so they don't begin the response.
         private fun holdComments(bytes: ByteArray) {
@@ -369,7 +370,7 @@
 
         // An engine may send the head before it runs the request, so only an event shows that it began to answer.
         private fun connectionLost(detail: String) {
-            context.crashes.connectionLost(backend, job.request, hasEvents)
+            loss.count()
             val isEngine = backend.group != null && !hasEvents
             offerEnded(this, if (isEngine) OfferResult.EngineLost else OfferResult.Lost, detail)
         }
