--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayPlaceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayPlaceTest.kt
@@ -16,6 +16,10 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
 
 /**
  * Guards against a gateway that sends a request elsewhere than the owner of the places granted, keeps a place that it
@@ -118,6 +122,35 @@
         assertTrue("data: b" in rest && !wasReset, "'$rest', reset: $wasReset")
     }
 
+    @Test
+    fun `a silent stream for which the owner has no place asks it at most once in 500 ms`() {
+        startEngines(2)
+        val caller = generate("x")
+        grant(nextReport(), "e0")
+        val arrival = nextArrival()
+        onLoop {
+            arrival.beginStream(200, headers("Id" to "7", "Signed" to "1", "Content-Type" to "text/event-stream"))
+            arrival.write("id: 1\ndata: a\n\n".toByteArray())
+        }
+        caller.readThrough("data: a\n\n")
+        val askedAt = mutableListOf<TimeMark>()
+        val start = TimeSource.Monotonic.markNow()
+        while (start.elapsedNow() < 4.seconds) {
+            onLoop(gateway::checkProgress)
+            repeat(20) {
+                val report = reports.poll(5, TimeUnit.MILLISECONDS)
+                if (report?.request != null) {
+                    askedAt += TimeSource.Monotonic.markNow()
+                    answer(PlaceAnswer.Queued(PlaceNumber(report.sequence)))
+                }
+            }
+        }
+        val pauses = askedAt.zipWithNext { one, next -> one.elapsedNow() - next.elapsedNow() }
+        assertTrue(pauses.size >= 2, "asked ${askedAt.size} times")
+        assertTrue(pauses.all { it >= 450.milliseconds }, "$pauses")
+        caller.close()
+    }
+
     @Test
     fun `a request that waits for a place is sent when another owner follows`() {
         startEngines(2)
