Count answers 502 of sound engines in the soak of silent engines

The check of answers that are lost while engines fall silent for a second counted broken connections only. It now counts both, with the same exception for the time limit.

--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakCallers.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakCallers.kt
@@ -30,6 +30,9 @@
 /** Response whose status guarantees that the request has not run and never will. */
 internal data class Refusal(val attempt: String, val status: Int)
 
+/** An attempt that the callers never got the answer to; [outcome] tells what they got. */
+internal data class LostAnswer(val attempt: String, val outcome: String)
+
 /** Requests of callers in one phase; [failures] counts those that failed by address and reason. */
 internal class CallCounts(val served: Int, val failures: Map<String, Int>) {
     val failed: Int get() = failures.values.sum()
@@ -51,8 +54,11 @@
     /** Ids of attempts whose connection ended without a complete response, before the caller stopped waiting. */
     val brokenOff = ConcurrentLinkedQueue<String>()
 
-    /** Those of [brokenOff] whose time limit, which is also that of their route, was not reached. */
-    val brokenOffEarly = ConcurrentLinkedQueue<String>()
+    /**
+     * Attempts that were passed on and have no complete answer, although their time limit, which is also that of their
+     * route, was not reached: those of [brokenOff] and those that were answered 502.
+     */
+    val lostEarly = ConcurrentLinkedQueue<LostAnswer>()
     private val served = AtomicInteger()
     private val failures = AtomicReference(emptyMap<String, Int>())
 
@@ -108,18 +114,23 @@
             val response = client.send(request.method(kind.method, body).build(), HttpResponse.BodyHandlers.ofString())
             val isServed = verify(kind, attempt, path, events, response)
             if (isServed) served.incrementAndGet() else countFailure("$address ${response.statusCode()}")
+            if (response.statusCode() == OUTCOME_UNKNOWN) recordLost(attempt, "was answered $OUTCOME_UNKNOWN", sentAt)
         } catch (exception: IOException) {
             // Without a complete response the caller cannot tell whether the request ran.
             countFailure("$address ${exception::class.simpleName}")
             if (exception !is HttpTimeoutException) {
                 brokenOff += attempt
-                val elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt)
-                if (elapsed < DEADLINE_MILLIS - TIMER_MILLIS) brokenOffEarly += attempt
+                recordLost(attempt, "got no complete answer", sentAt)
             }
         }
         Thread.sleep(callerRandom.nextLong(MAX_PAUSE_MILLIS))
     }
 
+    private fun recordLost(attempt: String, outcome: String, sentAt: Long) {
+        val elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt)
+        if (elapsed < DEADLINE_MILLIS - TIMER_MILLIS) lostEarly += LostAnswer(attempt, outcome)
+    }
+
     private fun verify(
         kind: CallKind,
         attempt: String,
@@ -169,10 +180,13 @@
         private const val MAX_SHOWN = 60
         private const val OK = 200
 
+        /** The request was passed on, and it is not known whether it ran. */
+        private const val OUTCOME_UNKNOWN = 502
+
         /** 408, 421, 429 and 503 guarantee that the request has not run. */
         private val notExecutedStatuses = setOf(408, 421, 429, 503)
 
         /** 401 and 404 are not expected: a process without a configuration responds with 503. */
-        private val failureStatuses = setOf(502, 504)
+        private val failureStatuses = setOf(OUTCOME_UNKNOWN, 504)
     }
 }
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakRun.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakRun.kt
@@ -37,7 +37,7 @@
                 findings += "RECOVER: ${calm.served} served, failed in the phase without faults: ${calm.failures}"
             }
             deployment.onLoop { findings += violations(callers) }
-            if (choose(faults).isSound) findings += callers.brokenOffEarly.map { "LOST: $it got no complete answer" }
+            if (choose(faults).isSound) findings += callers.lostEarly.map { "LOST: ${it.attempt} ${it.outcome}" }
             findings += deployment.exceptions()
             val summary = "seed=$seed faults_served=${faulty.served} faults_failed=${faulty.failed} " +
                 "calm_served=${calm.served} calm_failed=${calm.failed} findings=${findings.size}"
