Send a request once more when the lost group that it stayed at ends it

A request that stays at a group that was reported as lost, because it has no place elsewhere, lost its connection a moment later and was answered 502 if all prompts share a part that was just accused.

Cause: the end of its connection counted as the end of an engine on its own, after which a request with a suspect part is not sent again. It is the loss that was reported before, for which a suspect part doesn't count: when many engines are lost, the first reported ends accuse parts that sound requests share. Before such requests stayed, they left with that result at the report.

The end of the connection now counts as the loss that was reported.

--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
@@ -204,6 +204,29 @@
         callers.forEach { assertTrue("data: a" in it.readAnswer()) }
     }
 
+    @Test
+    fun `a request that stays at a lost group is sent once more when that ends it, also with a suspect part`() {
+        retryExtra = 0.0
+        startEngines(2)
+        val caller = generate("p1,own1")
+        val arrival = nextArrival()
+        val engine = nextSend()
+        onLoop {
+            val ended = GroupId("m.1-100")
+            crashes.connectionLost(
+                engine.copy(server = BackendServer("ended"), group = ended),
+                requestWith("p1"),
+                false,
+            )
+            crashes.groupsLost(setOf(ended))
+            gateway.groupsLost(setOfNotNull(engine.group))
+            retryExtra = 100.0
+            arrival.abort()
+        }
+        nextArrival().respondSigned("id: 1\ndata: a\n\n")
+        assertTrue("data: a" in caller.readAnswer())
+    }
+
     private fun requestWith(vararg parts: String) = InboundRequest(
         AttemptId(parts.joinToString("-")),
         "GET",
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -371,8 +371,8 @@
         // An engine may send the head before it runs the request, so only an event shows that it began to answer.
         private fun connectionLost(detail: String) {
             loss.count()
-            val isEngine = backend.group != null && !hasEvents
-            offerEnded(this, if (isEngine) OfferResult.EngineLost else OfferResult.Lost, detail)
+            val engineEnd = if (loss.isReported) OfferResult.GroupLost else OfferResult.EngineLost
+            offerEnded(this, if (backend.group != null && !hasEvents) engineEnd else OfferResult.Lost, detail)
         }
     }
 
