--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
@@ -151,6 +151,20 @@
         assertEquals(suspectAtEach(engines), suspectsOnceLost(engines))
     }
 
+    @Test
+    fun `a request that stays at a lost group is a suspect of the loss and counted once`() {
+        retryExtra = 0.0
+        startEngines(2)
+        val caller = generate("p1,p2")
+        val arrival = nextArrival()
+        val engine = nextSend()
+        repeat(2) { onLoop { gateway.groupsLost(setOfNotNull(engine.group)) } }
+        assertEquals(listOf("7"), onLoop { crashes.evidence().crashes }.single().requests.map { it.attempt })
+        onLoop(arrival::abort)
+        assertTrue("502" in caller.readAnswer())
+        assertEquals(1, logged.count { it.startsWith("engine_end_observed ") }, "$logged")
+    }
+
     @Test
     fun `a stream that is moved from a lost group after an event is no suspect and goes on`() {
         startEngines(4)
@@ -190,6 +204,29 @@
         callers.forEach { assertTrue("data: a" in it.readAnswer()) }
     }
 
+    @Test
+    fun `a request that stays at a lost group is sent once more when that ends it, also with a suspect part`() {
+        retryExtra = 0.0
+        startEngines(2)
+        val caller = generate("p1,own1")
+        val arrival = nextArrival()
+        val engine = nextSend()
+        onLoop {
+            val ended = GroupId("m.1-100")
+            crashes.connectionLost(
+                engine.copy(server = BackendServer("ended"), group = ended),
+                requestWith("p1"),
+                false,
+            )
+            crashes.groupsLost(setOf(ended))
+            gateway.groupsLost(setOfNotNull(engine.group))
+            retryExtra = 100.0
+            arrival.abort()
+        }
+        nextArrival().respondSigned("id: 1\ndata: a\n\n")
+        assertTrue("data: a" in caller.readAnswer())
+    }
+
     private fun requestWith(vararg parts: String) = InboundRequest(
         AttemptId(parts.joinToString("-")),
         "GET",
