--- a/process/src/test/kotlin/redwingcross/process/usage/UsageSimulation.kt
+++ b/process/src/test/kotlin/redwingcross/process/usage/UsageSimulation.kt
@@ -337,9 +337,8 @@
         if (now < cloudBusyUntil) return UsageMessage.SendFailed(effect.call)
         val window = effect.report.window
         assertEquals(accepted[window] ?: effect.report, effect.report, "reports of window $window")
-        if (effect.report !in
-            lost
-        ) {
+        val isLost = effect.report in lost
+        if (!isLost) {
             assertEquals(stored[window]?.report, effect.report, "the stored and the sent report of window $window")
         }
         for ((customer, count) in effect.report.counts) {
