--- a/process/src/main/kotlin/redwingcross/process/usage/UsageCallResults.kt
+++ b/process/src/main/kotlin/redwingcross/process/usage/UsageCallResults.kt
@@ -14,7 +14,7 @@
 
 internal fun UsageReporterState.storeUnknown(call: UsageCall, now: Duration): UsageReporterState {
     val next = copy(nextStoreCallAt = now + STORE_RETRY)
-    // A read that recovers and a report that is stored again are repeated while their window is among the remaining ones.
+    // Reads that recover and reports stored again are repeated while their window is among the remaining ones.
     val isRepeatedAnyway = call.content == null || call.isRepeated
     return if (isRepeatedAnyway) next else next.withReport(call.window) { it.copy(mustRead = true) }
 }
