Serve requests that were sent before a body limit was lowered and read after it

Callers saw 413, and the end of a connection with further requests behind it, for a body that was within the limit when it was sent, if the operator lowered max-body-bytes just then. A connection took the limits at the first byte that it read, which a busy or paused process reads late, and for a request behind another response those at the end of that response.

The time limits are covered by the same change; a lowered idle time was ruled out for a wait without a request (existing test).

Why it works: a request keeps the limits in force when the wait for it began, and one that was received during a response those of the request before it. A longer limit still applies at once, and the budget for bodies bounds the memory in both cases.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -186,7 +186,11 @@
      */
     fun finishWith(part: Any, close: CallerCloseReason?) {
         // Before the write, because the caller may know only the limits in force until then.
-        wait = CallerWait.forRequest(limits(), listener.now())
+        wait = if (pipelined.isEmpty && !isHeadBegun()) {
+            CallerWait.forRequest(limits(), listener.now())
+        } else {
+            wait.forReceivedRequest(limits(), listener.now())
+        }
         val written = context.writeAndFlush(part)
         if (close != null) {
             reportClose(close)
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerWait.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerWait.kt
@@ -11,8 +11,8 @@
 /**
  * The wait of a connection for its caller.
  *
- * The limits in force when the wait for a request, or the request itself, began apply to its end: a caller can't know
- * of a change in between. A longer limit applies at once.
+ * The limits in force when the wait for a request began apply to the end of the request: a caller can't know of a change
+ * in between, and a request may have been sent before the change and be read after it. A longer limit applies at once.
  */
 internal data class CallerWait(
     val stage: CallerWaitStage,
@@ -20,13 +20,13 @@
     val stageStartedAt: Duration,
     /** Clock reading at the last received bytes, or at the end of the last response. */
     val lastActivityAt: Duration,
-    /** Limits in force when the wait for the next request, or the request, began. */
+    /** Limits in force when the wait for the next request began. */
     val limits: CallerConnectionLimits,
 ) {
     /** Bytes were received under the limits [current]; the first ones of a request begin its head. */
     fun received(current: CallerConnectionLimits, now: Duration): CallerWait =
         if (stage == CallerWaitStage.NEXT_REQUEST) {
-            CallerWait(CallerWaitStage.REST_OF_HEAD, now, now, current)
+            CallerWait(CallerWaitStage.REST_OF_HEAD, now, now, effectiveLimits(current))
         } else {
             copy(lastActivityAt = now)
         }
@@ -37,6 +37,10 @@
     /** The last response had been written to the socket by the clock reading [at]. */
     fun responseSent(at: Duration): CallerWait = copy(lastActivityAt = maxOf(lastActivityAt, at))
 
+    /** The response was sent and the next request had been received by then, at least in part. */
+    fun forReceivedRequest(current: CallerConnectionLimits, now: Duration): CallerWait =
+        forRequest(effectiveLimits(current), now)
+
     /** The longer of each limit of this wait and of [current]. */
     fun effectiveLimits(current: CallerConnectionLimits) = CallerConnectionLimits(
         maxOf(limits.bodyBytes, current.bodyBytes),
--- a/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
@@ -11,6 +11,7 @@
 /** Guards against connections that are closed as idle although the caller may send, or has sent, a request. */
 class IdleCloseTest {
     private val fixture = ListenerFixture()
+    private val initialLimits = fixture.limits
 
     @AfterTest
     fun close() = fixture.close()
@@ -89,6 +90,38 @@
         }
     }
 
+    @Test
+    fun `requests that were sent before a limit was lowered are served behind another response`() {
+        val body = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n12345678"
+        for (sentBefore in listOf(body.length, body.length - 4, 20)) {
+            fixture.limits = initialLimits
+            fixture.connect().use { socket ->
+                socket.send(GET + body.take(sentBefore))
+                val first = fixture.nextExchange()
+                sleep(SETTLE)
+                fixture.limits = fixture.limits.copy(bodyBytes = 4)
+                fixture.respond(first)
+                socket.getInputStream().readHead()
+                socket.send(body.drop(sentBefore))
+                socket.assertServed()
+            }
+        }
+    }
+
+    @Test
+    fun `a request that was read after a limit was lowered is served if it was sent before`() {
+        fixture.connect().use { socket ->
+            socket.send(GET)
+            fixture.respond(fixture.nextExchange())
+            socket.getInputStream().readHead()
+            fixture.delayLoop(afterwards = { fixture.limits = fixture.limits.copy(bodyBytes = 4) }) {
+                socket.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n12345678")
+                sleep(SETTLE)
+            }
+            socket.assertServed()
+        }
+    }
+
     @Test
     fun `a caller that reads a long response slowly receives all of it`() {
         fixture.limits = fixture.limits.copy(idleTimeout = 1.seconds)
