Keep the idle time of a request until its response has been sent

A caller that paused in reading a response was cut off after the new idle time if the operator had shortened it while the response was being made, although the request began under the longer one. The connection took over the limits in force at the end of the response before the bytes of that response had reached the socket.

Evidence: the new test of IdleCloseTest failed on (4,227,072 of 60,000,000 bytes received) and passes now. The test of a caller that doesn't read at all still passes: it is cut off after the idle time that applies.

Why it works: the unsent end of a response is judged by the limits of its request, or by the present ones if they are longer; the wait for the next request has its own.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -54,6 +54,9 @@
     private var discarding = false
     private val lingering = LingeringClose(listener::now)
     private var wait = CallerWait.forRequest(limits(), listener.now())
+
+    /** Limits for the last response, whose end may not have been sent yet. */
+    private var responseLimits = wait.limits
     private var progress = SendProgress(0, listener.now())
     private var isCloseReported = false
 
@@ -185,6 +188,7 @@
      * if it is null.
      */
     fun finishWith(part: Any, close: CallerCloseReason?) {
+        responseLimits = wait.effectiveLimits(limits())
         // Before the write, because the caller may know only the limits in force until then.
         wait = if (pipelined.isEmpty && !isHeadBegun()) {
             CallerWait.forRequest(limits(), listener.now())
@@ -268,7 +272,7 @@
     private fun decide(now: Duration): CallerWaitDecision {
         progress = progress.observed(channel.unsentBytes, now)
         val current = limits()
-        val isStalled = progress.isStalled(wait.effectiveLimits(current).idleTimeout, now)
+        val isStalled = progress.isStalled(maxOf(responseLimits.idleTimeout, current.idleTimeout), now)
         return when {
             !channel.isActive || exchange?.isFinished == false -> CallerWaitDecision.WAIT
             isStalled || lingering.isOver(now) -> CallerWaitDecision.CLOSE
--- a/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
@@ -122,6 +122,20 @@
         }
     }
 
+    @Test
+    fun `a caller that pauses in a response that began under a longer idle time receives all of it`() {
+        fixture.connect().use { socket ->
+            socket.send(GET)
+            val exchange = fixture.nextExchange()
+            fixture.limits = fixture.limits.copy(idleTimeout = SHORT)
+            fixture.respond(exchange, ByteArray(ANSWER_BYTES))
+            sleep(PAUSE * 2)
+            val input = socket.getInputStream()
+            input.readHead()
+            assertEquals(ANSWER_BYTES, input.readNBytes(ANSWER_BYTES).size)
+        }
+    }
+
     @Test
     fun `a caller that reads a long response slowly receives all of it`() {
         fixture.limits = fixture.limits.copy(idleTimeout = 1.seconds)
