Apply a raised limit of request heads to open connections

Callers who had kept a connection open got 431, and the end of that connection, for a head that the newest configuration allows: a connection took the limit of heads when it was opened and kept it, so the older configuration stayed in force there for as long as the connection lasted.

Evidence: the new test of IdleCloseTest failed on ("no request was served") and passes now, for heads that arrive whole and in two parts. Ruled out: a lowered limit doesn't affect an open connection, which keeps its larger one.

Why it works: the decoder of a connection is replaced by one with the larger limit before bytes are decoded, unless a part of a request has been received. Bytes that the former decoder still holds are passed on to the new one.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -70,11 +70,11 @@
     private fun prepare(channel: SocketChannel) {
         accepted++
         TcpKeepAlive.apply(channel)
-        val decoder = StrictRequestDecoder(maximumHeadBytes())
-        val connection = CallerConnection(this, limits, bodyBudget, decoder::isHeadBegun, serve)
+        val decoding = RequestDecoding(maximumHeadBytes)
+        val connection = CallerConnection(this, limits, bodyBudget, decoding::isHeadBegun, serve)
+        channel.pipeline().addLast(ReceiveTracker(connection, decoding))
+        decoding.addTo(channel.pipeline())
         channel.pipeline()
-            .addLast(ReceiveTracker(connection))
-            .addLast(decoder)
             .addLast(HttpResponseEncoder())
             .addLast(connection)
     }
@@ -147,11 +147,15 @@
      * Reports received bytes before they are decoded, so that the head timeout starts with the first byte of a request,
      * and discards those after the last response.
      */
-    private inner class ReceiveTracker(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
+    private inner class ReceiveTracker(
+        private val connection: CallerConnection,
+        private val decoding: RequestDecoding,
+    ) : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             val bytes = (message as ByteBuf).readableBytes()
             receivedBytes += bytes
             if (connection.onBytesReceived(bytes)) {
+                decoding.applyRaisedLimit(context.pipeline())
                 context.fireChannelRead(message)
             } else {
                 message.release()
--- a/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
@@ -122,6 +122,22 @@
         }
     }
 
+    @Test
+    fun `a head within a limit that was raised is served on an open connection`() {
+        connectAndServe().use { socket ->
+            fixture.maximumHeadBytes = 4000
+            for (length in listOf(2000, 3500)) {
+                val head = "GET / HTTP/1.1\r\nHost: h\r\nLong: ${"x".repeat(length)}\r\n\r\n"
+                socket.send(head)
+                socket.assertServed()
+                socket.send(head.take(length))
+                sleep(SETTLE)
+                socket.send(head.drop(length))
+                socket.assertServed()
+            }
+        }
+    }
+
     @Test
     fun `a caller that pauses in a response that began under a longer idle time receives all of it`() {
         fixture.connect().use { socket ->
--- a/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
@@ -31,10 +31,14 @@
     /** Serves each request; by default it is put into [exchanges]. */
     @Volatile
     var serve: ServeExchange = exchanges::put
+
+    /** Largest head of a request in bytes. */
+    @Volatile
+    var maximumHeadBytes = 1000
     val listener = CallerListener(
         group,
         MonotonicClock.system,
-        maximumHeadBytes = { 1000 },
+        maximumHeadBytes = { maximumHeadBytes },
         limits = { limits },
         onRefused = {},
         serve = { serve(it) },
