Soak kept connections beside changes of the configuration and pauses of processes

The soak had no callers that use a connection without a pause or send pairs of requests in one write, and changed only the idle time.

--- a/systemtests/src/test/kotlin/redwingcross/systemtests/ProgramProcess.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/ProgramProcess.kt
@@ -36,6 +36,8 @@
 
     fun terminate() = signal("TERM")
 
+    fun reload() = signal("HUP")
+
     fun pause() = signal("STOP")
 
     fun resume() = signal("CONT")
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/EdgeNode.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/EdgeNode.kt
@@ -31,8 +31,15 @@
     var process: ProgramProcess? = null
         private set
 
+    private val zone = if (index % 2 == 0) "zone-a" else "zone-b"
+
     init {
-        Files.writeString(settings, settingsText(if (index % 2 == 0) "zone-a" else "zone-b"))
+        writeSettings(drainMillis = 2000)
+    }
+
+    /** Writes the settings file, which the process reads at its start and on SIGHUP. */
+    fun writeSettings(drainMillis: Int) {
+        Files.writeString(settings, settingsText(drainMillis))
     }
 
     /** Starts the process unless it is running. */
@@ -59,7 +66,7 @@
         process?.close()
     }
 
-    private fun settingsText(zone: String) = """
+    private fun settingsText(drainMillis: Int) = """
         node-name: "$name"
         ip: "$ip"
         zone: "$zone"
@@ -73,7 +80,7 @@
         heartbeat-ms: 400
         bounds:
           stable-window-ms: 3000
-          drain-ms: 2000
+          drain-ms: $drainMillis
           grace-s: 5
           config-apply-ms: 2000
           retry-budget-ratio: 0.2
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakCallers.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakCallers.kt
@@ -184,7 +184,7 @@
         private const val OUTCOME_UNKNOWN = 502
 
         /** 408, 421, 429 and 503 guarantee that the request has not run. */
-        private val notExecutedStatuses = setOf(408, 421, 429, 503)
+        val notExecutedStatuses = setOf(408, 421, 429, 503)
 
         /** 401 and 404 are not expected: a process without a configuration responds with 503. */
         private val failureStatuses = setOf(OUTCOME_UNKNOWN, 504)
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
@@ -35,8 +35,7 @@
     private val store = StoreStandin(loop)
     private val directoryClient = HttpClient.newBuilder().connectTimeout(Duration.ofMillis(500)).build()
     private var version = 1L
-    private var statusService = "app-a"
-    private var idleMillis = 15_000L
+    private var configuration = SoakConfiguration()
     val fabric = FabricStandin(loop, store)
     private val storeAddress = fabric.listen(store::serve)
     val nodes: List<EdgeNode>
@@ -65,29 +64,25 @@
     fun start() {
         val engines = engines()
         onLoop {
-            writeConfiguration("app-a", 1)
+            writeConfiguration(versionSteps = 1)
             fabric.allowedServices += allowedServices
             engines.forEach(fabric::add)
         }
         nodes.forEach(EdgeNode::start)
     }
 
-    /** Writes a configuration that routes `status` to [statusService], with its version raised by [versionSteps]. */
-    fun configure(statusService: String, versionSteps: Int) = onLoop { writeConfiguration(statusService, versionSteps) }
-
-    /** Writes a configuration whose idle time for callers' connections is [millis]. */
-    fun configureIdleTime(millis: Long) = onLoop {
-        idleMillis = millis
-        writeConfiguration(statusService, versionSteps = 1)
+    /** Writes a configuration that [change] makes of the latest one, with its version raised by [versionSteps]. */
+    fun configure(versionSteps: Int = 1, change: (SoakConfiguration) -> SoakConfiguration) = onLoop {
+        configuration = change(configuration)
+        writeConfiguration(versionSteps)
     }
 
     /** Writes the latest configuration again; called on the event loop, after the store may have lost it. */
-    fun rewriteConfiguration(): Unit = writeConfiguration(statusService, versionSteps = 0)
+    fun rewriteConfiguration(): Unit = writeConfiguration(versionSteps = 0)
 
-    private fun writeConfiguration(service: String, versionSteps: Int) {
+    private fun writeConfiguration(versionSteps: Int) {
         version += versionSteps
-        statusService = service
-        store.put("config", "main", Json.parseToJsonElement(configuration(version, service)))
+        store.put("config", "main", Json.parseToJsonElement(configuration.toJson(version)))
     }
 
     /** Requests the addresses of all edges from the first edge that responds. */
@@ -148,29 +143,6 @@
         return models + plain
     }
 
-    private fun configuration(version: Long, statusService: String) = """
-        {"version":$version,"routes":[
-        ${route("book", "non_idempotent", "app-b", 1)},
-        ${route("status", "idempotent", statusService, 2)},
-        ${route("chat-small", "streaming", "pool", 2)},
-        ${route("chat-large", "streaming", "pool", 2)}],
-        "services":[
-        {"name":"app-a","health-path":"/health","max-conns":100,"cold-s":0,"cold-per-s":0},
-        {"name":"app-b","health-path":"/health","max-conns":100,"cold-s":0,"cold-per-s":0},
-        {"name":"pool","health-path":"/health","max-conns":200,"cold-s":0,"cold-per-s":0,"engine":{"slots":12,
-        "kv-capacity":100000,"stride":1,"models":[
-        {"name":"large","size":3,"share":0.5,"pace":1.0,"load-s":0.6,"warm-s":0.2},
-        {"name":"small","size":2,"share":0.5,"pace":1.0,"load-s":0.6,"warm-s":0.2}],
-        "step_ms":20,"per_seq_ms":0.1,"read_per_s":45900,"report_lag_ms":0,"loads-per-s":20,"loads_at_once":20,
-        "usual":{"prompt":100,"answer":15},"form-ms":100}}],
-        "limits":{"max-header-bytes":16384,"max-body-bytes":1000000,"header-timeout-ms":3000,"idle-timeout-ms":$idleMillis},
-        "tenants":[{"name":"${EngineStandin.TENANT}","api-keys":["${SoakCallers.KEY}"],"priority":1}]}
-    """
-
-    private fun route(name: String, kind: String, service: String, maxAttempts: Int) =
-        """{"name":"$name","host":"${SoakCallers.HOST}","path-prefix":"/$name/","kind":"$kind","timeout-ms":3000,
-        "target-latency-ms":300,"priority":1,"service":"$service","max-attempts":$maxAttempts,"resumable":true}"""
-
     private companion object {
         const val ENGINES = 12
         const val DOMAINS = 2
@@ -186,6 +158,7 @@
             "/status" to setOf("app-a", "app-b"),
             "/chat-small" to setOf("pool"),
             "/chat-large" to setOf("pool"),
+            "/extra-0" to setOf("app-a"),
         )
     }
 }
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakFaults.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakFaults.kt
@@ -14,12 +14,20 @@
  * Kinds of faults of a run, and the time between two faults. If [isSound], the faults are events in which everything
  * works as it should, so that no caller may lose an answer.
  */
-internal class SoakFaultMix(val pauseMillis: LongRange, vararg val faults: SoakFault, val isSound: Boolean = false)
+internal class SoakFaultMix(
+    val pauseMillis: LongRange,
+    vararg val faults: SoakFault,
+    val isSound: Boolean = false,
+    /** Whether callers that keep their connections send requests beside the others. */
+    val hasKeptConnections: Boolean = false,
+    /** Time after the last fault until the deployment has to serve without failures. */
+    val recoveryMillis: Long = SoakRun.RECOVERY_MILLIS,
+)
 
 /** What the operator of a deployment does in a run. */
 internal class SoakOperator(
-    /** Writes a configuration with the given idle time of callers' connections in ms. */
-    val configureIdleTime: (Long) -> Unit,
+    /** Writes a configuration that the given function makes of the latest one. */
+    val configure: ((SoakConfiguration) -> SoakConfiguration) -> Unit,
     /** Writes the latest configuration again; called on the event loop of the stand-ins. */
     val rewriteConfiguration: () -> Unit,
 )
@@ -78,6 +86,18 @@
         isSound = true,
     )
 
+    /** Changes of the configuration and of the settings in series, while processes stand still for a moment. */
+    val configurationChanges = SoakFaultMix(
+        50L..500L,
+        SoakFault("change") { changeConfiguration() },
+        SoakFault("change and pause", ::changeBesidePause),
+        SoakFault("pause", ::pauseBriefly),
+        SoakFault("reload") { reloadSettings() },
+        isSound = true,
+        hasKeptConnections = true,
+        recoveryMillis = 2000L,
+    )
+
     /** A store that comes back from older copies of its data, while processes and engines end. */
     val restoreFaults = SoakFaultMix(
         400L..1500L,
@@ -202,7 +222,37 @@
     private fun changeIdleTime() {
         val millis = IDLE_TIMES_MILLIS.random(random)
         injectedFaults += "idle time $millis ms"
-        operator.configureIdleTime(millis)
+        operator.configure { it.copy(idleMillis = millis) }
+    }
+
+    private fun changeConfiguration() = operator.configure { old ->
+        old.copy(
+            idleMillis = IDLE_TIMES_MILLIS.random(random),
+            bodyBytes = BODY_LIMITS.random(random),
+            timeoutMillis = TIMEOUTS_MILLIS.random(random),
+            furtherRoutes = FURTHER_ROUTES.random(random),
+            hasFurtherKey = random.nextBoolean(),
+        ).also { injectedFaults += "$it" }
+    }
+
+    private fun changeBesidePause(now: Long) {
+        val isAfter = random.nextBoolean()
+        if (isAfter) changeConfiguration()
+        pauseBriefly(now)
+        if (!isAfter) changeConfiguration()
+    }
+
+    private fun pauseBriefly(now: Long) {
+        val count = random.nextInt(1, nodes.size + 1)
+        val stopped = nodes.shuffled(random).take(count).mapNotNull { it.process }.filter { it.isAlive }
+        stopped.forEach { it.pause() }
+        schedule(now, SHORT_PAUSE_MILLIS) { stopped.forEach { if (it.isAlive) it.resume() } }
+    }
+
+    private fun reloadSettings() {
+        val node = nodes.random(random)
+        if (random.nextBoolean()) node.writeSettings(drainMillis = random.nextInt(1500, 2500))
+        node.process?.reload()
     }
 
     private fun reuseAddresses(now: Long) {
@@ -241,6 +291,13 @@
         /** A second or so, after which a sound engine goes on. */
         val SILENCE_MILLIS = 600..1600
 
+        val SHORT_PAUSE_MILLIS = 200..1500
+        val BODY_LIMITS = listOf(SoakConfiguration.ALLOWED_BODY_BYTES, SoakConfiguration.LARGEST_BODY_BYTES)
+
+        /** Callers stop waiting after the shortest one. */
+        val TIMEOUTS_MILLIS = listOf(3000L, 4000L, 6000L)
+        val FURTHER_ROUTES = listOf(0, 1, 20, 300)
+
         /** Callers of the soak use a connection again within a part of the shortest one. */
         val IDLE_TIMES_MILLIS = listOf(2_000L, 4_000L, 15_000L)
     }
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakTest.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakTest.kt
@@ -29,6 +29,12 @@
         assertNoFindings(seeds(silenceSeeds), Path.of("target", "soak-silence"), SoakFaults::soundEvents)
     }
 
+    /** Guards against connections that a change of the configuration ends although whole requests were sent on them. */
+    @Test
+    fun `each request on a kept connection gets an answer beside changes of the configuration and pauses`() {
+        assertNoFindings(seeds(configurationSeeds), Path.of("target", "soak-changes"), SoakFaults::configurationChanges)
+    }
+
     /** Guards against state that is lost, taken back or read in the wrong order when the store has been restored. */
     @Test
     fun `guarantees hold while the store comes back from older copies`() {
@@ -68,6 +74,7 @@
         val regressions = listOf(28L)
 
         val silenceSeeds = listOf(1L)
+        val configurationSeeds = listOf(1L)
         val restoreSeeds = listOf(2L)
 
         /** Seeds on which orders and reports without `Expect-Instance` let a group open with an ended engine. */
