Decline queued requests for places whose service a new configuration removed

A request that waited at the owner of the places when a new configuration removed its service stayed queued for up to 2 s, although places at its groups came free, and could be refused as timed out meanwhile: the owner knows no groups of a service that is not configured, and its gateway waits for the owner as long as the request is queued.

Evidence: the new test of PlaceOwnerTest failed on (no answer in place of Declined) and passes now. Ruled out: a request that asks after the removal is declined already, and the waiting requests of the gateway itself go on without a view of the demand.

Why it works: the owner declines what is queued for a service without model engines, and the gateway then chooses by the terms under which the request was admitted. Requests of a service whose groups are gone for a moment stay queued.

--- a/process/src/main/kotlin/redwingcross/process/edge/RequestPlacement.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/RequestPlacement.kt
@@ -59,10 +59,10 @@
         if (request == null) choose() else places?.prepare(task, request, choose)
     }
 
-    private fun groupsToGrant(kind: PlaceKind): List<OwnedGroup> {
+    private fun groupsToGrant(kind: PlaceKind): List<OwnedGroup>? {
         val now = dependencies.clock.now()
         val fleet = dependencies.fleet()
-        val spec = fleet.configuration?.services?.get(kind.service) ?: return emptyList()
+        val spec = fleet.configuration?.services?.get(kind.service)?.takeIf { it.pool != null } ?: return null
         val context = context(fleet, emptySet(), isResuming = false, now)
         return chooser.groupsToGrant(spec, kind.model, fleet.servingGroups(kind.service, now), context)
     }
--- a/version/src/main/kotlin/redwingcross/version/places/PlaceOwner.kt
+++ b/version/src/main/kotlin/redwingcross/version/places/PlaceOwner.kt
@@ -20,8 +20,8 @@
     val slowness: Double,
 )
 
-/** The groups of a kind that can take requests. */
-typealias GroupsOfKind = (PlaceKind) -> List<OwnedGroup>
+/** The groups of a kind that can take requests; null if the configuration has no model engines of its service. */
+typealias GroupsOfKind = (PlaceKind) -> List<OwnedGroup>?
 
 /** An answer of the owner and the gateway that gets it. */
 data class AddressedAnswer(val gateway: ProcessName, val answer: PlaceAnswer)
@@ -123,12 +123,12 @@
 
     private inner class Steps(private var state: PlaceOwnerState, private val now: Duration) {
         private val answers = ArrayList<AddressedAnswer>()
-        private val known = HashMap<PlaceKind, List<OwnedGroup>>()
+        private val known = HashMap<PlaceKind, List<OwnedGroup>?>()
 
         fun result() = Transition(state, answers)
 
         fun serve(gateway: GatewayStart, number: PlaceNumber, request: PlaceRequest) {
-            if (groupsOf(request.kind).isEmpty()) return answer(gateway, PlaceAnswer.Declined(number))
+            if (groupsOf(request.kind).isNullOrEmpty()) return answer(gateway, PlaceAnswer.Declined(number))
             if (grant(gateway, number, request)) return
             if (state.queue.size >= QUEUE_CAPACITY) return answer(gateway, PlaceAnswer.Declined(number))
             val queued = QueuedRequest(gateway, number, request, now + QUEUE_LIFETIME)
@@ -144,6 +144,11 @@
                 val kind = queued.request.kind
                 when {
                     queued.until <= now -> false
+                    // Its gateway serves the requests of a removed service by itself.
+                    groupsOf(kind) == null -> {
+                        answer(queued.gateway, PlaceAnswer.Declined(queued.number))
+                        false
+                    }
                     kind in full -> true
                     grant(queued.gateway, queued.number, queued.request) -> false
                     else -> true.also { full += kind }
@@ -156,7 +161,7 @@
 
         private fun grant(gateway: GatewayStart, number: PlaceNumber, request: PlaceRequest): Boolean {
             val limit = if (request.isResuming) RESUMING_LIMIT else 1.0
-            val best = groupsOf(request.kind)
+            val best = groupsOf(request.kind).orEmpty()
                 .filter { it.head !in request.excluded && taken(it.head) < it.slots * limit }
                 .minByOrNull { (taken(it.head) + 1) * it.slowness / it.slots }
                 ?: return false
--- a/version/src/test/kotlin/redwingcross/version/places/PlaceOwnerTest.kt
+++ b/version/src/test/kotlin/redwingcross/version/places/PlaceOwnerTest.kt
@@ -17,7 +17,8 @@
 class PlaceOwnerTest {
     private val kind = PlaceKind(ServiceName("s"), ModelName("m"))
     private val head = BackendServer("e")
-    private val owner = PlaceOwner { listOf(OwnedGroup(head, slots = 2, slowness = 1.0)) }
+    private var groups: List<OwnedGroup>? = listOf(OwnedGroup(head, slots = 2, slowness = 1.0))
+    private val owner = PlaceOwner { groups }
     private var state = PlaceOwnerState()
     private var now = Duration.ZERO
 
@@ -73,6 +74,21 @@
         assertEquals(listOf(granted("c", 1)), report("a", 3, held = 1))
     }
 
+    @Test
+    fun `a queued request is declined when its service was removed, and kept while its groups are gone`() {
+        report("a", 1, setOf(1))
+        report("a", 2, held = 2)
+        report("b", 1, setOf(1))
+        groups = emptyList()
+        assertEquals(emptyList(), report("a", 3, held = 1))
+        groups = null
+        assertEquals(
+            listOf(AddressedAnswer(ProcessName("b"), PlaceAnswer.Declined(PlaceNumber(1)))),
+            report("a", 4, held = 1),
+        )
+        assertEquals(0, state.queue.size)
+    }
+
     @Test
     fun `a repeated or late report changes nothing`() {
         report("a", 1, setOf(1))
