Move the collecting of a request out of the connection of a caller

IncomingRequest now collects the parts of a request and states the status with which one is refused; the behaviour is unchanged.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -1,21 +1,16 @@
 package redwingcross.connection.http
 
-import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
 import kotlin.time.Duration
@@ -38,18 +33,17 @@
  * are queued and served in order.
  */
 internal class CallerConnection(
+    /** The socket of the connection. */
+    val channel: Channel,
     private val listener: CallerListener,
     private val limits: () -> CallerConnectionLimits,
-    private val bodyBudget: RequestBodyBudget,
+    bodyBudget: RequestBodyBudget,
     /** Whether a part of a head has been received that is not decoded yet. */
     private val isHeadBegun: () -> Boolean,
     private val serve: ServeExchange,
 ) : ChannelInboundHandlerAdapter() {
-    private lateinit var context: ChannelHandlerContext
     private val pipelined = PipelinedParts()
-    private var request: HttpRequest? = null
-    private var body = BodyBuffer(0)
-    private var reservation = bodyBudget.Reservation()
+    private val incoming = IncomingRequest(bodyBudget)
     private var exchange: CallerExchange? = null
     private var discarding = false
     private val lingering = LingeringClose(listener::now)
@@ -66,7 +60,7 @@
     /** Whether a whole request, or a part of one, has been received that has no complete response yet. */
     val holdsRequest: Boolean
         get() = !discarding &&
-            (exchange?.isFinished == false || request != null || !pipelined.isEmpty || isHeadBegun())
+            (exchange?.isFinished == false || incoming.isBegun || !pipelined.isEmpty || isHeadBegun())
 
     /** Whether what the caller has sent may be read; a connection whose queue is full serves its requests first. */
     val canReceive: Boolean get() = channel.isActive && !pipelined.isFull
@@ -74,13 +68,6 @@
     /** Whether bytes of a response have not reached the socket yet. */
     val hasUnsentBytes: Boolean get() = channel.unsentBytes > 0
 
-    /** The socket of the connection. */
-    val channel: Channel get() = context.channel()
-
-    override fun handlerAdded(context: ChannelHandlerContext) {
-        this.context = context
-    }
-
     override fun channelActive(context: ChannelHandlerContext) {
         listener.opened(this)
         context.fireChannelActive()
@@ -89,7 +76,7 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         listener.closed(this)
         pipelined.clear()
-        reservation.release()
+        incoming.discard()
         exchange?.callerDisconnected()
         context.fireChannelInactive()
     }
@@ -110,61 +97,32 @@
 
     private fun accept(part: HttpObject) {
         try {
+            if (discarding) return
+            if (part is HttpRequest) wait = wait.headReceived(listener.now())
+            val refusal = incoming.add(part, wait.effectiveLimits(limits()))
             when {
-                discarding -> Unit
-                part.decoderResult().isFailure -> refuse(statusFor(part.decoderResult().cause()))
-                else -> {
-                    if (part is HttpRequest) begin(part)
-                    if (part is HttpContent && request != null) append(part)
-                }
+                refusal != null -> refuse(refusal)
+                part is LastHttpContent && incoming.isBegun -> dispatch()
+                part is HttpRequest && HttpUtil.is100ContinueExpected(part) ->
+                    channel.writeAndFlush(CONTINUE_RESPONSE.retainedDuplicate())
             }
         } finally {
             ReferenceCountUtil.release(part)
         }
     }
 
-    private val largestBodyBytes: Long get() = bodyBudget.largestBody(wait.effectiveLimits(limits()))
-
-    private fun begin(part: HttpRequest) {
-        request = part
-        wait = wait.headReceived(listener.now())
-        val declared = HttpUtil.getContentLength(part, 0L)
-        when {
-            part.protocolVersion().majorVersion() != 1 -> refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED)
-            part.headers().getAll(HttpHeaderNames.HOST).size > 1 -> refuse(HttpResponseStatus.BAD_REQUEST)
-            declared > largestBodyBytes -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-            !reservation.extendTo(declared) -> refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
-            else -> {
-                body = BodyBuffer(declared.toInt())
-                if (HttpUtil.is100ContinueExpected(part)) context.writeAndFlush(CONTINUE_RESPONSE.retainedDuplicate())
-            }
-        }
-    }
-
-    private fun append(part: HttpContent) {
-        val content: ByteBuf = part.content()
-        val total = body.size().toLong() + content.readableBytes()
-        if (total > largestBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-        // The declared length is reserved already, so this fails only for a body in chunks.
-        if (!reservation.extendTo(total)) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
-        content.readBytes(body, content.readableBytes())
-        if (part is LastHttpContent) dispatch()
-    }
-
     private fun dispatch() {
-        val head = request ?: return
-        request = null
-        val next = CallerExchange(
-            channel,
-            this,
-            RequestHead(head.method().name(), head.uri(), head.headers()),
-            body.takeBytes(),
-            head.protocolVersion(),
-            HttpUtil.isKeepAlive(head),
-            reservation,
-        )
-        body = BodyBuffer(0)
-        reservation = bodyBudget.Reservation()
+        val next = incoming.take { head, body, reservation ->
+            CallerExchange(
+                channel,
+                this,
+                RequestHead(head.method().name(), head.uri(), head.headers()),
+                body,
+                head.protocolVersion(),
+                HttpUtil.isKeepAlive(head),
+                reservation,
+            )
+        }
         exchange = next
         serve(next)
     }
@@ -172,12 +130,10 @@
     private fun refuse(status: HttpResponseStatus) {
         reportClose(CallerCloseReason.REFUSED)
         discarding = true
-        request = null
-        body = BodyBuffer(0)
-        reservation.release()
+        incoming.discard()
         pipelined.clear()
         listener.refused(status.code())
-        lingering.begin(context.writeAndFlush(refusalResponse(status)))
+        lingering.begin(channel.writeAndFlush(refusalResponse(status)))
     }
 
     /**
@@ -187,7 +143,7 @@
     fun finishWith(part: Any, close: CallerCloseReason?) {
         // Before the write, because the caller may know only the limits in force until then.
         wait = CallerWait.forRequest(limits(), listener.now())
-        val written = context.writeAndFlush(part)
+        val written = channel.writeAndFlush(part)
         if (close != null) {
             reportClose(close)
             discarding = true
@@ -195,7 +151,7 @@
             lingering.begin(written)
             return
         }
-        context.executor().execute(::serveNext)
+        channel.eventLoop().execute(::serveNext)
     }
 
     private fun serveNext() {
@@ -238,11 +194,11 @@
             CallerWaitDecision.CLOSE -> {
                 reportClose(CallerCloseReason.IDLE)
                 if (!isIdle || hasUnsentBytes) {
-                    context.close()
+                    channel.close()
                     return
                 }
                 discarding = true
-                lingering.begin(context.newSucceededFuture())
+                lingering.begin(channel.newSucceededFuture())
             }
         }
     }
@@ -255,7 +211,7 @@
         if (hasUnsentBytes) return listener.closeIfIdleLater(this)
         reportClose(CallerCloseReason.STOP)
         discarding = true
-        lingering.begin(context.newSucceededFuture())
+        lingering.begin(channel.newSucceededFuture())
     }
 
     private val isIdle: Boolean
@@ -295,9 +251,3 @@
         )
     }
 }
-
-/** Status with which a request is refused that could not be decoded because of [cause]. */
-private fun statusFor(cause: Throwable?): HttpResponseStatus {
-    val isTooLong = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
-    return if (isTooLong) HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE else HttpResponseStatus.BAD_REQUEST
-}
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -71,7 +71,7 @@
         accepted++
         TcpKeepAlive.apply(channel)
         val decoder = StrictRequestDecoder(maximumHeadBytes())
-        val connection = CallerConnection(this, limits, bodyBudget, decoder::isHeadBegun, serve)
+        val connection = CallerConnection(channel, this, limits, bodyBudget, decoder::isHeadBegun, serve)
         channel.pipeline()
             .addLast(ReceiveTracker(connection))
             .addLast(decoder)
