Read what a caller has sent before a response announces the close

While a process stopped, a caller that had sent its next request before it got the response to the first one could get nothing for it: the response or the head of a stream announced the close although the next request lay unread in the socket, or had arrived in part, and its bytes were then discarded. A pause of the process makes this likely, because the answer of a back end and the request of the caller then become readable at the same time.

Only requests that were decoded as a whole kept a connection open. Now the socket is read once more before the close is announced, and a part of a request is enough. The caller gets an answer to that request, or 408 if its rest doesn't come in time, and the announcement with that response. The stop waits for such a part as for all held requests, within its grace period.

Ruled out: a change of the configuration makes no response announce a close; only a stop, a refusal by a stopping process and the caller's own request or version do. The head of a stream still announces the close at a stop. Without that, each caller that sends its next request after the response would race against the idle close behind the stream, to the benefit only of callers that send during one. A request that is sent after the head has been written is not answered, as RFC 9112, section 9.6, asks.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -46,17 +46,17 @@
     private val incoming = IncomingRequest(bodyBudget)
     private var exchange: CallerExchange? = null
     private var discarding = false
+
+    /** Whether received bytes are being decoded; the socket must not be read once more meanwhile. */
+    private var isReading = false
     private val lingering = LingeringClose(listener::now)
     private var wait = CallerWait.forRequest(limits(), listener.now())
     private var progress = SendProgress(0, listener.now())
     private var isCloseReported = false
 
-    /** Whether the connection closes after a response behind which no whole request is queued. */
+    /** Whether the connection closes after a response behind which no request has begun to arrive. */
     val isClosing: Boolean get() = listener.isClosing
 
-    /** Whether a whole request waits for the response that is being sent. */
-    val hasQueuedRequest: Boolean get() = pipelined.hasWholeRequest
-
     /** Whether a whole request, or a part of one, has been received that has no complete response yet. */
     val holdsRequest: Boolean
         get() = !discarding &&
@@ -81,8 +81,15 @@
         context.fireChannelInactive()
     }
 
+    /** Reads what the caller has sent by now; returns whether it contains a further request or a part of one. */
+    fun receiveNextRequest(): Boolean {
+        if (!isReading && canReceive) channel.readPending()
+        return !pipelined.isEmpty || isHeadBegun()
+    }
+
     /** Called for received [bytes] before they are decoded; returns whether they are still needed. */
     fun onBytesReceived(bytes: Int): Boolean {
+        isReading = true
         if (lingering.isBegun) lingering.discarded(channel, bytes)
         if (exchange == null) wait = wait.received(limits(), listener.now())
         return !discarding
@@ -95,6 +102,11 @@
         if (pipelined.isFull) channel.config().isAutoRead = false
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        isReading = false
+        context.fireChannelReadComplete()
+    }
+
     private fun accept(part: HttpObject) {
         try {
             if (discarding) return
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
@@ -48,7 +48,7 @@
 
     /**
      * Closes the connection after the response, so that the caller opens a new one for its next request. If a next
-     * request is already here, the connection stays open for it.
+     * request has begun to arrive, the connection stays open for it.
      */
     fun closeAfterResponse() {
         requestedClose = CallerCloseReason.STOP
@@ -118,10 +118,10 @@
     private fun closeReason(): CallerCloseReason? = when {
         requestedClose == CallerCloseReason.CALLER -> CallerCloseReason.CALLER
         streaming && version != HttpVersion.HTTP_1_1 -> CallerCloseReason.CALLER
-        // Requests after an announced close get no answer, so a stop waits for those that are already here.
-        connection.hasQueuedRequest -> null
-        connection.isClosing -> CallerCloseReason.STOP
-        else -> requestedClose
+        !connection.isClosing && requestedClose == null -> null
+        // Requests after an announced close get no answer, so a stop waits for those that have begun to arrive.
+        connection.receiveNextRequest() -> null
+        else -> CallerCloseReason.STOP
     }
 
     private companion object {
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -43,7 +43,7 @@
     /** Number of connections accepted so far. */
     private var accepted = 0L
 
-    /** Once true, each connection closes after a response behind which no whole request is queued. */
+    /** Once true, each connection closes after a response behind which no request has begun to arrive. */
     var isClosing = false
         private set
 
