Serve a request after what arrived with it has been decoded

A caller that sent two requests at once to a process that stops could get an answer to the first one only. A request that is refused at once was answered while the bytes it arrived in were still being decoded, so the request behind it was not seen, the refusal announced the close, and the second request was discarded although it had been read whole.

Evidence: CloseRaceTest, "a request is answered although the one before it is refused while both are being read", fails on the code before ("no request was served").

A request that is decoded during a read is now served when the read is complete. Further requests are queued behind it as before, so their order doesn't change.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -49,6 +49,9 @@
 
     /** Whether received bytes are being decoded; the socket must not be read once more meanwhile. */
     private var isReading = false
+
+    /** A request that is served when what has been received with it is decoded. */
+    private var unserved: CallerExchange? = null
     private val lingering = LingeringClose(listener::now)
     private var wait = CallerWait.forRequest(limits(), listener.now())
     private var progress = SendProgress(0, listener.now())
@@ -104,6 +107,7 @@
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
         isReading = false
+        unserved?.also { unserved = null }?.let(serve)
         context.fireChannelReadComplete()
     }
 
@@ -136,7 +140,7 @@
             )
         }
         exchange = next
-        serve(next)
+        if (isReading) unserved = next else serve(next)
     }
 
     private fun refuse(status: HttpResponseStatus) {
--- a/connection/src/test/kotlin/redwingcross/connection/http/CloseRaceTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/CloseRaceTest.kt
@@ -55,6 +55,21 @@
         }
     }
 
+    @Test
+    fun `a request is answered although the one before it is refused while both are being read`() {
+        fixture.onLoop(fixture.listener::closeGracefully)
+        for ((name, answer) in lastResponses) {
+            fixture.serve = {
+                fixture.serve = fixture.exchanges::put
+                it.answer()
+            }
+            fixture.connect().use { socket ->
+                socket.send(GET + GET)
+                socket.assertServedLast(name)
+            }
+        }
+    }
+
     private companion object {
         const val POST = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
         val SETTLE = 200.milliseconds
