Close an idle connection at once after the last read

A caller whose connection was closed as idle, or because the process stops, could get nothing for a request that it sent before the close: between the last read of the socket and the close of the output stood a turn of the event loop, with all tasks queued before it, and the write of a log line. A request that arrived in that time was read and discarded.

Evidence: CloseRaceTest, "no request can arrive between the decision to close an idle connection and the close": a task that is queued before the decision finds the connection open on the code before. The rows for an idle close and for a stop were run one after the other; on that code the first one fails.

The output is now closed by the call that follows the last read, nothing is written or awaited in between, and the close is reported afterwards. Closing in a later turn remains for connections that have just been sent a response, whose end can still be in the middle of a write; these have announced the close.

What remains: a request that arrives between the two system calls, some microseconds apart from a pause of the process just there. Once the output is closed, it can't be answered.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -202,20 +202,18 @@
      */
     fun checkTimeouts(now: Duration) {
         if (decide(now) == CallerWaitDecision.WAIT) return
-        if (canReceive) channel.readPending()
         channel.writePending()
+        if (canReceive) channel.readPending()
         when (decide(listener.now())) {
             CallerWaitDecision.WAIT -> Unit
             CallerWaitDecision.REFUSE -> refuse(HttpResponseStatus.REQUEST_TIMEOUT)
-            CallerWaitDecision.CLOSE -> {
-                reportClose(CallerCloseReason.IDLE)
-                if (!isIdle || hasUnsentBytes) {
+            CallerWaitDecision.CLOSE ->
+                if (isIdle && !hasUnsentBytes) {
+                    closeIdle(CallerCloseReason.IDLE)
+                } else {
+                    reportClose(CallerCloseReason.IDLE)
                     channel.close()
-                    return
                 }
-                discarding = true
-                lingering.begin(channel.newSucceededFuture())
-            }
         }
     }
 
@@ -225,9 +223,14 @@
         channel.readPending()
         if (!isIdle) return
         if (hasUnsentBytes) return listener.closeIfIdleLater(this)
-        reportClose(CallerCloseReason.STOP)
+        closeIdle(CallerCloseReason.STOP)
+    }
+
+    /** Follows the last read without a delay, because a request that arrives in between gets no answer. */
+    private fun closeIdle(reason: CallerCloseReason) {
         discarding = true
-        lingering.begin(channel.newSucceededFuture())
+        lingering.beginAtOnce(channel)
+        reportClose(reason)
     }
 
     private val isIdle: Boolean
--- a/connection/src/main/kotlin/redwingcross/connection/http/LingeringClose.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/LingeringClose.kt
@@ -40,7 +40,7 @@
     /** Whether the last response has been passed on, so that received bytes are discarded. */
     val isBegun: Boolean get() = state != null
 
-    /** Begins with [lastWrite], the write of the end of the last response; a completed one if all has been written. */
+    /** Begins with [lastWrite], the write of the end of the last response. */
     fun begin(lastWrite: ChannelFuture) {
         val channel = lastWrite.channel()
         state = LingerState()
@@ -53,6 +53,12 @@
         )
     }
 
+    /** Closes the output of [channel], to which all responses have been written, before this returns. */
+    fun beginAtOnce(channel: Channel) {
+        state = LingerState()
+        closeOutput(channel)
+    }
+
     private fun closeOutput(channel: Channel) {
         state = state?.copy(startedAt = now())
         (channel as DuplexChannel).shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
--- a/connection/src/test/kotlin/redwingcross/connection/http/CloseRaceTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/CloseRaceTest.kt
@@ -70,6 +70,33 @@
         }
     }
 
+    private fun assertClosedWithoutDelay(close: () -> Unit, connect: () -> Socket) {
+        connect().use { socket ->
+            var received: Int? = null
+            fixture.delayLoop(close) {
+                // Runs before what the close leaves to a later turn of the event loop.
+                fixture.execute { received = runCatching { socket.getInputStream().read() }.getOrNull() }
+                sleep(SETTLE * 3)
+            }
+            fixture.onLoop { assertEquals(-1, received, "the connection was open after the decision to close it") }
+        }
+    }
+
+    @Test
+    fun `no request can arrive between the decision to close an idle connection and the close`() {
+        val connect = {
+            fixture.connect().also {
+                it.soTimeout = 1000
+                it.send(GET)
+                fixture.respond(fixture.nextExchange())
+                it.getInputStream().readHead()
+            }
+        }
+        fixture.limits = fixture.limits.copy(idleTimeout = SETTLE)
+        assertClosedWithoutDelay(fixture::checkTimeouts, connect)
+        assertClosedWithoutDelay(fixture.listener::closeGracefully, connect)
+    }
+
     private companion object {
         const val POST = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
         val SETTLE = 200.milliseconds
--- a/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
@@ -49,6 +49,9 @@
         loop.submit(action).get()
     }
 
+    /** Runs [action] on the event loop, after what has been passed to it by now. */
+    fun execute(action: () -> Unit): Unit = loop.execute(action)
+
     /**
      * Delays the event loop while [meanwhile] runs on this thread. [afterwards] then runs on the event loop before it
      * reads its sockets, as a timer does that became due during a pause.
