Bound the number of connections that wait for their callers to close them

A caller that leaves its connection open after the last response, or goes on to send, keeps a descriptor of the process for 2 s of silence or 30 s in all. Nothing bounded the number of such connections, so refused callers that come back at once could use up the descriptors of a process, and new callers would then not be accepted.

Evidence: LingeringCloseTest, "callers that leave refused connections open use up a bounded number of them, and the oldest are cut off", fails with the bound disabled: no caller is cut off.

A listener now keeps at most 1,024 of them, about a quarter of the descriptors of an edge process. Above that the one that has waited longest is closed at once. Its response has been written to the socket; it still reaches a caller that sends nothing more, while one that sends is reset and may lose what it has not read. Connections whose last response has not been written yet are not counted: they end after the idle time if their caller doesn't read.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -52,7 +52,7 @@
 
     /** A request that is served when what has been received with it is decoded. */
     private var unserved: CallerExchange? = null
-    private val lingering = LingeringClose(listener::now)
+    private val lingering = LingeringClose(listener::now) { listener.lingers(this) }
     private var wait = CallerWait.forRequest(limits(), listener.now())
     private var progress = SendProgress(0, listener.now())
     private var isCloseReported = false
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -22,7 +22,8 @@
  *
  * [onRefused] receives the status of each request that is refused before it reaches [serve]. A process passes the same
  * [bodyBudget] to all its listeners; a request whose body doesn't fit gets 503 with `Retry-After` and is not served.
- * [onClosing] is called once for each connection that is closed from this side.
+ * [onClosing] is called once for each connection that is closed from this side. At most [maximumLingering] connections
+ * wait after their last response until their callers close them, see [LingeringClose].
  */
 class CallerListener(
     private val group: EventLoopGroup,
@@ -33,8 +34,12 @@
     private val serve: ServeExchange,
     private val bodyBudget: RequestBodyBudget = RequestBodyBudget(),
     private val onClosing: ObserveCallerClose = {},
+    private val maximumLingering: Int = DEFAULT_MAXIMUM_LINGERING,
 ) {
     private val connections = HashSet<CallerConnection>()
+
+    /** Connections that wait for their callers to close them, in the order in which their outputs were closed. */
+    private val lingering = LinkedHashSet<CallerConnection>()
     private var channel: Channel? = null
 
     /** Number of bytes received from callers so far. */
@@ -126,6 +131,19 @@
 
     internal fun closed(connection: CallerConnection) {
         connections -= connection
+        lingering -= connection
+    }
+
+    /**
+     * Called when the output of [connection] has been closed. Above [maximumLingering] such connections, the one that
+     * has waited longest is closed at once: a caller that still sends on it may lose the end of its last response.
+     */
+    internal fun lingers(connection: CallerConnection) {
+        lingering += connection
+        if (lingering.size <= maximumLingering) return
+        val oldest = lingering.first()
+        lingering -= oldest
+        oldest.channel.close()
     }
 
     /** Closes a connection after a delay, unless its caller sends a request meanwhile or has bytes to read. */
@@ -160,6 +178,9 @@
     }
 
     private companion object {
+        /** About a quarter of the descriptors of an edge process. */
+        const val DEFAULT_MAXIMUM_LINGERING = 1024
+
         /** Large, because a full accept queue delays new callers by seconds. */
         const val BACKLOG = 1024
 
--- a/connection/src/main/kotlin/redwingcross/connection/http/LingeringClose.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/LingeringClose.kt
@@ -34,7 +34,11 @@
  * discards what the caller still sends until it closes its side. A socket that is closed with unread bytes is reset,
  * and the reset discards the part of the response that has not reached the caller.
  */
-internal class LingeringClose(private val now: () -> Duration) {
+internal class LingeringClose(
+    private val now: () -> Duration,
+    /** Called when the output has been closed; the connection is open until its caller closes it or it is cut off. */
+    private val onOutputClosed: () -> Unit,
+) {
     private var state: LingerState? = null
 
     /** Whether the last response has been passed on, so that received bytes are discarded. */
@@ -62,6 +66,7 @@
     private fun closeOutput(channel: Channel) {
         state = state?.copy(startedAt = now())
         (channel as DuplexChannel).shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+        if (channel.isActive) onOutputClosed()
     }
 
     /** Counts discarded [bytes]; closes the connection if they are too many. */
--- a/connection/src/test/kotlin/redwingcross/connection/http/LingeringCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/LingeringCloseTest.kt
@@ -97,6 +97,25 @@
         }
     }
 
+    @Test
+    fun `callers that leave refused connections open use up a bounded number of them, and the oldest are cut off`() {
+        val bounded = ListenerFixture(clock = { 100.seconds }, maximumLingering = 2)
+        val sockets = List(4) {
+            bounded.connect().also { socket ->
+                socket.send("GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n")
+                assertTrue("400" in socket.getInputStream().readHead())
+                assertEquals(-1, socket.getInputStream().read())
+            }
+        }
+        val isCutOff = sockets.map { socket ->
+            // The first bytes that reach a closed connection reset it, and the next ones fail.
+            runCatching { repeat(2) { socket.send(GET).also { sleep(SETTLE) } } }.isFailure
+        }
+        assertEquals(listOf(true, true, false, false), isCutOff)
+        sockets.forEach(Socket::close)
+        bounded.close()
+    }
+
     private fun assertCutOff(socket: Socket, bytes: Int) {
         assertFailsWith<IOException>("$bytes bytes were accepted") {
             repeat(bytes / CHUNK.size) { socket.getOutputStream().write(CHUNK) }
--- a/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
@@ -19,6 +19,8 @@
 /** A listener on loopback whose event loop can be delayed and whose limits can change. */
 internal class ListenerFixture(
     @Volatile var limits: CallerConnectionLimits = CallerConnectionLimits(1_000_000, 5.seconds, 5.seconds),
+    clock: MonotonicClock = MonotonicClock.system,
+    maximumLingering: Int = 1000,
 ) {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -33,12 +35,13 @@
     var serve: ServeExchange = exchanges::put
     val listener = CallerListener(
         group,
-        MonotonicClock.system,
+        clock,
         maximumHeadBytes = { 1000 },
         limits = { limits },
         onRefused = {},
         serve = { serve(it) },
         onClosing = closes::put,
+        maximumLingering = maximumLingering,
     ).also { it.start(address) }
 
     fun connect(): Socket = Socket(address.address, address.port).also { it.soTimeout = 5000 }
