Reset a connection whose end would make a partial response look complete

A caller of HTTP/1.0 could take a cut off response for a complete one. Such a response is ended by its connection, and a connection whose caller didn't read for the idle time, or sent too much behind its last request, was closed in the normal way while the end of the response was still unsent.

Evidence: IdleCloseTest, "a response that ends with its connection is not taken for complete when it is cut off", fails on the code before: reading to the end completes without an error.

These connections are now reset, as they are when a response is aborted. Others are closed as before, because a length or a chunk shows the cut, and a reset would discard complete responses in front of it. The bound on bytes behind the last request has no test of its own here; it closes with the same function.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -93,7 +93,7 @@
     /** Called for received [bytes] before they are decoded; returns whether they are still needed. */
     fun onBytesReceived(bytes: Int): Boolean {
         isReading = true
-        if (lingering.isBegun) lingering.discarded(channel, bytes)
+        if (lingering.isBegun && lingering.isOverAfter(bytes)) exchange?.cutOff() ?: channel.close()
         if (exchange == null) wait = wait.received(limits(), listener.now())
         return !discarding
     }
@@ -212,7 +212,7 @@
                     closeIdle(CallerCloseReason.IDLE)
                 } else {
                     reportClose(CallerCloseReason.IDLE)
-                    channel.close()
+                    exchange?.cutOff() ?: channel.close()
                 }
         }
     }
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
@@ -43,6 +43,9 @@
     /** Why the connection closes after the response, apart from a stop of the process; null if it is kept. */
     private var requestedClose = if (keepAlive) null else CallerCloseReason.CALLER
 
+    /** Whether the end of the connection is the only mark of the end of the response. */
+    private val endsWithConnection: Boolean get() = streaming && version != HttpVersion.HTTP_1_1
+
     /** False while the caller reads too slowly; the source of the response should then be paused. */
     val isWritable: Boolean get() = channel.isWritable
 
@@ -109,6 +112,12 @@
         connection.abort()
     }
 
+    /** Closes the connection, with a reset if the caller could take a partial response for a complete one. */
+    internal fun cutOff() {
+        val isPartial = !isFinished || channel.unsentBytes > 0
+        if (isPartial && endsWithConnection) channel.closeWithReset() else channel.close()
+    }
+
     internal fun callerDisconnected() {
         if (isFinished) return
         isFinished = true
@@ -117,7 +126,7 @@
 
     private fun closeReason(): CallerCloseReason? = when {
         requestedClose == CallerCloseReason.CALLER -> CallerCloseReason.CALLER
-        streaming && version != HttpVersion.HTTP_1_1 -> CallerCloseReason.CALLER
+        endsWithConnection -> CallerCloseReason.CALLER
         !connection.isClosing && requestedClose == null -> null
         // Requests after an announced close get no answer, so a stop waits for those that have begun to arrive.
         connection.receiveNextRequest() -> null
--- a/connection/src/main/kotlin/redwingcross/connection/http/LingeringClose.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/LingeringClose.kt
@@ -69,10 +69,10 @@
         if (channel.isActive) onOutputClosed()
     }
 
-    /** Counts discarded [bytes]; closes the connection if they are too many. */
-    fun discarded(channel: Channel, bytes: Int) {
+    /** Counts discarded [bytes]; returns whether the connection is to be closed, because they are too many. */
+    fun isOverAfter(bytes: Int): Boolean {
         state = state?.received(bytes, now())
-        if (isOver(now())) channel.close()
+        return isOver(now())
     }
 
     /** Whether the caller has been waited for long enough at the clock reading [now]. */
--- a/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/IdleCloseTest.kt
@@ -1,9 +1,12 @@
 package redwingcross.connection.http
 
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import java.io.IOException
 import java.net.Socket
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -116,6 +119,22 @@
         }
     }
 
+    @Test
+    fun `a response that ends with its connection is not taken for complete when it is cut off`() {
+        fixture.limits = fixture.limits.copy(idleTimeout = SHORT)
+        fixture.connect().use { socket ->
+            socket.send(GET.replace("1.1", "1.0"))
+            val exchange = fixture.nextExchange()
+            fixture.onLoop {
+                exchange.beginStream(200, DefaultHttpHeaders())
+                exchange.write(ByteArray(ANSWER_BYTES))
+                exchange.endStream()
+            }
+            sleep(SHORT * 4)
+            assertFailsWith<IOException> { socket.getInputStream().readAllBytes() }
+        }
+    }
+
     @Test
     fun `an idle connection is closed after the idle time`() {
         fixture.limits = fixture.limits.copy(idleTimeout = SHORT)
