Report the requests that are lost behind a connection that is closed

A response that is cut off ends its connection with a reset, and whole requests that are queued behind it get neither an answer nor a refusal. Nothing can be done for them: an answer can only follow the complete response before it, and a partial response must not look complete. The log didn't show them, because an aborted connection is reported with request=whole in any case.

CallerClose and the event caller_connection_closed now state their number (queued), for each reason. Evidence: CallerCloseReportTest, "the requests that are lost behind an aborted response are counted"; the field is new, so there was no test to fail before.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerClose.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerClose.kt
@@ -35,6 +35,8 @@
     val limit: Duration,
     /** What is held of a request without a response; for a refusal, the refused request. */
     val request: HeldRequest,
+    /** Number of whole requests behind the one that was answered, aborted or refused last; they get no response. */
+    val queued: Int,
     /** What failed, for [CallerCloseReason.FAILED]. */
     val cause: Throwable? = null,
 )
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -251,15 +251,15 @@
     private fun reportClose(reason: CallerCloseReason, cause: Throwable? = null) {
         if (isCloseReported) return
         isCloseReported = true
+        val queued = pipelined.wholeRequests
         val held = when {
-            pipelined.hasWholeRequest || exchange?.isFinished == false || reason == CallerCloseReason.ABORTED ->
-                HeldRequest.WHOLE
+            queued > 0 || exchange?.isFinished == false || reason == CallerCloseReason.ABORTED -> HeldRequest.WHOLE
             exchange == null && wait.stage != CallerWaitStage.NEXT_REQUEST -> HeldRequest.PART
             pipelined.isEmpty && !isHeadBegun() -> HeldRequest.NONE
             else -> HeldRequest.PART
         }
         val limit = wait.effectiveLimits(limits()).idleTimeout
-        listener.closing(CallerClose(reason, listener.now() - wait.lastActivityAt, limit, held, cause))
+        listener.closing(CallerClose(reason, listener.now() - wait.lastActivityAt, limit, held, queued, cause))
     }
 
     private companion object {
--- a/connection/src/main/kotlin/redwingcross/connection/http/PipelinedParts.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/PipelinedParts.kt
@@ -15,8 +15,8 @@
     /** Whether reading must stop until earlier requests have been served. */
     val isFull: Boolean get() = bytes > MAXIMUM_BYTES
 
-    /** Whether at least one request is here as a whole. */
-    val hasWholeRequest: Boolean get() = parts.any { it is LastHttpContent }
+    /** Number of requests that are here as a whole. */
+    val wholeRequests: Int get() = parts.count { it is LastHttpContent }
 
     fun add(part: HttpObject) {
         parts.addLast(part)
--- a/connection/src/test/kotlin/redwingcross/connection/http/CallerCloseReportTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/CallerCloseReportTest.kt
@@ -62,6 +62,21 @@
         assertTrue(fixture.closes.isEmpty(), "${fixture.closes}")
     }
 
+    @Test
+    fun `the requests that are lost behind an aborted response are counted`() {
+        for (queued in 0..2) {
+            fixture.connect().use {
+                it.send(GET.repeat(1 + queued))
+                val exchange = fixture.nextExchange()
+                fixture.onLoop {
+                    exchange.beginStream(200, DefaultHttpHeaders())
+                    exchange.abort()
+                }
+                assertEquals(queued, assertClosed(CallerCloseReason.ABORTED, HeldRequest.WHOLE).queued)
+            }
+        }
+    }
+
     private fun assertClosed(reason: CallerCloseReason, request: HeldRequest): CallerClose {
         val close = fixture.nextClose()
         assertEquals(reason to request, close.reason to close.request)
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
@@ -90,6 +90,7 @@
                 "idle" to close.idle,
                 "limit" to close.limit,
                 "request" to close.request.name.lowercase(),
+                "queued" to close.queued,
                 "detail" to close.cause,
             ),
         )
