--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -1,21 +1,16 @@
 package redwingcross.connection.http
 
-import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
 import kotlin.time.Duration
@@ -38,21 +33,26 @@
  * are queued and served in order.
  */
 internal class CallerConnection(
+    /** The socket of the connection. */
+    val channel: Channel,
     private val listener: CallerListener,
     private val limits: () -> CallerConnectionLimits,
-    private val bodyBudget: RequestBodyBudget,
+    bodyBudget: RequestBodyBudget,
     /** Whether a part of a head has been received that is not decoded yet. */
     private val isHeadBegun: () -> Boolean,
     private val serve: ServeExchange,
 ) : ChannelInboundHandlerAdapter() {
-    private lateinit var context: ChannelHandlerContext
     private val pipelined = PipelinedParts()
-    private var request: HttpRequest? = null
-    private var body = BodyBuffer(0)
-    private var reservation = bodyBudget.Reservation()
+    private val incoming = IncomingRequest(bodyBudget)
     private var exchange: CallerExchange? = null
     private var discarding = false
-    private val lingering = LingeringClose(listener::now)
+
+    /** Whether received bytes are being decoded; the socket must not be read once more meanwhile. */
+    private var isReading = false
+
+    /** A request that is served when what has been received with it is decoded. */
+    private var unserved: CallerExchange? = null
+    private val lingering = LingeringClose(listener::now) { listener.lingers(this) }
     private var wait = CallerWait.forRequest(limits(), listener.now())
 
     /** Limits for the last response, whose end may not have been sent yet. */
@@ -60,16 +60,13 @@
     private var progress = SendProgress(0, listener.now())
     private var isCloseReported = false
 
-    /** Whether the connection closes after a response behind which no whole request is queued. */
+    /** Whether the connection closes after a response behind which no request has begun to arrive. */
     val isClosing: Boolean get() = listener.isClosing
 
-    /** Whether a whole request waits for the response that is being sent. */
-    val hasQueuedRequest: Boolean get() = pipelined.hasWholeRequest
-
     /** Whether a whole request, or a part of one, has been received that has no complete response yet. */
     val holdsRequest: Boolean
         get() = !discarding &&
-            (exchange?.isFinished == false || request != null || !pipelined.isEmpty || isHeadBegun())
+            (exchange?.isFinished == false || incoming.isBegun || !pipelined.isEmpty || isHeadBegun())
 
     /** Whether what the caller has sent may be read; a connection whose queue is full serves its requests first. */
     val canReceive: Boolean get() = channel.isActive && !pipelined.isFull
@@ -77,13 +74,6 @@
     /** Whether bytes of a response have not reached the socket yet. */
     val hasUnsentBytes: Boolean get() = channel.unsentBytes > 0
 
-    /** The socket of the connection. */
-    val channel: Channel get() = context.channel()
-
-    override fun handlerAdded(context: ChannelHandlerContext) {
-        this.context = context
-    }
-
     override fun channelActive(context: ChannelHandlerContext) {
         listener.opened(this)
         context.fireChannelActive()
@@ -92,14 +82,21 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         listener.closed(this)
         pipelined.clear()
-        reservation.release()
+        incoming.discard()
         exchange?.callerDisconnected()
         context.fireChannelInactive()
     }
 
+    /** Reads what the caller has sent by now; returns whether it contains a further request or a part of one. */
+    fun receiveNextRequest(): Boolean {
+        if (!isReading && canReceive) channel.readPending()
+        return !pipelined.isEmpty || isHeadBegun()
+    }
+
     /** Called for received [bytes] before they are decoded; returns whether they are still needed. */
     fun onBytesReceived(bytes: Int): Boolean {
-        if (lingering.isBegun) lingering.discarded(channel, bytes)
+        isReading = true
+        if (lingering.isBegun && lingering.isOverAfter(bytes)) exchange?.cutOff() ?: channel.close()
         if (exchange == null) wait = wait.received(limits(), listener.now())
         return !discarding
     }
@@ -111,76 +108,51 @@
         if (pipelined.isFull) channel.config().isAutoRead = false
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        isReading = false
+        unserved?.also { unserved = null }?.let(serve)
+        context.fireChannelReadComplete()
+    }
+
     private fun accept(part: HttpObject) {
         try {
+            if (discarding) return
+            if (part is HttpRequest) wait = wait.headReceived(listener.now())
+            val refusal = incoming.add(part, wait.effectiveLimits(limits()))
             when {
-                discarding -> Unit
-                part.decoderResult().isFailure -> refuse(statusFor(part.decoderResult().cause()))
-                else -> {
-                    if (part is HttpRequest) begin(part)
-                    if (part is HttpContent && request != null) append(part)
-                }
+                refusal != null -> refuse(refusal)
+                part is LastHttpContent && incoming.isBegun -> dispatch()
+                part is HttpRequest && HttpUtil.is100ContinueExpected(part) ->
+                    channel.writeAndFlush(CONTINUE_RESPONSE.retainedDuplicate())
             }
         } finally {
             ReferenceCountUtil.release(part)
         }
     }
 
-    private val largestBodyBytes: Long get() = bodyBudget.largestBody(wait.effectiveLimits(limits()))
-
-    private fun begin(part: HttpRequest) {
-        request = part
-        wait = wait.headReceived(listener.now())
-        val declared = HttpUtil.getContentLength(part, 0L)
-        when {
-            part.protocolVersion().majorVersion() != 1 -> refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED)
-            part.headers().getAll(HttpHeaderNames.HOST).size > 1 -> refuse(HttpResponseStatus.BAD_REQUEST)
-            declared > largestBodyBytes -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-            !reservation.extendTo(declared) -> refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
-            else -> {
-                body = BodyBuffer(declared.toInt())
-                if (HttpUtil.is100ContinueExpected(part)) context.writeAndFlush(CONTINUE_RESPONSE.retainedDuplicate())
-            }
-        }
-    }
-
-    private fun append(part: HttpContent) {
-        val content: ByteBuf = part.content()
-        val total = body.size().toLong() + content.readableBytes()
-        if (total > largestBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-        // The declared length is reserved already, so this fails only for a body in chunks.
-        if (!reservation.extendTo(total)) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
-        content.readBytes(body, content.readableBytes())
-        if (part is LastHttpContent) dispatch()
-    }
-
     private fun dispatch() {
-        val head = request ?: return
-        request = null
-        val next = CallerExchange(
-            channel,
-            this,
-            RequestHead(head.method().name(), head.uri(), head.headers()),
-            body.takeBytes(),
-            head.protocolVersion(),
-            HttpUtil.isKeepAlive(head),
-            reservation,
-        )
-        body = BodyBuffer(0)
-        reservation = bodyBudget.Reservation()
+        val next = incoming.take { head, body, reservation ->
+            CallerExchange(
+                channel,
+                this,
+                RequestHead(head.method().name(), head.uri(), head.headers()),
+                body,
+                head.protocolVersion(),
+                HttpUtil.isKeepAlive(head),
+                reservation,
+            )
+        }
         exchange = next
-        serve(next)
+        if (isReading) unserved = next else serve(next)
     }
 
     private fun refuse(status: HttpResponseStatus) {
         reportClose(CallerCloseReason.REFUSED)
         discarding = true
-        request = null
-        body = BodyBuffer(0)
-        reservation.release()
+        incoming.discard()
         pipelined.clear()
         listener.refused(status.code())
-        lingering.begin(context.writeAndFlush(refusalResponse(status)))
+        lingering.begin(channel.writeAndFlush(refusalResponse(status)))
     }
 
     /**
@@ -195,7 +167,7 @@
         } else {
             wait.forReceivedRequest(limits(), listener.now())
         }
-        val written = context.writeAndFlush(part)
+        val written = channel.writeAndFlush(part)
         if (close != null) {
             reportClose(close)
             discarding = true
@@ -203,7 +175,7 @@
             lingering.begin(written)
             return
         }
-        context.executor().execute(::serveNext)
+        channel.eventLoop().execute(::serveNext)
     }
 
     private fun serveNext() {
@@ -238,20 +210,18 @@
      */
     fun checkTimeouts(now: Duration) {
         if (decide(now) == CallerWaitDecision.WAIT) return
-        if (canReceive) channel.readPending()
         channel.writePending()
+        if (canReceive) channel.readPending()
         when (decide(listener.now())) {
             CallerWaitDecision.WAIT -> Unit
             CallerWaitDecision.REFUSE -> refuse(HttpResponseStatus.REQUEST_TIMEOUT)
-            CallerWaitDecision.CLOSE -> {
-                reportClose(CallerCloseReason.IDLE)
-                if (!isIdle || hasUnsentBytes) {
-                    context.close()
-                    return
+            CallerWaitDecision.CLOSE ->
+                if (isIdle && !hasUnsentBytes) {
+                    closeIdle(CallerCloseReason.IDLE)
+                } else {
+                    reportClose(CallerCloseReason.IDLE)
+                    exchange?.cutOff() ?: channel.close()
                 }
-                discarding = true
-                lingering.begin(context.newSucceededFuture())
-            }
         }
     }
 
@@ -261,9 +231,14 @@
         channel.readPending()
         if (!isIdle) return
         if (hasUnsentBytes) return listener.closeIfIdleLater(this)
-        reportClose(CallerCloseReason.STOP)
+        closeIdle(CallerCloseReason.STOP)
+    }
+
+    /** Follows the last read without a delay, because a request that arrives in between gets no answer. */
+    private fun closeIdle(reason: CallerCloseReason) {
         discarding = true
-        lingering.begin(context.newSucceededFuture())
+        lingering.beginAtOnce(channel)
+        reportClose(reason)
     }
 
     private val isIdle: Boolean
@@ -284,15 +259,15 @@
     private fun reportClose(reason: CallerCloseReason, cause: Throwable? = null) {
         if (isCloseReported) return
         isCloseReported = true
+        val queued = pipelined.wholeRequests
         val held = when {
-            pipelined.hasWholeRequest || exchange?.isFinished == false || reason == CallerCloseReason.ABORTED ->
-                HeldRequest.WHOLE
+            queued > 0 || exchange?.isFinished == false || reason == CallerCloseReason.ABORTED -> HeldRequest.WHOLE
             exchange == null && wait.stage != CallerWaitStage.NEXT_REQUEST -> HeldRequest.PART
             pipelined.isEmpty && !isHeadBegun() -> HeldRequest.NONE
             else -> HeldRequest.PART
         }
         val limit = wait.effectiveLimits(limits()).idleTimeout
-        listener.closing(CallerClose(reason, listener.now() - wait.lastActivityAt, limit, held, cause))
+        listener.closing(CallerClose(reason, listener.now() - wait.lastActivityAt, limit, held, queued, cause))
     }
 
     private companion object {
@@ -303,9 +278,3 @@
         )
     }
 }
-
-/** Status with which a request is refused that could not be decoded because of [cause]. */
-private fun statusFor(cause: Throwable?): HttpResponseStatus {
-    val isTooLong = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
-    return if (isTooLong) HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE else HttpResponseStatus.BAD_REQUEST
-}
--- a/connection/src/main/kotlin/redwingcross/connection/http/LingeringClose.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/LingeringClose.kt
@@ -34,13 +34,17 @@
  * discards what the caller still sends until it closes its side. A socket that is closed with unread bytes is reset,
  * and the reset discards the part of the response that has not reached the caller.
  */
-internal class LingeringClose(private val now: () -> Duration) {
+internal class LingeringClose(
+    private val now: () -> Duration,
+    /** Called when the output has been closed; the connection is open until its caller closes it or it is cut off. */
+    private val onOutputClosed: () -> Unit,
+) {
     private var state: LingerState? = null
 
     /** Whether the last response has been passed on, so that received bytes are discarded. */
     val isBegun: Boolean get() = state != null
 
-    /** Begins with [lastWrite], the write of the end of the last response; a completed one if all has been written. */
+    /** Begins with [lastWrite], the write of the end of the last response. */
     fun begin(lastWrite: ChannelFuture) {
         val channel = lastWrite.channel()
         state = LingerState()
@@ -53,15 +57,22 @@
         )
     }
 
+    /** Closes the output of [channel], to which all responses have been written, before this returns. */
+    fun beginAtOnce(channel: Channel) {
+        state = LingerState()
+        closeOutput(channel)
+    }
+
     private fun closeOutput(channel: Channel) {
         state = state?.copy(startedAt = now())
         (channel as DuplexChannel).shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+        if (channel.isActive) onOutputClosed()
     }
 
-    /** Counts discarded [bytes]; closes the connection if they are too many. */
-    fun discarded(channel: Channel, bytes: Int) {
+    /** Counts discarded [bytes]; returns whether the connection is to be closed, because they are too many. */
+    fun isOverAfter(bytes: Int): Boolean {
         state = state?.received(bytes, now())
-        if (isOver(now())) channel.close()
+        return isOver(now())
     }
 
     /** Whether the caller has been waited for long enough at the clock reading [now]. */
--- a/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
@@ -19,6 +19,8 @@
 /** A listener on loopback whose event loop can be delayed and whose limits can change. */
 internal class ListenerFixture(
     @Volatile var limits: CallerConnectionLimits = CallerConnectionLimits(1_000_000, 5.seconds, 5.seconds),
+    clock: MonotonicClock = MonotonicClock.system,
+    maximumLingering: Int = 1000,
 ) {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -37,12 +39,13 @@
     var maximumHeadBytes = 1000
     val listener = CallerListener(
         group,
-        MonotonicClock.system,
+        clock,
         maximumHeadBytes = { maximumHeadBytes },
         limits = { limits },
         onRefused = {},
         serve = { serve(it) },
         onClosing = closes::put,
+        maximumLingering = maximumLingering,
     ).also { it.start(address) }
 
     fun connect(): Socket = Socket(address.address, address.port).also { it.soTimeout = 5000 }
@@ -53,6 +56,9 @@
         loop.submit(action).get()
     }
 
+    /** Runs [action] on the event loop, after what has been passed to it by now. */
+    fun execute(action: () -> Unit): Unit = loop.execute(action)
+
     /**
      * Delays the event loop while [meanwhile] runs on this thread. [afterwards] then runs on the event loop before it
      * reads its sockets, as a timer does that became due during a pause.
