Answer a request whose handler fails instead of closing its connection

Callers saw a connection that closed without a response, also for the requests queued behind the failed one. A failure in a callback of a request (a caller that disconnects or reads again) ended the connection in the same way, and a response that could not be built or encoded counted as complete: the caller then waited without any limit.

CallerExchange.guarded is now the one place that turns a failed step of a handler into a final answer: that of the handler's onFailure, else 500, else a reset if a part of a response was sent. The failure is reported once, with the failures of the clean-up after it, as the event request_failed. Errors such as StackOverflowError and OutOfMemoryError are handled and reported in the same way and not thrown on. A request that could not be received is refused with 503. One connection that fails in a check of all connections no longer keeps the others from it, and an observer that fails no longer keeps a connection from being closed.

--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -166,7 +167,7 @@
         body = BodyBuffer(0)
         reservation = bodyBudget.Reservation()
         exchange = next
-        serve(next)
+        next.guarded { serve(next) }
     }
 
     private fun refuse(status: HttpResponseStatus) {
@@ -187,7 +188,7 @@
     fun finishWith(part: Any, close: CallerCloseReason?) {
         // Before the write, because the caller may know only the limits in force until then.
         wait = CallerWait.forRequest(limits(), listener.now())
-        val written = context.writeAndFlush(part)
+        val written = context.writeAndFlush(part).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE)
         if (close != null) {
             reportClose(close)
             discarding = true
@@ -195,7 +196,7 @@
             lingering.begin(written)
             return
         }
-        context.executor().execute(::serveNext)
+        context.executor().execute { runCatching(::serveNext).onFailure(channel.pipeline()::fireExceptionCaught) }
     }
 
     private fun serveNext() {
@@ -214,16 +215,31 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (channel.isWritable) exchange?.onWritable?.invoke()
+        if (channel.isWritable) exchange?.let { it.guarded(it.onWritable) }
     }
 
     @Deprecated("Netty still reports channel errors through this method.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         // The caller or the network ended the connection if reading or writing failed.
-        if (cause !is IOException) reportClose(CallerCloseReason.FAILED, cause)
-        context.close()
+        if (cause is IOException) {
+            context.close()
+            return
+        }
+        val unanswered = exchange?.takeIf { !it.isFinished }
+        unanswered?.handlerFailed(cause)
+        runEvery({ reportClose(CallerCloseReason.FAILED, cause) }, { closeFailed(isAnswered = unanswered != null) })
     }
 
+    /** Closes the connection after a failure, but not before a response that was just written has been sent. */
+    private fun closeFailed(isAnswered: Boolean) {
+        if (request != null) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        discarding = true
+        pipelined.clear()
+        if (isAnswered) lingering.begin(context.writeAndFlush(Unpooled.EMPTY_BUFFER)) else context.close()
+    }
+
+    fun reportFailure(failure: RequestFailure): Unit = listener.requestFailed(failure)
+
     /**
      * Closes the connection if the caller takes too long to send a request head, a body or the next request, or to read
      * the end of a response.
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerExchange.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import redwingcross.request.AttemptId
 
 /** One request of a caller and its response. Not thread-safe: use it only on the event loop of the connection. */
 class CallerExchange internal constructor(
@@ -23,12 +24,18 @@
     keepAlive: Boolean,
     private val reservation: RequestBodyBudget.Reservation,
 ) {
+    /** Identification of the request for logs; null before it is decoded. */
+    var attempt: AttemptId? = null
+
     /** Called once if the caller disconnects before the response is complete. */
     var onDisconnect: () -> Unit = {}
 
     /** Called when [isWritable] becomes true again, that is, when the caller has read enough for more to be written. */
     var onWritable: () -> Unit = {}
 
+    /** Called if the handler fails, to answer the request as its state allows and to free what it holds. */
+    var onFailure: () -> Unit = {}
+
     /** Whether the response is complete or was aborted. */
     var isFinished = false
         private set(value) {
@@ -37,6 +44,12 @@
         }
     private var streaming = false
 
+    /** Whether the end of the response was passed to the connection, so that nothing is left to be sent. */
+    private var isEndSent = false
+
+    /** The failure that is being handled. */
+    private var failure: Throwable? = null
+
     /** Why the connection closes after the response that is streamed; null if its head announced no close. */
     private var announcedClose: CallerCloseReason? = null
 
@@ -57,7 +70,8 @@
     /** Sends a complete response. */
     fun respond(status: Int, headers: HttpHeaders, content: ByteArray) {
         if (isFinished) return
-        isFinished = true
+        // A second head would be lost in the encoder, and the caller would wait for the end of the first response.
+        if (streaming) return abort()
         val response = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(status),
@@ -70,14 +84,20 @@
         }
         val close = closeReason()
         if (close != null) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        connection.finishWith(response, close)
+        finish(response, close)
+    }
+
+    private fun finish(lastPart: Any, close: CallerCloseReason?) {
+        isFinished = true
+        connection.finishWith(lastPart, close)
+        isEndSent = true
     }
 
     /** Sends the head of a response of unknown length. */
     fun beginStream(status: Int, headers: HttpHeaders) {
         if (isFinished) return
-        streaming = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers)
+        streaming = true
         if (version == HttpVersion.HTTP_1_1) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         }
@@ -98,8 +118,7 @@
      */
     fun endStream() {
         if (isFinished) return
-        isFinished = true
-        connection.finishWith(LastHttpContent.EMPTY_LAST_CONTENT, announcedClose)
+        finish(LastHttpContent.EMPTY_LAST_CONTENT, announcedClose)
     }
 
     /** Resets the connection, so that the part already sent can't be taken for a complete response. */
@@ -107,12 +126,37 @@
         if (isFinished) return
         isFinished = true
         connection.abort()
+        isEndSent = true
+    }
+
+    /**
+     * Runs a [step] of the handler of this request. If it throws an exception or an error, the request ends at once
+     * with the answer of [onFailure]; without one it gets 500, or a reset if a part of a response was sent. The failure
+     * is reported to the listener and not thrown on, so that the connection and other requests are not affected.
+     */
+    fun guarded(step: () -> Unit) {
+        runCatching(step).onFailure(::handlerFailed)
+    }
+
+    internal fun handlerFailed(cause: Throwable) {
+        failure?.let { return it.suppress(cause) }
+        failure = cause
+        runCatching(onFailure).onFailure(cause::suppress)
+        runCatching(::respondIfUnanswered).onFailure(cause::suppress)
+        runCatching { if (!isEndSent) connection.abort() }.onFailure(cause::suppress)
+        failure = null
+        connection.reportFailure(RequestFailure(attempt, cause))
+    }
+
+    private fun respondIfUnanswered() {
+        if (!isFinished) respond(INTERNAL_ERROR, DefaultHttpHeaders(), ByteArray(0))
     }
 
     internal fun callerDisconnected() {
         if (isFinished) return
         isFinished = true
-        onDisconnect()
+        isEndSent = true
+        guarded(onDisconnect)
     }
 
     private fun closeReason(): CallerCloseReason? = when {
@@ -127,5 +171,6 @@
     private companion object {
         const val NO_CONTENT = 204
         const val NOT_MODIFIED = 304
+        const val INTERNAL_ERROR = 500
     }
 }
--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerListener.kt
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
 import redwingcross.request.MonotonicClock
+import redwingcross.request.eventLine
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -22,7 +23,8 @@
  *
  * [onRefused] receives the status of each request that is refused before it reaches [serve]. A process passes the same
  * [bodyBudget] to all its listeners; a request whose body doesn't fit gets 503 with `Retry-After` and is not served.
- * [onClosing] is called once for each connection that is closed from this side.
+ * [onClosing] is called once for each connection that is closed from this side, [onFailed] for each failure of a
+ * request's handler; the request got a final answer then.
  */
 class CallerListener(
     private val group: EventLoopGroup,
@@ -33,6 +35,7 @@
     private val serve: ServeExchange,
     private val bodyBudget: RequestBodyBudget = RequestBodyBudget(),
     private val onClosing: ObserveCallerClose = {},
+    private val onFailed: ObserveRequestFailure = {},
 ) {
     private val connections = HashSet<CallerConnection>()
     private var channel: Channel? = null
@@ -82,7 +85,7 @@
     /** Closes idle connections; each of the others closes after the requests that have been read have been served. */
     fun closeGracefully() {
         isClosing = true
-        connections.toList().forEach(CallerConnection::closeIfIdle)
+        forEachConnection(CallerConnection::closeIfIdle)
     }
 
     /** Whether a caller has not been sent all bytes of the responses that were written to it. */
@@ -95,7 +98,7 @@
     fun receivePending() {
         repeat(MAXIMUM_ROUNDS) {
             val before = receivedBytes
-            connections.toList().forEach { if (it.canReceive) it.channel.readPending() }
+            forEachConnection { if (it.canReceive) it.channel.readPending() }
             if (receivedBytes == before) return
         }
     }
@@ -131,16 +134,32 @@
     /** Closes a connection after a delay, unless its caller sends a request meanwhile or has bytes to read. */
     internal fun closeIfIdleLater(connection: CallerConnection) {
         val delay = NEXT_REQUEST_DELAY.inWholeMilliseconds
-        connection.channel.eventLoop().schedule(connection::closeIfIdle, delay, TimeUnit.MILLISECONDS)
+        val close = { runFor(connection, CallerConnection::closeIfIdle) }
+        connection.channel.eventLoop().schedule(close, delay, TimeUnit.MILLISECONDS)
     }
 
-    internal fun closing(close: CallerClose): Unit = onClosing(close)
+    internal fun closing(close: CallerClose): Unit = observing { onClosing(close) }
 
-    internal fun refused(status: Int): Unit = onRefused(status)
+    internal fun requestFailed(failure: RequestFailure): Unit = observing { onFailed(failure) }
+
+    /** Passes on an observation; a connection is closed, and a request answered, also if the observer fails. */
+    private fun observing(observe: () -> Unit) {
+        runCatching(observe).onFailure { httpLog.error(it) { eventLine("observer_failed") } }
+    }
+
+    internal fun refused(status: Int): Unit = observing { onRefused(status) }
 
     internal fun checkTimeouts() {
         val now = clock.now()
-        connections.toList().forEach { it.checkTimeouts(now) }
+        forEachConnection { it.checkTimeouts(now) }
+    }
+
+    private fun forEachConnection(action: (CallerConnection) -> Unit) =
+        connections.toList().forEach { runFor(it, action) }
+
+    /** Runs [action] for [connection]. A failure closes that connection and has no effect on others. */
+    private fun runFor(connection: CallerConnection, action: (CallerConnection) -> Unit) {
+        runCatching { action(connection) }.onFailure(connection.channel.pipeline()::fireExceptionCaught)
     }
 
     /**
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeListeners.kt
@@ -6,6 +6,7 @@
 import redwingcross.connection.http.CallerConnectionLimits
 import redwingcross.connection.http.CallerListener
 import redwingcross.connection.http.RequestBodyBudget
+import redwingcross.connection.http.RequestFailure
 import redwingcross.connection.http.ServeExchange
 import redwingcross.process.edge.EdgeSettings
 import redwingcross.process.edge.LogEvent
@@ -44,6 +45,7 @@
         serve = services.callers,
         bodyBudget = bodyBudget,
         onClosing = ::callerConnectionClosing,
+        onFailed = ::requestFailed,
     )
     private val readiness = listener(services.control)
     private val directory = listener(services.control)
@@ -76,8 +78,26 @@
     /** Closes the listening socket for callers, so that they can tell at once that the process takes no request. */
     fun stopAcceptingCallers(): Unit = callers.stopAccepting()
 
-    private fun listener(serve: ServeExchange) =
-        CallerListener(group, clock, { CallerLimits().headerBytes }, ::connectionLimits, {}, serve, bodyBudget)
+    private fun listener(serve: ServeExchange) = CallerListener(
+        group,
+        clock,
+        { CallerLimits().headerBytes },
+        ::connectionLimits,
+        {},
+        serve,
+        bodyBudget,
+        onFailed = ::requestFailed,
+    )
+
+    private fun requestFailed(failure: RequestFailure) = warn(
+        "request_failed",
+        arrayOf(
+            "attempt" to failure.attempt,
+            "detail" to failure.cause,
+            "at" to failure.place,
+            "then" to failure.cause.suppressed.joinToString().ifEmpty { null },
+        ),
+    )
 
     private fun callerConnectionClosing(close: CallerClose) {
         countClose(close.reason)
