Tell the listener of an exchange with a back end that this process failed in it

If this process failed while it received a response (the observer of responses, the matcher, the listener), the listener was told that the connection was lost, which counts as the end of an engine. If it failed while it returned the connection to the pool or wrote a request on a new connection, the listener was told nothing: the caller waited until the deadline, although in the first case the whole response was here.

The connection now passes such a failure on as ResponseListener.onError and delivers a complete response also if the connection can't be kept. Failures that belong to no exchange are logged with their stack trace instead of being dropped.

--- a/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.CodecException
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
@@ -14,6 +15,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import redwingcross.request.MonotonicClock
+import redwingcross.request.eventLine
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -42,6 +45,9 @@
     fun onEnd()
 
     fun onFailure(failure: ExchangeFailure)
+
+    /** This process failed to handle the exchange, because of [cause]; the request may have been sent. */
+    fun onError(cause: Throwable)
 }
 
 /** Returns whether a response with this head belongs to the exchange that awaits a response. */
@@ -101,10 +107,11 @@
         if (body.isNotEmpty() || head.method !in methodsWithoutBody) {
             head.headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         }
-        RequestWriter(channel, body) { isWritten ->
+        val writer = RequestWriter(channel, body) { isWritten ->
             requestWritten = isWritten
             if (!isWritten) channel.close()
-        }.write(head)
+        }
+        runCatching { writer.write(head) }.onFailure(::error)
     }
 
     /** Stops reading until [resumeReading] is called; applies backpressure while the caller reads too slowly. */
@@ -135,6 +142,14 @@
         current?.onFailure(failure)
     }
 
+    /** Ends the exchange because of a failure of this process, which says nothing about the remote end. */
+    private fun error(cause: Throwable) {
+        val current = listener
+        listener = null
+        channel.closeWithReset()
+        if (current == null) httpLog.error(cause) { eventLine("call_failed") } else current.onError(cause)
+    }
+
     private fun onHead(response: HttpResponse) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             discarding = true
@@ -175,8 +190,8 @@
         val reusable = finished != null && HttpUtil.isKeepAlive(finished) && requestWritten && channel.isActive
         idleSince = clock.now()
         keepAliveTimeout = finished?.headers()?.let(::parseKeepAliveTimeout) ?: DEFAULT_KEEP_ALIVE
-        if (reusable) onIdle(this) else channel.close()
-        current.onEnd()
+        // The response is complete, also if the connection can't be kept.
+        runEvery({ if (reusable) onIdle(this) else channel.close() }, current::onEnd)
     }
 
     private fun parseKeepAliveTimeout(headers: io.netty.handler.codec.http.HttpHeaders): Duration? =
@@ -216,7 +231,7 @@
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             // After a reset, a response without a length must not count as complete.
             wasReset = true
-            context.close()
+            if (cause is IOException || cause is CodecException) context.close() else error(cause)
         }
     }
 
--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpCall.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpCall.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
+import redwingcross.request.eventLine
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -97,6 +98,11 @@
             finish(if (notSent) CallResult.NotSent else CallResult.NoAnswer(failure))
         }
 
+        override fun onError(cause: Throwable) {
+            httpLog.error(cause) { eventLine("call_failed") }
+            finish(CallResult.NoAnswer(ExchangeFailure.CONNECTION_LOST))
+        }
+
         fun finish(result: CallResult) {
             if (isDone) return
             isDone = true
--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
@@ -65,6 +65,11 @@
         connection = null
         listener.onFailure(failure)
     }
+
+    override fun onError(cause: Throwable) {
+        connection = null
+        listener.onError(cause)
+    }
 }
 
 /** Limits of the connections to one kind of remote endpoint. */
--- a/connection/src/test/kotlin/redwingcross/connection/http/EndlessResponseTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/EndlessResponseTest.kt
@@ -125,6 +125,8 @@
             override fun onEnd() = Unit
 
             override fun onFailure(failure: ExchangeFailure) = failures.put(failure)
+
+            override fun onError(cause: Throwable) = throw cause
         }
         group.next().execute {
             val head = RequestHead("GET", "/", DefaultHttpHeaders().add("Host", "h"))
--- a/connection/src/test/kotlin/redwingcross/connection/http/HttpConnectionsTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/HttpConnectionsTest.kt
@@ -61,6 +61,8 @@
 
         override fun onFailure(failure: ExchangeFailure) = events.put("failure $failure")
 
+        override fun onError(cause: Throwable) = throw cause
+
         fun next(): String? = events.poll(5, TimeUnit.SECONDS)
     }
 
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/RelayMeasurement.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/RelayMeasurement.kt
@@ -126,6 +126,8 @@
             override fun onEnd() = next()
 
             override fun onFailure(failure: ExchangeFailure) = error("stream failed: $failure")
+
+            override fun onError(cause: Throwable) = throw cause
         }
         connections.exchange(path.target(index), head, "x".toByteArray(), { true }, listener)
     }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -368,6 +368,8 @@
             }
         }
 
+        override fun onError(cause: Throwable) = exchange.guarded { throw cause }
+
         // An engine may send the head before it runs the request, so only an event shows that it began to answer.
         private fun connectionLost(detail: String) {
             loss.count()
