--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -75,6 +75,8 @@
     /** Whether bytes of a response have not reached the socket yet. */
     val hasUnsentBytes: Boolean get() = channel.unsentBytes > 0
 
+    val reportFailure: ObserveRequestFailure = listener::requestFailed
+
     /** The socket of the connection. */
     val channel: Channel get() = context.channel()
 
@@ -227,19 +229,22 @@
         }
         val unanswered = exchange?.takeIf { !it.isFinished }
         unanswered?.handlerFailed(cause)
-        runEvery({ reportClose(CallerCloseReason.FAILED, cause) }, { closeFailed(isAnswered = unanswered != null) })
-    }
-
-    /** Closes the connection after a failure, but not before a response that was just written has been sent. */
-    private fun closeFailed(isAnswered: Boolean) {
-        if (request != null) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
-        discarding = true
-        pipelined.clear()
-        if (isAnswered) lingering.begin(context.writeAndFlush(Unpooled.EMPTY_BUFFER)) else context.close()
+        runEvery(
+            { reportClose(CallerCloseReason.FAILED, cause) },
+            {
+                if (request != null) {
+                    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                } else {
+                    discarding = true
+                    pipelined.clear()
+                    // Not before a response that was just written has been sent.
+                    val answered = unanswered?.let { context.writeAndFlush(Unpooled.EMPTY_BUFFER) }
+                    answered?.let(lingering::begin) ?: context.close()
+                }
+            },
+        )
     }
 
-    fun reportFailure(failure: RequestFailure): Unit = listener.requestFailed(failure)
-
     /**
      * Closes the connection if the caller takes too long to send a request head, a body or the next request, or to read
      * the end of a response.
--- a/connection/src/test/kotlin/redwingcross/connection/http/BackendHandlerFailureTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/BackendHandlerFailureTest.kt
@@ -46,7 +46,7 @@
 
     private fun failAt(step: String) = check(step != failingStep) { step }
 
-    private inner class Ends : ResponseListener {
+    private inner class EndListener : ResponseListener {
         val ends = LinkedBlockingQueue<String>()
 
         override fun onHead(head: ResponseHead) = failAt("head")
@@ -61,7 +61,7 @@
     }
 
     private fun endOf(step: String, method: String = "GET"): String? {
-        val listener = Ends()
+        val listener = EndListener()
         group.next().submit {
             failingStep = step
             val matches: ResponseMatcher = { true.also { failAt("matcher") } }
