End a request at once when a step of the gateway fails in it

Callers waited until the deadline, or in vain, if the gateway failed in a callback of a back end's response, in a timer or when a place came free: nothing answered the request any more, and it kept its place and its count. A failure of one request in a loop over many kept the others from being handled: waiting requests, requests held at the start, those of a lost group, those that are ended at a stop. A failure of a count or a log line while a place was answered, or while the requests of the start were served, lost these requests altogether.

Each entry of ForwardTask runs in CallerExchange.guarded: what the caller and the back end do, timers, places, moves and the end of the process. The final answer is ForwardDecision.withoutOffer of the state that includes the current send: 503 if nothing was sent, 502 if the request may have run (also if the send itself failed, because that says nothing about what was sent), a reset if a part of the answer was sent. Its reason in the log is handler_failed. The state is updated before anything else when an offer ends, a whole answer is passed on before it is recorded, and the steps of the clean-up run although others fail (runEvery), as do those of checkProgress, groupsLost and endRequests.

GatewayFailureTest lets each call of each function that the gateway depends on fail once in ten situations, and checks the answers, the truth of refusals and that nothing is left running, waiting or counted.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -6,6 +6,7 @@
 import redwingcross.connection.http.RequestHead
 import redwingcross.connection.http.ResponseListener
 import redwingcross.connection.http.ResponseMatcher
+import redwingcross.connection.http.runEvery
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.ProcessName
@@ -113,14 +114,13 @@
         },
         offerReleased = { backend, _ ->
             load.requestEnded(backend.server)
-            if (backend.group != null) places?.placeFreed()
-            waiting.placeFreed(backend.kind)
+            runEvery(
+                { if (backend.group != null) places?.placeFreed() },
+                { waiting.placeFreed(backend.kind) },
+            )
         },
         awaitPlace = waiting.add,
-        waitEnded = { task ->
-            waiting.remove(task)
-            places?.ended(task)
-        },
+        waitEnded = { task -> runEvery({ waiting.remove(task) }, { places?.ended(task) }) },
         offerEnded = ::offerEnded,
         tryAcquireRetry = { budgets[it].tryAcquire(dependencies.clock.now(), dependencies.gatewayShare().count) },
         moves = MoveAdmission(
@@ -212,8 +212,10 @@
     /** Serves one request: authenticates and routes it, then forwards it or responds with an error status. */
     fun serve(exchange: CallerExchange) {
         hasSeenRequests = true
+        exchange.onFailure = { refuse(exchange, null, SERVICE_UNAVAILABLE, ForwardTask.HANDLER_FAILED) }
         val request = dependencies.codec.decode(exchange.head)
             ?: return refuse(exchange, null, BAD_REQUEST, "no_attempt_id")
+        exchange.attempt = request.attempt
         if (!dependencies.fleet().isUsable && !shutdown.isEnding && startup?.hold(exchange, request) == true) return
         serve(exchange, request, dependencies.clock.now())
     }
@@ -263,18 +265,18 @@
         retryDelay: Duration? = null,
     ) {
         val delay = retryDelay ?: if (status == SERVICE_UNAVAILABLE) waiting.retryDelay(null) else null
+        val headers = if (delay != null) dependencies.codec.refusal(delay) else DefaultHttpHeaders()
+        exchange.respond(status, headers, ByteArray(0))
         dependencies.log(
             "request_refused",
             arrayOf(
-                "attempt" to request?.attempt,
+                "attempt" to exchange.attempt,
                 "status" to status,
                 "reason" to reason,
                 "path" to request?.path,
                 "configuration" to configuration?.version?.value,
             ),
         )
-        val headers = if (delay != null) dependencies.codec.refusal(delay) else DefaultHttpHeaders()
-        exchange.respond(status, headers, ByteArray(0))
     }
 
     private fun send(
@@ -311,11 +313,12 @@
 
     private fun finished(task: ForwardTask, outcome: ForwardOutcome) {
         forwardTasks -= task
-        waiting.record(outcome)
-        if (outcome.outcome == ForwardTask.SERVED) {
-            shutdown.recordServed(outcome.job.route, outcome.total, dependencies.clock.now())
-        }
-        dependencies.recordOutcome(outcome)
+        val isServed = outcome.outcome == ForwardTask.SERVED
+        runEvery(
+            { waiting.record(outcome) },
+            { if (isServed) shutdown.recordServed(outcome.job.route, outcome.total, dependencies.clock.now()) },
+            { dependencies.recordOutcome(outcome) },
+        )
     }
 
     /**
@@ -332,23 +335,25 @@
     /** Moves the requests of groups that have lost a member to other groups, now or at a later check. */
     fun groupsLost(groups: Set<GroupId>) {
         if (groups.isEmpty()) return
-        sharedHealth?.stalls?.groupsLost(groups)
-        forwardTasks.filter { it.group in groups }.forEach(ForwardTask::onGroupLost)
-        // Confirms also the losses that the requests have just recorded.
-        crashes.groupsLost(groups)
+        runEvery(
+            { sharedHealth?.stalls?.groupsLost(groups) },
+            { forwardTasks.filter { it.group in groups }.forEach(ForwardTask::onGroupLost) },
+            // Confirms also the losses that the requests have just recorded.
+            { crashes.groupsLost(groups) },
+        )
     }
 
     /** Serves waiting requests and finds groups whose streams make no progress; called several times a second. */
-    fun checkProgress() {
-        crashes.check()
-        startup?.check()
-        places?.check()
+    fun checkProgress(): Unit = runEvery(
+        crashes::check,
+        { startup?.check() },
+        { places?.check() },
         // Before the waiting requests: those of a lost group may have run already.
-        forwardTasks.toList().forEach(ForwardTask::leaveLostGroup)
-        waiting.serve()
-        endUnsendableRequests()
-        progress.check(watchedTasks())
-    }
+        { forwardTasks.toList().forEach(ForwardTask::leaveLostGroup) },
+        waiting.serve,
+        ::endUnsendableRequests,
+        { progress.check(watchedTasks()) },
+    )
 
     /** From now on refuses requests that can't be completed before the process ends all requests at [time]. */
     fun stopAt(time: Duration) {
@@ -358,8 +363,7 @@
 
     /** Answers all requests in flight as their state allows and refuses further ones. */
     fun endRequests() {
-        stopAt(dependencies.clock.now())
-        forwardTasks.toList().forEach(ForwardTask::endForShutdown)
+        runEvery({ stopAt(dependencies.clock.now()) }, { forwardTasks.toList().forEach(ForwardTask::endForShutdown) })
     }
 
     /**
--- a/process/src/main/kotlin/redwingcross/process/edge/PlaceTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PlaceTask.kt
@@ -1,5 +1,6 @@
 package redwingcross.process.edge
 
+import redwingcross.connection.http.runEvery
 import redwingcross.request.BackendServer
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
@@ -143,11 +144,14 @@
 
     private fun timedOut(number: PlaceNumber) {
         val proceed = continuations.remove(number) ?: return
+        runEvery({ recordTimeout(number) }, proceed)
+    }
+
+    private fun recordTimeout(number: PlaceNumber) {
         val wasLost = requester.isOwnerLost
         requester = requester.timedOut(number, clock.now())
         network.count(PlaceResult.NO_ANSWER)
         if (!wasLost && requester.isOwnerLost) log("place_owner_lost", arrayOf("epoch" to requester.epoch))
-        proceed()
     }
 
     private fun answered(answer: PlaceAnswer, epoch: Long) {
@@ -156,20 +160,20 @@
         requester = requester.answered(answer, epoch)
         val proceed = continuations.remove(answer.number)
         if (proceed != null) {
-            network.count(
-                when (answer) {
-                    is PlaceAnswer.Granted -> PlaceResult.GRANTED
-                    is PlaceAnswer.Queued -> PlaceResult.QUEUED
-                    is PlaceAnswer.Declined -> PlaceResult.DECLINED
-                },
-            )
-            proceed()
+            runEvery({ network.count(answer.result) }, proceed)
         } else if (requester.open[answer.number] != null) {
             onPlaceGranted()
         }
         giveBack(requester.withoutUnused(clock.now()))
     }
 
+    private val PlaceAnswer.result: PlaceResult
+        get() = when (this) {
+            is PlaceAnswer.Granted -> PlaceResult.GRANTED
+            is PlaceAnswer.Queued -> PlaceResult.QUEUED
+            is PlaceAnswer.Declined -> PlaceResult.DECLINED
+        }
+
     /** Epoch under which this process owns the places; null while it doesn't, or has not heard all gateways yet. */
     private fun ownedEpoch(): Long? {
         val epoch = network.ownEpoch()
--- a/process/src/main/kotlin/redwingcross/process/edge/SharedWaitingRequests.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/SharedWaitingRequests.kt
@@ -156,11 +156,11 @@
             val isBounded = demand(kind, now) != null
             val next =
                 AdmissionDecision.next(state, kind, countsOf(kind).inFlight, isBounded, now, unsuitable) ?: break
-            val choice = next.task.choiceRequest()
-            if (choose(choice) is BackendChoice.Chosen) {
+            val choice = choose.forWaiting(next.task)
+            if (choice is BackendChoice.Chosen) {
                 state = AdmissionDecision.sent(state, next)
                 next.task.placeFreed()
-            } else if (choice.excluded.isEmpty()) {
+            } else if (choice != null && next.task.choiceRequest().excluded.isEmpty()) {
                 return false
             } else {
                 unsuitable += next.task
--- a/process/src/main/kotlin/redwingcross/process/edge/StartupRequests.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StartupRequests.kt
@@ -37,21 +37,21 @@
         if (isUsable()) return serveAll()
         val (left, ended) = queue.expire(clock.now())
         queue = left
-        ended.forEach(refuse)
+        ended.forEach { it.exchange.guarded { refuse(it) } }
     }
 
     private fun serveAll() {
         val all = queue.waiting
-        queue = StartupQueue()
         val longest = clock.now() - all.minOf { it.arrivedAt }
+        queue = StartupQueue()
+        for ((held, arrivedAt) in all) held.exchange.guarded { serve(held, arrivedAt) }
         log("startup_requests_served", arrayOf("count" to all.size, "longest" to longest))
-        all.forEach { serve(it.request, it.arrivedAt) }
     }
 
     /** Refuses all held requests, because the process stops. */
     fun refuseAll() {
         val all = queue.waiting
         queue = StartupQueue()
-        all.forEach { refuse(it.request) }
+        for ((held, _) in all) held.exchange.guarded { refuse(held) }
     }
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/WaitingOperations.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/WaitingOperations.kt
@@ -2,11 +2,19 @@
 
 import redwingcross.version.forwarding.BackendChoice
 import redwingcross.version.forwarding.ChoiceRequest
+import redwingcross.version.forwarding.ChooseBackend
 import redwingcross.version.forwarding.ForwardJob
 import redwingcross.version.forwarding.ForwardOutcome
 import redwingcross.version.forwarding.ForwardTask
 import kotlin.time.Duration
 
+/** Chooses a back end for [task], which waits for one; null if this failed, so that the request has ended. */
+internal fun ChooseBackend.forWaiting(task: ForwardTask): BackendChoice? {
+    var choice: BackendChoice? = null
+    task.job.exchange.guarded { choice = this(task.choiceRequest()) }
+    return choice
+}
+
 /** What [GatewayTask] does with the requests that wait for a place, whoever decides about them. */
 class WaitingOperations(
     val size: () -> Int,
--- a/process/src/main/kotlin/redwingcross/process/edge/WaitingRequests.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/WaitingRequests.kt
@@ -71,7 +71,8 @@
     }
 
     private fun serve(request: WaitingRequest<ForwardTask>): Boolean {
-        if (choose(request.task.choiceRequest()) !is BackendChoice.Chosen) return false
+        val choice = choose.forWaiting(request.task) ?: return true
+        if (choice !is BackendChoice.Chosen) return false
         remove(request.task)
         request.task.placeFreed()
         return true
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -8,6 +8,7 @@
 import redwingcross.connection.http.HttpConnections
 import redwingcross.connection.http.OutgoingConnectionLimits
 import redwingcross.connection.http.RemoteEndpoint
+import redwingcross.connection.http.RequestFailure
 import redwingcross.connection.http.RequestHead
 import redwingcross.connection.http.ResponseHead
 import redwingcross.connection.http.ResponseListener
@@ -86,6 +87,12 @@
 
     /** Requests that back ends began to run. */
     protected val begun = LinkedBlockingQueue<ForwardJob>()
+
+    /** Fails calls of the gateway's dependencies; used on the event loop. */
+    protected val steps = FailingSteps()
+
+    /** Failures in the handling of requests. */
+    protected val failures = LinkedBlockingQueue<RequestFailure>()
     private val listeners = mutableListOf<CallerListener>()
     private val rawArrivals = LinkedBlockingQueue<RawArrival>()
 
@@ -138,27 +145,34 @@
     )
 
     private fun dependencies() = GatewayDependencies(
-        clock = MonotonicClock.system,
-        codec = codec,
-        fleet = { fleet },
-        gatewayShare = { GatewayShare("self", setOf("self")) },
+        clock = MonotonicClock { MonotonicClock.system.now().also { steps.pass("clock") } },
+        codec = RequestCodec(
+            { head -> codec.decode(head).also { steps.pass("decode") } },
+            { head, request, fields -> codec.encode(head, request, fields).also { steps.pass("encode") } },
+            { request, answer -> codec.metadata(request, answer).also { steps.pass("metadata") } },
+            { delay -> codec.refusal(delay).also { steps.pass("refusal") } },
+        ),
+        fleet = { fleet.also { steps.pass("fleet") } },
+        gatewayShare = { GatewayShare("self", setOf("self")).also { steps.pass("gatewayShare") } },
         send = { backend, head, body, _, matches, listener ->
+            steps.pass("send")
             val address = InetSocketAddress("127.0.0.1", backend.address.value.substringAfter(':').toInt())
             val endpoint = RemoteEndpoint(address, backend.server.value, backend.start?.unixMillis)
             sends.put(backend)
-            connections.exchange(endpoint, head, body, matches, recording(listener))
+            connections.exchange(endpoint, head, body, matches, recording(listener)).also { steps.pass("sent") }
         },
         runLater = { delay, action ->
+            steps.pass("runLater")
             val future = loop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             CancelTimer { future.cancel(false) }
         },
-        reportSuspectedGroup = {},
+        reportSuspectedGroup = { steps.pass("reportSuspectedGroup") },
         coldReported = { _, _ -> },
-        recordOutcome = outcomes::put,
-        log = ::writeLog,
+        recordOutcome = { outcomes.put(it.also { steps.pass("recordOutcome") }) },
+        log = { event, pairs -> writeLog(event, pairs).also { steps.pass("log") } },
         sharedHealth = sharedHealth,
         places = places(),
-        runBegan = begun::put,
+        runBegan = { begun.put(it.also { steps.pass("runBegan") }) },
     )
 
     private fun writeLog(event: String, pairs: Array<out Pair<String, Any?>>): Unit =
@@ -192,8 +206,15 @@
             InetSocketAddress(it.inetAddress, it.localPort)
         }
         val bounds = { CallerConnectionLimits(100_000, 5.seconds, 5.seconds) }
-        listeners +=
-            CallerListener(group, MonotonicClock.system, { 10_000 }, bounds, {}, serve).also { it.start(address) }
+        listeners += CallerListener(
+            group,
+            MonotonicClock.system,
+            { 10_000 },
+            bounds,
+            {},
+            serve,
+            onFailed = failures::put,
+        ).also { it.start(address) }
         return address
     }
 
@@ -271,6 +292,12 @@
         fleet = FleetDecision.onUpdate(fleet, FleetUpdate.ServersListed(listed), MonotonicClock.system.now())
     }
 
+    /** Returns to the state of a process that knows no configuration and no back ends. */
+    protected fun forgetFleet() = onLoop { fleet = FleetState() }
+
+    protected fun groupOf(server: BackendServer) =
+        checkNotNull(fleet.table.engines.getValue(server).status.membership).group
+
     /** Applies a configuration without any route and service, as after an operator's change. */
     protected fun removeServices() = onLoop {
         val next =
@@ -359,10 +386,15 @@
         return received.toString()
     }
 
-    protected fun awaitWaitingRequest() {
+    protected fun awaitWaitingRequest() = awaitTrue("no request waits for a place") { gateway.waitingRequests > 0 }
+
+    /** Waits until the gateway has received [count] requests since the steps began. */
+    protected fun awaitReceived(count: Int) = awaitTrue("not $count requests") { steps.count("decode") >= count }
+
+    private fun awaitTrue(failure: String, condition: () -> Boolean) {
         val deadline = TimeSource.Monotonic.markNow() + 5.seconds
-        while (onLoop { gateway.waitingRequests } == 0) {
-            assertTrue(deadline.hasNotPassedNow(), "no request waits for a place after 5 s")
+        while (!onLoop(condition)) {
+            assertTrue(deadline.hasNotPassedNow(), "$failure after 5 s")
             Thread.sleep(10)
         }
     }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/BackendChoice.kt
@@ -16,6 +16,7 @@
 import redwingcross.version.places.OwnedGroup
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * The back end to which a request is sent. [group] is null for a back end of a plain service. [kind] names the model or
@@ -42,6 +43,22 @@
 
     /** No back end could run the request. */
     data object NoneServing : BackendChoice
+
+    /** Reason of the end of a request for which no back end was chosen. */
+    val reason: String
+        get() = when (this) {
+            is AllBusy -> "all_busy"
+            is Paused -> "paused"
+            else -> "none_serving"
+        }
+
+    /** Whether a request that must not wait for long is served sooner by waiting than by a refusal. */
+    fun isWorthWaiting(now: Duration): Boolean = this is AllBusy || (this is Paused && until - now < SHORT_PAUSE)
+
+    private companion object {
+        /** Shorter than the delay after which a refused caller comes back, so waiting serves it sooner. */
+        val SHORT_PAUSE = 250.milliseconds
+    }
 }
 
 /** Limits that apply when a back end is chosen. */
--- a/version/src/main/kotlin/redwingcross/version/forwarding/CallerResponse.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/CallerResponse.kt
@@ -20,7 +20,8 @@
     var begunHead: ResponseHead? = null
         private set
 
-    val collectedBytes: Int get() = body.size()
+    /** Whether more bytes were collected than a response may have that is held. */
+    val isTooLong: Boolean get() = isTooLong(body.size())
 
     fun collect(bytes: ByteArray): Unit = body.write(bytes)
 
@@ -64,9 +65,18 @@
 
     private fun endToEndHeaders(head: ResponseHead) = DefaultHttpHeaders().also(head.headers::copyEndToEndTo)
 
-    private companion object {
-        const val BAD_GATEWAY = 502
-        const val SERVICE_UNAVAILABLE = 503
-        const val GATEWAY_TIMEOUT = 504
+    internal companion object {
+        /**
+         * A longer response is relayed while it arrives; after that the request can't be retried any more. Longer
+         * events, errors and comments before the first event come from a faulty back end, which may send bytes without
+         * end.
+         */
+        private const val MAX_COLLECTED_BYTES = 262_144
+        private const val BAD_GATEWAY = 502
+        private const val SERVICE_UNAVAILABLE = 503
+        private const val GATEWAY_TIMEOUT = 504
+
+        /** Whether [bytes] of a response, an event or an error are too many to be held. */
+        fun isTooLong(bytes: Int): Boolean = bytes > MAX_COLLECTED_BYTES
     }
 }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -4,6 +4,7 @@
 import redwingcross.connection.http.PendingExchange
 import redwingcross.connection.http.ResponseHead
 import redwingcross.connection.http.ResponseListener
+import redwingcross.connection.http.runEvery
 import redwingcross.request.forward.ForwardDecision
 import redwingcross.request.forward.ForwardLimits
 import redwingcross.request.forward.ForwardState
@@ -11,7 +12,6 @@
 import redwingcross.request.forward.OfferResult
 import redwingcross.request.stream.EventSplitter
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Forwards one request of a caller to a back end and the response back. It owns the exchange with the caller and the
@@ -62,8 +62,13 @@
 
     override val hasProgressed: Boolean get() = offer?.hasEvents == true
 
-    /** Sends the request to the first back end and starts the timer for the deadline. */
+    /** Sends the request to the first back end and starts the timer for the deadline. Called in a guarded step. */
     fun start() {
+        exchange.onFailure = {
+            // The last step frees what the request holds if its answer failed.
+            val endUnanswered = { finish(ForwardDecision.withoutOffer(state).toString(), HANDLER_FAILED) }
+            if (!finished) runEvery(::cancelOffer, { finishWithout(HANDLER_FAILED) }, endUnanswered)
+        }
         exchange.onDisconnect = {
             offer?.pending?.cancel()
             finish("caller_left", "closed")
@@ -73,73 +78,59 @@
             offer?.pending?.resumeReading()
         }
         timer = context.runLater(job.deadline - context.clock.now()) {
-            if (!finished) {
-                cancelOffer()
-                finishWith(ForwardDecision.expired(state), "deadline")
-            }
+            endNow("deadline", ForwardDecision::expired)
         }
         offer()
     }
 
     /** Ends the request if it isn't at a back end and must not be sent to one any more. */
-    fun endIfUnsendable() {
+    fun endIfUnsendable() = exchange.guarded {
         if (!finished && offer == null) context.reasonNotToSend(job, isResuming)?.let(::finishWithout)
     }
 
-    private fun offer() = context.beforeChoice(this) { if (!finished) offerNow() }
+    private fun offer() = context.beforeChoice(this) { exchange.guarded { if (!finished) offerNow() } }
 
     private fun offerNow(target: ChosenBackend? = null) {
         val now = context.clock.now()
         context.reasonNotToSend(job, isResuming)?.let { return finishWithout(it) }
         val choice = target?.let(BackendChoice::Chosen) ?: context.choose(choiceRequest())
-        if (choice !is BackendChoice.Chosen) {
-            noBackendChosen(choice)
-            return
-        }
+        if (choice !is BackendChoice.Chosen) return noBackendChosen(choice)
         val backend = choice.backend
         state = state.copy(offered = state.offered + backend.server)
         progressAt = now
         splitter.reset()
         response.discardCollected()
-        val head = context.codec.encode(
-            exchange.head,
-            job.request,
-            BackendRequestFields(backend.server, job.customer, latestEnd - now, job.priority, lastEventId),
-        )
+        val fields = BackendRequestFields(backend.server, job.customer, latestEnd - now, job.priority, lastEventId)
+        val head = context.codec.encode(exchange.head, job.request, fields)
         val next = Offer(backend, now)
         offer = next
         context.offerStarted(backend, this)
         val isForAttempt = { response: ResponseHead -> context.codec.metadata(job.request, response).isForAttempt }
-        next.pending = context.send(backend, head, exchange.body, route.repeatability, isForAttempt, next)
+        next.isSending = true
+        val listener = GuardedListener(exchange, next)
+        next.pending = context.send(backend, head, exchange.body, route.repeatability, isForAttempt, listener)
     }
 
     /** Offers the request again after it waited for a place. */
-    fun placeFreed() {
+    fun placeFreed() = exchange.guarded {
         waited += context.clock.now() - waitingSince
         if (!finished) offer()
     }
 
     /** Ends the request, because no place came free in time. */
-    fun waitTimedOut() {
+    fun waitTimedOut() = exchange.guarded {
         waited += context.clock.now() - waitingSince
         if (!finished) finishWithout("wait_timeout")
     }
 
     private fun noBackendChosen(choice: BackendChoice) {
         val now = context.clock.now()
-        val pause = (choice as? BackendChoice.Paused)?.let { it.until - now }
-        val isShortPause = pause != null && pause < SHORT_PAUSE
-        if (choice == BackendChoice.AllBusy || isResuming || isShortPause) {
+        if (isResuming || choice.isWorthWaiting(now)) {
             waitingSince = now
             if (context.awaitPlace(this, isResuming, latestEnd)) return
         }
-        backendPause = pause
-        val reason = when (choice) {
-            BackendChoice.AllBusy -> "all_busy"
-            is BackendChoice.Paused -> "paused"
-            else -> "none_serving"
-        }
-        finishWithout(reason)
+        backendPause = (choice as? BackendChoice.Paused)?.let { it.until - now }
+        finishWithout(choice.reason)
     }
 
     private fun finishWithout(reason: String): Unit = finishWith(ForwardDecision.withoutOffer(state), reason)
@@ -147,8 +138,9 @@
     /** [target] is the back end to which the request moves with a retry that was taken already, if it does. */
     private fun offerEnded(ended: Offer, end: OfferResult, detail: String, target: ChosenBackend? = null) {
         if (finished || offer !== ended) return
-        releaseOffer()
+        // First, because the answer to a request depends on it if a later step fails.
         state = state.after(end)
+        ended.release()
         context.offerEnded(ended.backend, end)
         val now = context.clock.now()
         var retry: Boolean? = null
@@ -179,50 +171,38 @@
 
     private fun finish(outcome: String, reason: String) {
         if (finished) return
+        val total = context.clock.now() - job.arrivedAt
         finished = true
-        timer.cancel()
-        context.waitEnded(this)
-        releaseOffer()
-        val now = context.clock.now()
-        context.finished(
-            this,
-            ForwardOutcome(
-                job,
-                outcome,
-                reason,
-                state.sends,
-                firstEventAt?.let { it - job.arrivedAt },
-                now - job.arrivedAt,
-                waited,
-            ),
+        val first = firstEventAt?.let { it - job.arrivedAt }
+        runEvery(
+            { timer.cancel() },
+            { context.waitEnded(this) },
+            { offer?.release() },
+            { context.finished(this, ForwardOutcome(job, outcome, reason, state.sends, first, total, waited)) },
         )
     }
 
-    private fun releaseOffer() {
-        val current = offer ?: return
-        offer = null
-        context.offerReleased(current.backend, this)
-    }
-
     /** Ends the request with the answer that its state allows, because the process ends. */
-    fun endForShutdown() {
-        if (finished) return
+    fun endForShutdown() = endNow(STOPPING, ForwardDecision::withoutOffer)
+
+    private fun endNow(reason: String, step: (ForwardState) -> ForwardStep) = exchange.guarded {
+        if (finished) return@guarded
         cancelOffer()
-        finishWithout(STOPPING)
+        finishWith(step(state), reason)
     }
 
     private fun cancelOffer() {
-        val sent = offer?.pending?.wasSent == true
-        offer?.pending?.cancel()
-        if (sent) state = state.copy(sends = state.sends + 1, mayHaveRun = true)
+        val current = offer?.takeIf { it.pending?.isCancelled != true } ?: return
+        if (current.mayBeSent) state = state.copy(sends = state.sends + 1, mayHaveRun = true)
+        current.pending?.cancel()
     }
 
     /**
      * Called when the controller reports that the group has lost a member. The request counts as one that was there at
      * the loss, also if it stays for now.
      */
-    fun onGroupLost() {
-        val current = offer ?: return
+    fun onGroupLost() = exchange.guarded {
+        val current = offer ?: return@guarded
         current.loss.isReported = true
         if (current.pending?.wasSent == true) current.loss.count()
         leaveLostGroup()
@@ -232,15 +212,15 @@
      * Moves the request to another back end if its group was reported as lost; called at the report and at each check
      * after it. It leaves only with a retry and a place elsewhere, because the report may be a mistake.
      */
-    fun leaveLostGroup() {
-        val from = offer?.takeIf { it.loss.isReported } ?: return
+    fun leaveLostGroup() = exchange.guarded {
+        val from = offer?.takeIf { it.loss.isReported } ?: return@guarded
         leave(from, "group_lost", canLeave = { true }) {
             if (from.loss.isCounted && !from.hasEvents) OfferResult.GroupLost else OfferResult.Stalled
         }
     }
 
-    override fun moveSilent(end: OfferResult, detail: String, onMoved: () -> Unit) {
-        val from = offer?.takeIf { it.pending?.wasSent == true && !it.loss.isReported } ?: return
+    override fun moveSilent(end: OfferResult, detail: String, onMoved: () -> Unit) = exchange.guarded {
+        val from = offer?.takeIf { it.pending?.wasSent == true && !it.loss.isReported } ?: return@guarded
         val silentSince = progressAt
         leave(from, detail, canLeave = { progressAt == silentSince }) {
             onMoved()
@@ -257,11 +237,20 @@
 
     private inner class Offer(val backend: ChosenBackend, val startedAt: Duration) : ResponseListener {
         var pending: PendingExchange? = null
+
+        /** Whether the request is being sent or was sent, although there may be no [pending] exchange. */
+        var isSending = false
         var head: ResponseHead? = null
         var hasEvents = false
+        val mayBeSent: Boolean get() = pending?.wasSent ?: isSending
         private var isError = false
         val loss = GroupLoss { context.crashes.connectionLost(backend, job.request, hasEvents) }
 
+        fun release() {
+            offer = null
+            context.offerReleased(backend, this@ForwardTask)
+        }
+
         override fun onHead(head: ResponseHead) {
             this.head = head
             val metadata = context.codec.metadata(job.request, head)
@@ -291,7 +280,7 @@
                 return
             }
             response.collect(bytes)
-            if (response.collectedBytes <= MAX_COLLECTED_BYTES) return
+            if (!response.isTooLong) return
             if (isError) {
                 reject(OfferResult.Lost, "error_too_long")
             } else {
@@ -301,7 +290,7 @@
 
         private fun relayEvents(bytes: ByteArray) {
             val batch = splitter.accept(bytes)
-            if (splitter.pendingBytes > MAX_COLLECTED_BYTES) return reject(OfferResult.Lost, "event_too_long")
+            if (CallerResponse.isTooLong(splitter.pendingBytes)) return reject(OfferResult.Lost, "event_too_long")
             if (batch == null) return
             if (isFirst(batch.events)) context.runBegan(job)
             val now = context.clock.now()
@@ -325,7 +314,7 @@
         // An engine may send comments before it ends under the request, so they don't begin the response.
         private fun holdComments(bytes: ByteArray) {
             response.collect(bytes)
-            if (response.collectedBytes > MAX_COLLECTED_BYTES) reject(OfferResult.Lost, "comments_too_long")
+            if (response.isTooLong) reject(OfferResult.Lost, "comments_too_long")
         }
 
         /** Begins the response to the caller with the bytes that were collected so far. */
@@ -350,13 +339,17 @@
         }
 
         private fun succeed() {
+            head?.let(response::complete)
+            state = state.copy(sends = state.sends + 1)
+            runEvery(::recordSuccess, { finish(SERVED, "complete") })
+        }
+
+        private fun recordSuccess() {
             val now = context.clock.now()
             context.offerEnded(backend, null)
-            if (!isStream) context.crashes.answerBegan(sharedParts)
-            if (!isStream) context.health.recordPause(backend.server, backend.kind, now - startedAt)
-            state = state.copy(sends = state.sends + 1)
-            head?.let(response::complete)
-            finish(SERVED, "complete")
+            if (isStream) return
+            context.crashes.answerBegan(sharedParts)
+            context.health.recordPause(backend.server, backend.kind, now - startedAt)
         }
 
         override fun onFailure(failure: ExchangeFailure) {
@@ -368,7 +361,7 @@
             }
         }
 
-        override fun onError(cause: Throwable) = exchange.guarded { throw cause }
+        override fun onError(cause: Throwable) = throw cause
 
         // An engine may send the head before it runs the request, so only an event shows that it began to answer.
         private fun connectionLost(detail: String) {
@@ -385,17 +378,10 @@
         /** Reason of the end of a request whose prompt has a blocked part. */
         const val BLOCKED_PART = "blocked_prompt_part"
 
+        /** Reason of the end of a request in whose handling this process failed. */
+        const val HANDLER_FAILED = "handler_failed"
+
         /** Reason of the end of a request that can't be completed before the process ends. */
         const val STOPPING = "stopping"
-
-        /** Shorter than the delay after which a refused caller comes back, so waiting serves it sooner. */
-        private val SHORT_PAUSE = 250.milliseconds
-
-        /**
-         * A longer response is relayed while it arrives; after that the request can't be retried any more. Longer
-         * events, errors and comments before the first event come from a faulty back end, which may send bytes without
-         * end.
-         */
-        private const val MAX_COLLECTED_BYTES = 262_144
     }
 }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/MoveAttempts.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/MoveAttempts.kt
@@ -31,14 +31,16 @@
         var isAnswered = false
         context.beforeChoice(task) {
             isAnswered = true
-            if (task.backend !== from) return@beforeChoice
-            val isLeaving = canLeave() && reasonToStay() == null
-            val target = if (isLeaving) context.moves.choose(task.choiceRequest()) else null
-            if (target == null || !context.tryAcquireRetry(task.job.service)) {
-                context.moves.stayed(task)
-                if (isLeaving) log.stayed(from, detail, "no_place")
-            } else {
-                leave(target)
+            task.job.exchange.guarded {
+                if (task.backend !== from) return@guarded
+                val isLeaving = canLeave() && reasonToStay() == null
+                val target = if (isLeaving) context.moves.choose(task.choiceRequest()) else null
+                if (target == null || !context.tryAcquireRetry(task.job.service)) {
+                    context.moves.stayed(task)
+                    if (isLeaving) log.stayed(from, detail, "no_place")
+                } else {
+                    leave(target)
+                }
             }
         }
         // A choice without the owner is made at once and costs no message.
