Go on with the stop of a process if one of its steps fails, and log what timers throw

A step of the stop that failed in a timer ended the sequence: Netty drops what a timer throws. The requests in flight then got no answer before the platform killed the process. Each step now schedules the next one first or runs it all the same, and the event timer_failed reports a failed timer of the process. The checks that follow those of the gateway in each round run also if these fail.

StopSequenceTest has a test in which every step fails.

--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -5,6 +5,7 @@
 import redwingcross.connection.datagram.DatagramSocket
 import redwingcross.connection.http.RemoteEndpoint
 import redwingcross.connection.http.runEach
+import redwingcross.connection.http.runEvery
 import redwingcross.platform.PlatformFleet
 import redwingcross.platform.RequestFormat
 import redwingcross.platform.WatchIntervals
@@ -376,9 +377,7 @@
         fleet = FleetDecision.expired(before, now)
         updateLog.recordZones(before, fleet)
         relay.updateServerSource(peers.rank, controller.isActiveController)
-        gateway.checkProgress()
-        crashRelay.sendIfDue()
-        usage?.check()
+        runEvery(gateway::checkProgress, crashRelay::sendIfDue, { usage?.check() })
     }
 
     private fun startView() = StartView(
@@ -472,7 +471,9 @@
     }
 
     private fun runLater(delay: Duration, action: () -> Unit): CancelTimer {
-        val future = loop.schedule(action, delay.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+        // Netty does not log what a timer throws.
+        val logged = { runCatching(action).onFailure { events.warn("timer_failed", arrayOf("detail" to it)) } }
+        val future = loop.schedule(logged, delay.inWholeMicroseconds, TimeUnit.MICROSECONDS)
         return CancelTimer { future.cancel(false) }
     }
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeShutdown.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeShutdown.kt
@@ -1,5 +1,6 @@
 package redwingcross.edge
 
+import redwingcross.connection.http.runEvery
 import redwingcross.process.edge.GatewayTask
 import redwingcross.process.edge.LogEvent
 import redwingcross.request.MonotonicClock
@@ -30,8 +31,7 @@
         closeGracefully = listeners::closeCallersGracefully,
         endRequests = {
             log("requests_ended", arrayOf("running" to gateway.runningRequests))
-            gateway.endRequests()
-            listeners.stopAcceptingCallers()
+            runEvery(gateway::endRequests, listeners::stopAcceptingCallers)
         },
         receiveRequests = listeners::receiveFromCallers,
         endProcess = {
--- a/programs/edge/src/main/kotlin/redwingcross/edge/StopSequence.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/StopSequence.kt
@@ -1,5 +1,6 @@
 package redwingcross.edge
 
+import redwingcross.connection.http.runEvery
 import redwingcross.request.MonotonicClock
 import redwingcross.version.forwarding.CancelTimer
 import kotlin.time.Duration
@@ -55,9 +56,9 @@
     private val listExpiry = minOf(listLifetime * LIST_LIFETIME_FACTOR, grace / 2)
 
     fun start() {
-        actions.limitRequests(requestsEndAt)
         runLater(listExpiry, actions.closeGracefully)
-        endWhenIdle()
+        // A step that fails must not stop the sequence: the platform would kill the process under its requests.
+        runEvery({ actions.limitRequests(requestsEndAt) }, ::endWhenIdle)
     }
 
     private fun endWhenIdle() {
@@ -67,14 +68,17 @@
     }
 
     private fun endRequests() {
-        actions.endRequests()
         // Requests that callers have sent by now are read and refused in the meantime.
         runLater(CHECK_INTERVAL, ::endWhenSent)
+        actions.endRequests()
     }
 
     private fun endWhenSent() {
         // After a pause, this can run before the sockets are read.
-        actions.receiveRequests()
+        runEvery(actions.receiveRequests, ::endProcessWhenSent)
+    }
+
+    private fun endProcessWhenSent() {
         if (progress.isIdle || clock.now() >= processEndsAt) {
             actions.endProcess()
         } else {
--- a/programs/edge/src/test/kotlin/redwingcross/edge/StopSequenceTest.kt
+++ b/programs/edge/src/test/kotlin/redwingcross/edge/StopSequenceTest.kt
@@ -18,6 +18,7 @@
     private var held = false
     private var unsent = false
     private var unread = 0
+    private var isFailing = false
 
     private val sequence = StopSequence(
         grace = 8.seconds,
@@ -33,6 +34,7 @@
             closeGracefully = { record("close connections") },
             endRequests = { record("end requests") },
             receiveRequests = {
+                check(!isFailing)
                 running += unread
                 unread = 0
             },
@@ -42,6 +44,7 @@
 
     private fun record(step: String) {
         steps += step to now - 100.seconds
+        check(!isFailing) { step }
     }
 
     private fun runUntil(end: Duration) {
@@ -49,7 +52,7 @@
             val next = timers.minByOrNull { it.first }?.takeIf { it.first <= 100.seconds + end } ?: break
             timers.remove(next)
             now = next.first
-            next.second()
+            runCatching(next.second).onFailure { if (!isFailing) throw it }
         }
         now = 100.seconds + end
     }
@@ -112,6 +115,15 @@
         assertTrue(timeOf("end process") < 5100.milliseconds, "$steps")
     }
 
+    @Test
+    fun `a process whose steps fail still ends its requests and itself`() {
+        isFailing = true
+        runCatching(sequence::start)
+        runUntil(8.seconds)
+        assertEquals(7500.milliseconds, timeOf("end requests"))
+        assertEquals(7750.milliseconds, timeOf("end process"))
+    }
+
     @Test
     fun `a process without requests ends soon after the address lists have expired`() {
         running = 0
