--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerConnection.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -74,6 +75,8 @@
     /** Whether bytes of a response have not reached the socket yet. */
     val hasUnsentBytes: Boolean get() = channel.unsentBytes > 0
 
+    val reportFailure: ObserveRequestFailure = listener::requestFailed
+
     override fun channelActive(context: ChannelHandlerContext) {
         listener.opened(this)
         context.fireChannelActive()
@@ -110,7 +113,7 @@
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
         isReading = false
-        unserved?.also { unserved = null }?.let(serve)
+        unserved?.also { unserved = null }?.takeIf { !it.isFinished }?.let { it.guarded { serve(it) } }
         context.fireChannelReadComplete()
     }
 
@@ -143,7 +146,7 @@
             )
         }
         exchange = next
-        if (isReading) unserved = next else serve(next)
+        if (isReading) unserved = next else next.guarded { serve(next) }
     }
 
     private fun refuse(status: HttpResponseStatus) {
@@ -167,7 +170,7 @@
         } else {
             wait.forReceivedRequest(limits(), listener.now())
         }
-        val written = channel.writeAndFlush(part)
+        val written = channel.writeAndFlush(part).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE)
         if (close != null) {
             reportClose(close)
             discarding = true
@@ -175,7 +178,7 @@
             lingering.begin(written)
             return
         }
-        channel.eventLoop().execute(::serveNext)
+        channel.eventLoop().execute { runCatching(::serveNext).onFailure(channel.pipeline()::fireExceptionCaught) }
     }
 
     private fun serveNext() {
@@ -194,14 +197,32 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (channel.isWritable) exchange?.onWritable?.invoke()
+        if (channel.isWritable) exchange?.let { it.guarded(it.onWritable) }
     }
 
     @Deprecated("Netty still reports channel errors through this method.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         // The caller or the network ended the connection if reading or writing failed.
-        if (cause !is IOException) reportClose(CallerCloseReason.FAILED, cause)
-        context.close()
+        if (cause is IOException) {
+            context.close()
+            return
+        }
+        val unanswered = exchange?.takeIf { !it.isFinished }
+        unanswered?.handlerFailed(cause)
+        runEvery(
+            { reportClose(CallerCloseReason.FAILED, cause) },
+            {
+                if (exchange == null && wait.stage != CallerWaitStage.NEXT_REQUEST) {
+                    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                } else {
+                    discarding = true
+                    pipelined.clear()
+                    // Not before a response that was just written has been sent.
+                    val answered = unanswered?.let { context.writeAndFlush(Unpooled.EMPTY_BUFFER) }
+                    answered?.let(lingering::begin) ?: context.close()
+                }
+            },
+        )
     }
 
     /**
--- a/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/ListenerFixture.kt
@@ -29,11 +29,21 @@
     }
     val exchanges = LinkedBlockingQueue<CallerExchange>()
     val closes = LinkedBlockingQueue<CallerClose>()
+    val failures = LinkedBlockingQueue<RequestFailure>()
+    val bodyBudget = RequestBodyBudget()
+
+    /** Reads the limits; can be replaced by a function that fails. */
+    @Volatile
+    var readLimits: () -> CallerConnectionLimits = { limits }
 
     /** Serves each request; by default it is put into [exchanges]. */
     @Volatile
     var serve: ServeExchange = exchanges::put
 
+    /** Observes closed connections; by default they are put into [closes]. */
+    @Volatile
+    var onClosing: ObserveCallerClose = closes::put
+
     /** Largest head of a request in bytes. */
     @Volatile
     var maximumHeadBytes = 1000
@@ -41,10 +51,12 @@
         group,
         clock,
         maximumHeadBytes = { maximumHeadBytes },
-        limits = { limits },
+        limits = { readLimits() },
         onRefused = {},
         serve = { serve(it) },
-        onClosing = closes::put,
+        bodyBudget = bodyBudget,
+        onClosing = { onClosing(it) },
+        onFailed = failures::put,
         maximumLingering = maximumLingering,
     ).also { it.start(address) }
 
@@ -84,6 +96,8 @@
 
     fun nextClose(): CallerClose = assertNotNull(closes.poll(5, TimeUnit.SECONDS), "no connection was closed")
 
+    fun nextFailure(): RequestFailure = assertNotNull(failures.poll(5, TimeUnit.SECONDS), "no failure was reported")
+
     fun respond(exchange: CallerExchange, body: ByteArray = ByteArray(0)) =
         onLoop { exchange.respond(200, DefaultHttpHeaders(), body) }
 
