--- a/bench/src/main/kotlin/redwingcross/bench/crash/CrashCostScenario.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/crash/CrashCostScenario.kt
@@ -4,10 +4,10 @@
 import redwingcross.process.crash.CrashLedger
 import redwingcross.process.crash.CrashObservation
 import redwingcross.process.crash.EngineRun
-import redwingcross.process.crash.SuspectRequest
 import redwingcross.request.AttemptId
 import redwingcross.request.BackendServer
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestIdentity
 import redwingcross.version.fleet.EngineStart
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -58,7 +58,7 @@
         val suspects = List(requests) { index ->
             val shared = List(parts) { ordinary.random(random) }
             val all = if (index == 0) shared.drop(1) + crashing else shared
-            SuspectRequest(AttemptId("%08x%08x".format(number, index)), all.toSet())
+            RequestIdentity(AttemptId("%08x%08x".format(number, index)), all.toSet())
         }
         return CrashObservation(EngineRun(BackendServer("engine-$number"), EngineStart(START)), suspects)
     }
--- a/process/src/main/kotlin/redwingcross/process/crash/Crash.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/Crash.kt
@@ -1,27 +1,27 @@
 package redwingcross.process.crash
 
 import redwingcross.request.AttemptId
-import redwingcross.request.PromptPart
+import redwingcross.request.RequestTrait
 import kotlin.time.Duration
 
 /**
  * The end of an engine as a process knows it.
  *
- * [cleared] names the parts that an answer, begun after the crash, proved to be sound. It is a set rather than a time:
+ * [cleared] names the traits that an answer, begun after the crash, proved to be sound. It is a set rather than a time:
  * a time that is passed on as an age grows by the delay of each message, and would in the end clear later crashes.
  * For the same reason [at] is the earliest time reported.
  */
 data class Crash(
     val at: Duration,
-    val requests: Map<AttemptId, Set<PromptPart>>,
-    val cleared: Set<PromptPart> = emptySet(),
+    val requests: Map<AttemptId, Set<RequestTrait>>,
+    val cleared: Set<RequestTrait> = emptySet(),
 ) {
     /** Parts that this crash accuses. */
-    val accused: Set<PromptPart> by lazy { requests.values.flatMapTo(HashSet()) { it } }
+    val accused: Set<RequestTrait> by lazy { requests.values.flatMapTo(HashSet()) { it } }
 
-    /** Returns this crash with [parts] cleared, or this instance if none of them is accused. */
-    fun clear(parts: Collection<PromptPart>): Crash {
-        val proved = parts.filterTo(HashSet()) { it in accused }
+    /** Returns this crash with [traits] cleared, or this instance if none of them is accused. */
+    fun clear(traits: Collection<RequestTrait>): Crash {
+        val proved = traits.filterTo(HashSet()) { it in accused }
         return if (proved.isEmpty()) this else reduced(at, requests, cleared + proved)
     }
 
@@ -32,29 +32,29 @@
     fun merge(other: Crash): Crash {
         val earliest = if (other.at < at - CrashLimits.timeTolerance) other.at else at
         val clearedByEither = if (cleared.containsAll(other.cleared)) cleared else cleared + other.cleared
-        val isKnown = other.requests.all { (attempt, parts) -> knows(attempt, parts) }
+        val isKnown = other.requests.all { (attempt, traits) -> knows(attempt, traits) }
         if (earliest == at && clearedByEither === cleared && isKnown) return this
         val union = requests.toMutableMap()
-        other.requests.forEach { (attempt, parts) -> union.merge(attempt, parts) { one, two -> one + two } }
+        other.requests.forEach { (attempt, traits) -> union.merge(attempt, traits) { one, two -> one + two } }
         val merged = reduced(earliest, union, clearedByEither)
         return if (merged == this) this else merged
     }
 
-    /** Whether [report], whose parts are indices into [parts], adds nothing to this crash. */
-    fun includes(report: CrashReport, parts: List<PromptPart>, reportedAt: Duration): Boolean =
+    /** Whether [report], whose traits are indices into [traits], adds nothing to this crash. */
+    fun includes(report: CrashReport, traits: List<RequestTrait>, reportedAt: Duration): Boolean =
         reportedAt >= at - CrashLimits.timeTolerance &&
-            report.cleared.all { parts[it] in cleared } &&
-            report.requests.all { request -> knows(AttemptId(request.attempt), request.parts.map(parts::get)) }
+            report.cleared.all { traits[it] in cleared } &&
+            report.requests.all { request -> knows(AttemptId(request.attempt), request.traits.map(traits::get)) }
 
-    private fun knows(attempt: AttemptId, parts: Collection<PromptPart>): Boolean {
+    private fun knows(attempt: AttemptId, traits: Collection<RequestTrait>): Boolean {
         val known = requests[attempt].orEmpty()
-        return parts.all { it in known || it in cleared }
+        return traits.all { it in known || it in cleared }
     }
 
     companion object {
-        /** Returns a crash whose requests name only parts that aren't cleared, with at most the allowed requests. */
-        fun reduced(at: Duration, requests: Map<AttemptId, Set<PromptPart>>, cleared: Set<PromptPart>): Crash {
-            val accusing = requests.mapValues { (_, parts) -> parts - cleared }.filterValues { it.isNotEmpty() }
+        /** Returns a crash whose requests name only traits that aren't cleared, with at most the allowed requests. */
+        fun reduced(at: Duration, requests: Map<AttemptId, Set<RequestTrait>>, cleared: Set<RequestTrait>): Crash {
+            val accusing = requests.mapValues { (_, traits) -> traits - cleared }.filterValues { it.isNotEmpty() }
             if (accusing.size <= CrashLimits.REQUESTS_PER_CRASH) return Crash(at, accusing, cleared)
             val kept = accusing.entries.sortedBy { it.key.value }.take(CrashLimits.REQUESTS_PER_CRASH)
             return Crash(at, kept.associate { it.key to it.value }, cleared)
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashEvidence.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashEvidence.kt
@@ -11,8 +11,8 @@
 // of the properties is the wire format.
 
 /**
- * What a process tells others of its [CrashLedger]. Requests and clearings name parts by their index in [parts],
- * because the same parts recur. Ages are those at the time of sending. An array has no field names to tell which
+ * What a process tells others of its [CrashLedger]. Requests and clearings name traits by their index in [traits],
+ * because the same traits recur. Ages are those at the time of sending. An array has no field names to tell which
  * properties are left out, so defaults are encoded too.
  *
  * @throws IllegalArgumentException if an index, an age or a count is out of range.
@@ -21,7 +21,7 @@
 @CborArray
 data class CrashEvidence(
     @EncodeDefault
-    val parts: List<String> = emptyList(),
+    val traits: List<String> = emptyList(),
     @EncodeDefault
     val crashes: List<CrashReport> = emptyList(),
     @EncodeDefault
@@ -38,10 +38,10 @@
             require(report.requests.size <= CrashLimits.REQUESTS_PER_CRASH) {
                 "crash of ${report.engine} has ${report.requests.size} requests"
             }
-            val indices = report.cleared + report.requests.flatMap { it.parts }
-            require(indices.all { it in parts.indices }) { "crash of ${report.engine} names an unknown part" }
+            val indices = report.cleared + report.requests.flatMap { it.traits }
+            require(indices.all { it in traits.indices }) { "crash of ${report.engine} names an unknown trait" }
         }
-        lifts.forEach { require(it.ageMillis >= 0) { "lift of ${it.part} has age ${it.ageMillis} ms" } }
+        lifts.forEach { require(it.ageMillis >= 0) { "lift of ${it.trait} has age ${it.ageMillis} ms" } }
     }
 }
 
@@ -56,12 +56,12 @@
     val cleared: List<Int>,
 )
 
-/** A suspect request in a [CrashReport]; [parts] are indices. */
+/** A suspect request in a [CrashReport]; [traits] are indices. */
 @Serializable
 @CborArray
-data class RequestReport(val attempt: String, val parts: List<Int>)
+data class RequestReport(val attempt: String, val traits: List<Int>)
 
 /** A [Lift] in [CrashEvidence]. */
 @Serializable
 @CborArray
-data class LiftReport(val part: String, val number: Int, val ageMillis: Long)
+data class LiftReport(val trait: String, val number: Int, val ageMillis: Long)
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashEvidenceBuilder.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashEvidenceBuilder.kt
@@ -1,6 +1,6 @@
 package redwingcross.process.crash
 
-import redwingcross.request.PromptPart
+import redwingcross.request.RequestTrait
 import kotlin.time.Duration
 
 /**
@@ -9,10 +9,10 @@
  * takes more than its share is reduced, so that it keeps no other from being sent.
  */
 internal class CrashEvidenceBuilder(private val ledger: CrashLedger, private val now: Duration) {
-    private val indices = LinkedHashMap<PromptPart, Int>()
+    private val indices = LinkedHashMap<RequestTrait, Int>()
     private val reports = LinkedHashMap<EngineRun, CrashReport>()
     private val rotation = EvidenceRotation(now)
-    private val explained = ledger.explanations.flatMapTo(HashSet()) { it.parts }
+    private val explained = ledger.explanations.flatMapTo(HashSet()) { it.traits }
     private var bytes = ledger.lifts.keys.sumOf(EvidenceSize::lift)
 
     /** Room that each crash may take; more than the smallest share if there are few crashes. */
@@ -22,7 +22,7 @@
     )
 
     fun build(): CrashEvidence {
-        val lifts = ledger.lifts.map { (part, lift) -> LiftReport(part.id, lift.number, millisSince(lift.at)) }
+        val lifts = ledger.lifts.map { (trait, lift) -> LiftReport(trait.id, lift.number, millisSince(lift.at)) }
         val proofs = rotation.rotate(ledger.explanations).flatMap { it.proof }.distinct()
         addThoseThatFit(proofs, CrashLimits.EVIDENCE_BYTES)
         val newest = ledger.crashes.keys.sortedByDescending { ledger.crashes.getValue(it).at } - reports.keys
@@ -54,18 +54,18 @@
         engine = run.engine.value,
         startUnixMillis = run.start?.unixMillis,
         ageMillis = millisSince(crash.at),
-        requests = crash.requests.map { (attempt, parts) -> RequestReport(attempt.value, parts.map(::index)) },
+        requests = crash.requests.map { (attempt, traits) -> RequestReport(attempt.value, traits.map(::index)) },
         cleared = crash.cleared.map(::index),
     )
 
-    private fun index(part: PromptPart): Int = indices.getOrPut(part) { indices.size }
+    private fun index(trait: RequestTrait): Int = indices.getOrPut(trait) { indices.size }
 
     private fun millisSince(time: Duration): Long = (now - time).inWholeMilliseconds.coerceAtLeast(0)
 
     private fun size(run: EngineRun, crash: Crash): Int = EvidenceSize.end(run) +
         crash.accused.sumOf(::sizeIfNew) +
         crash.cleared.sumOf { sizeIfNew(it) + EvidenceSize.INDEX } +
-        crash.requests.entries.sumOf { (attempt, parts) -> EvidenceSize.request(attempt, parts.size) }
+        crash.requests.entries.sumOf { (attempt, traits) -> EvidenceSize.request(attempt, traits.size) }
 
-    private fun sizeIfNew(part: PromptPart): Int = if (part in indices) 0 else EvidenceSize.part(part)
+    private fun sizeIfNew(trait: RequestTrait): Int = if (trait in indices) 0 else EvidenceSize.trait(trait)
 }
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
@@ -1,13 +1,13 @@
 package redwingcross.process.crash
 
 import redwingcross.request.AttemptId
-import redwingcross.request.PromptPart
+import redwingcross.request.RequestTrait
 import kotlin.time.Duration
 
 /**
- * Finds few parts that explain the crashes: repeatedly the part with the most crashes at separate times. Its requests
- * then accuse no other part, so a part that is in some of the requests of another one isn't blamed. Other requests of
- * its crashes still accuse, since a second crashing part may wait at the same engines, but don't suffice by themselves.
+ * Finds few traits that explain the crashes: repeatedly the trait with the most crashes at separate times. Its requests
+ * then accuse no other trait, so a trait that is in some of the requests of another one isn't blamed. Other requests of
+ * its crashes still accuse, since a second crashing trait may wait at the same engines, but don't suffice by themselves.
  */
 internal class CrashExplanation(ledger: CrashLedger) {
     private var known = ledger.crashes
@@ -21,30 +21,30 @@
             val candidates = strongest()
             if (candidates.isEmpty()) return found
             candidates.forEach { candidate -> candidate.decisive?.let { found += candidate.explanation(it) } }
-            val parts = candidates.flatMapTo(HashSet()) { it.parts }
-            known = known.map { it.without(parts) }
+            val traits = candidates.flatMapTo(HashSet()) { it.traits }
+            known = known.map { it.without(traits) }
         }
     }
 
-    /** Returns the strongest candidate, or several of equal strength in the order of their parts. */
+    /** Returns the strongest candidate, or several of equal strength in the order of their traits. */
     private fun strongest(): List<Candidate> {
-        val crashesOf = LinkedHashMap<PromptPart, MutableList<KnownCrash>>()
+        val crashesOf = LinkedHashMap<RequestTrait, MutableList<KnownCrash>>()
         known.forEach { crash -> crash.accused.forEach { crashesOf.getOrPut(it) { ArrayList() }.add(crash) } }
         val candidates =
             crashesOf
                 .entries
                 .filter { it.value.size >= CrashLimits.CRASHES_TO_BLOCK }
                 .groupBy({ it.value }, { it.key })
-                .map { (crashes, parts) -> candidate(parts.toSet(), crashes) }
+                .map { (crashes, traits) -> candidate(traits.toSet(), crashes) }
                 .filter { it.decisive != null }
         val strongest = candidates.maxWithOrNull(STRENGTH) ?: return emptyList()
-        return candidates.filter { STRENGTH.compare(it, strongest) == 0 }.sortedBy { it.firstPart.id }
+        return candidates.filter { STRENGTH.compare(it, strongest) == 0 }.sortedBy { it.firstTrait.id }
     }
 
-    private fun candidate(parts: Set<PromptPart>, crashes: List<KnownCrash>): Candidate {
+    private fun candidate(traits: Set<RequestTrait>, crashes: List<KnownCrash>): Candidate {
         val own = crashes.toSet()
         val others = known.filterNot { it in own || it.isExplained }
-        return Candidate(parts, crashes, crashes.associateWith { separation(it, crashes, others) }, others)
+        return Candidate(traits, crashes, crashes.associateWith { separation(it, crashes, others) }, others)
     }
 
     /** Returns the time by which [crash] has to follow another of the same [crashes] to count. */
@@ -55,25 +55,25 @@
         return if (amidMany) CrashLimits.doubtfulSeparation else CrashLimits.separation
     }
 
-    /** A crash without the requests of parts that explain it. Compared by its run, which occurs once. */
+    /** A crash without the requests of traits that explain it. Compared by its run, which occurs once. */
     private class KnownCrash(
         val run: EngineRun,
         val at: Duration,
         val clearableSince: Duration,
-        val requests: Map<AttemptId, Set<PromptPart>>,
+        val requests: Map<AttemptId, Set<RequestTrait>>,
         val isExplained: Boolean,
     ) {
-        val accused: Set<PromptPart> by lazy { requests.values.flatMapTo(LinkedHashSet()) { it } }
+        val accused: Set<RequestTrait> by lazy { requests.values.flatMapTo(LinkedHashSet()) { it } }
 
         fun isWithin(time: Duration, other: KnownCrash): Boolean = (at - other.at).absoluteValue <= time
 
-        fun without(parts: Set<PromptPart>): KnownCrash {
-            if (parts.none { it in accused }) return this
+        fun without(traits: Set<RequestTrait>): KnownCrash {
+            if (traits.none { it in accused }) return this
             return KnownCrash(
                 run,
                 at,
                 clearableSince,
-                requests.filterValues { it.none(parts::contains) },
+                requests.filterValues { it.none(traits::contains) },
                 isExplained = true,
             )
         }
@@ -84,12 +84,12 @@
     }
 
     private class Candidate(
-        val parts: Set<PromptPart>,
+        val traits: Set<RequestTrait>,
         val crashes: List<KnownCrash>,
         private val separations: Map<KnownCrash, Duration>,
         others: List<KnownCrash>,
     ) {
-        val firstPart: PromptPart = parts.minBy { it.id }
+        val firstTrait: RequestTrait = traits.minBy { it.id }
 
         val separateTimes: List<Duration> = separateTimes(crashes)
 
@@ -99,7 +99,7 @@
         private val decisiveAlone =
             decisive(CrashLimits.SEPARATE_TIMES_TO_BLOCK, CrashLimits.ATTEMPTS_TO_BLOCK)
 
-        /** Whether other ends, or another part, cast doubt. Later crashes don't, so that they don't end a block. */
+        /** Whether other ends, or another trait, cast doubt. Later crashes don't, so that they don't end a block. */
         private val amidOthers = decisiveAlone != null && castDoubt(others, decisiveAlone + CrashLimits.clearingTime)
 
         private fun castDoubt(others: List<KnownCrash>, until: Duration): Boolean =
@@ -108,7 +108,7 @@
                     other.clearableSince <= until && crashes.any { it.isWithin(CrashLimits.noiseWindow, other) }
                 }
 
-        /** Time since which the crashes prove that the parts end engines unless an answer clears them, or null. */
+        /** Time since which the crashes prove that the traits end engines unless an answer clears them, or null. */
         val decisive: Duration? =
             if (amidOthers) {
                 decisive(
@@ -162,13 +162,13 @@
         fun explanation(decisive: Duration): Explanation {
             val attempts = crashes.flatMapTo(LinkedHashSet()) { attemptsIn(it) }.toList()
             val ownTime = if (amidOthers) CrashLimits.longClearingTime else CrashLimits.clearingTime
-            val clearingTime = if (attempts.size > crashes.size) ownTime + CrashLimits.commonPartTime else ownTime
+            val clearingTime = if (attempts.size > crashes.size) ownTime + CrashLimits.commonTraitTime else ownTime
             return Explanation(
-                parts = parts,
+                traits = traits,
                 crashes = crashes.map { it.run },
                 attempts = attempts,
                 blockedFrom = decisive + clearingTime,
-                listedFrom = if (parts.size == 1) decisive + clearingTime else listedTogetherFrom(decisive),
+                listedFrom = if (traits.size == 1) decisive + clearingTime else listedTogetherFrom(decisive),
                 proof = proof(),
             )
         }
@@ -179,12 +179,12 @@
         }
 
         private fun attemptsIn(known: KnownCrash): List<AttemptId> =
-            known.requests.filterValues { parts.any(it::contains) }.keys.toList()
+            known.requests.filterValues { traits.any(it::contains) }.keys.toList()
 
-        /** Selects crashes at separate times, of different attempts, that no other part explains or has in common. */
+        /** Selects crashes at separate times, of different attempts, that no other trait explains or has in common. */
         private fun proof(): Set<EngineRun> {
             val needed =
-                if (parts.size == 1) CrashLimits.CRASHES_TO_BLOCK else CrashLimits.CRASHES_TO_LIST_TOGETHER
+                if (traits.size == 1) CrashLimits.CRASHES_TO_BLOCK else CrashLimits.CRASHES_TO_LIST_TOGETHER
             val times = separateTimes.take(CrashLimits.SEPARATE_TIMES_TO_BLOCK_AMID_OTHERS).toSet()
             val chosen = crashes.filterTo(ArrayList()) { it.at in times }
             var common = chosen.map { it.accused }.reduce { one, two -> one intersect two }
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashLedger.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashLedger.kt
@@ -1,6 +1,6 @@
 package redwingcross.process.crash
 
-import redwingcross.request.PromptPart
+import redwingcross.request.RequestTrait
 import kotlin.time.Duration
 
 /**
@@ -12,26 +12,26 @@
  */
 data class CrashLedger(
     val crashes: Map<EngineRun, Crash> = emptyMap(),
-    val lifts: Map<PromptPart, Lift> = emptyMap(),
+    val lifts: Map<RequestTrait, Lift> = emptyMap(),
     /** When each crash was confirmed, as far as this process can tell: reports carry the time of the crash only. */
     val confirmedAt: Map<EngineRun, Duration> = emptyMap(),
 ) {
-    /** Last crash that accuses each part. */
-    internal val lastAccusations: Map<PromptPart, Duration> by lazy {
-        val last = HashMap<PromptPart, Duration>()
+    /** Last crash that accuses each trait. */
+    internal val lastAccusations: Map<RequestTrait, Duration> by lazy {
+        val last = HashMap<RequestTrait, Duration>()
         crashes.values.forEach { crash -> crash.accused.forEach { last.merge(it, crash.at, ::maxOf) } }
         last
     }
 
-    /** Parts that explain the crashes, computed once. */
+    /** Traits that explain the crashes, computed once. */
     internal val explanations: List<Explanation> by lazy { CrashExplanation(this).explanations() }
 
     /** Returns this ledger with other [crashes], all of them known, and [lifts]. */
-    internal fun with(crashes: Map<EngineRun, Crash>, lifts: Map<PromptPart, Lift>): CrashLedger =
+    internal fun with(crashes: Map<EngineRun, Crash>, lifts: Map<RequestTrait, Lift>): CrashLedger =
         CrashLedger(crashes, lifts, confirmedAt.filterKeys { it in crashes })
 
     /**
-     * Time since which answers can clear the parts of the crash of [run]: the time of the crash, or of its confirmation
+     * Time since which answers can clear the traits of the crash of [run]: the time of the crash, or of its confirmation
      * if that was late. No process relates answers to a crash that it doesn't know.
      */
     internal fun clearableSince(run: EngineRun): Duration {
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashRetention.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashRetention.kt
@@ -1,13 +1,13 @@
 package redwingcross.process.crash
 
 import redwingcross.request.AttemptId
-import redwingcross.request.PromptPart
+import redwingcross.request.RequestTrait
 import redwingcross.version.routing.orderHash
 import kotlin.time.Duration
 
 /** Drops crashes and lifts that are out of date, or more than are kept. What proves a block stays longest. */
 internal object CrashRetention {
-    /** Returns [ledger] without crashes whose parts saw no other crash lately, or [ledger] itself. */
+    /** Returns [ledger] without crashes whose traits saw no other crash lately, or [ledger] itself. */
     fun current(ledger: CrashLedger, now: Duration): CrashLedger {
         val oldest = now - CrashLimits.accusationLifetime
         val lifts = ledger.lifts.filterValues { it.at >= now - CrashLimits.liftLifetime }
@@ -39,12 +39,12 @@
         return ledger.with(kept.associate { it.key to it.value }, lifts.associate { it.key to it.value })
     }
 
-    /** Returns at most the kept number of [parts], those that are accused already first. */
-    fun boundedParts(ledger: CrashLedger, parts: Set<PromptPart>): Set<PromptPart> {
-        if (parts.size <= CrashLimits.PARTS_PER_REQUEST) return parts
-        return parts
+    /** Returns at most the kept number of [traits], those that are accused already first. */
+    fun boundedTraits(ledger: CrashLedger, traits: Set<RequestTrait>): Set<RequestTrait> {
+        if (traits.size <= CrashLimits.TRAITS_PER_REQUEST) return traits
+        return traits
             .sortedByDescending { it in ledger.lastAccusations }
-            .take(CrashLimits.PARTS_PER_REQUEST)
+            .take(CrashLimits.TRAITS_PER_REQUEST)
             .toSet()
     }
 
--- a/process/src/main/kotlin/redwingcross/process/crash/EngineEndDetector.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/EngineEndDetector.kt
@@ -3,6 +3,7 @@
 import redwingcross.request.AttemptId
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
+import redwingcross.request.RequestIdentity
 import redwingcross.request.Transition
 import redwingcross.version.fleet.EngineStart
 import kotlin.time.Duration
@@ -19,7 +20,7 @@
         val run: EngineRun,
         val group: GroupId?,
         val attempt: AttemptId,
-        val suspect: SuspectRequest?,
+        val suspect: RequestIdentity?,
     ) : EngineEndMessage
 
     /** No connection to [engine] could be opened. */
@@ -33,7 +34,7 @@
 }
 
 /** A connection to an engine that ended at [at] under the request [attempt]; see [EngineEndMessage.ConnectionLost]. */
-data class LostConnection(val at: Duration, val attempt: AttemptId, val suspect: SuspectRequest?)
+data class LostConnection(val at: Duration, val attempt: AttemptId, val suspect: RequestIdentity?)
 
 /** Lost connections of one run of an engine that may have ended; empty once [isEnded] is known. */
 data class PossibleEnd(
--- a/process/src/main/kotlin/redwingcross/process/crash/EvidenceSize.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/EvidenceSize.kt
@@ -1,11 +1,11 @@
 package redwingcross.process.crash
 
 import redwingcross.request.AttemptId
-import redwingcross.request.PromptPart
+import redwingcross.request.RequestTrait
 
 /** Upper bounds of the bytes that the items of a [CrashEvidence] take in a message. */
 internal object EvidenceSize {
-    /** Index of a part among those of a message. */
+    /** Index of a trait among those of a message. */
     const val INDEX = 3
 
     /** Start and end of a list. */
@@ -20,15 +20,15 @@
     private const val COUNT = 5
     private const val TIME = 9
 
-    fun part(part: PromptPart): Int = text(part.id)
+    fun trait(trait: RequestTrait): Int = text(trait.id)
 
-    fun lift(part: PromptPart): Int = LIST + text(part.id) + COUNT + TIME
+    fun lift(trait: RequestTrait): Int = LIST + text(trait.id) + COUNT + TIME
 
-    /** A crash without requests and cleared parts. */
+    /** A crash without requests and cleared traits. */
     fun end(run: EngineRun): Int = LIST + text(run.engine.value) + TIME + TIME + LIST + LIST
 
-    /** A request with [parts] parts that are listed already. */
-    fun request(attempt: AttemptId, parts: Int): Int = LIST + text(attempt.value) + LIST + INDEX * parts
+    /** A request with [traits] traits that are listed already. */
+    fun request(attempt: AttemptId, traits: Int): Int = LIST + text(attempt.value) + LIST + INDEX * traits
 
     private fun text(text: String): Int = TEXT + text.sumOf { if (it <= LAST_ASCII) 1 else LONG_CHARACTER }
 }
--- a/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
@@ -1,7 +1,7 @@
 package redwingcross.process.edge
 
-import redwingcross.process.crash.AnsweredParts
-import redwingcross.process.crash.BlockedPart
+import redwingcross.process.crash.AnsweredTraits
+import redwingcross.process.crash.BlockedTrait
 import redwingcross.process.crash.CrashAttribution
 import redwingcross.process.crash.CrashEvidence
 import redwingcross.process.crash.CrashLedger
@@ -10,12 +10,11 @@
 import redwingcross.process.crash.EngineEndMessage
 import redwingcross.process.crash.EngineEndState
 import redwingcross.process.crash.EngineRun
-import redwingcross.process.crash.SuspectRequest
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
-import redwingcross.request.PromptPart
-import redwingcross.request.forward.InboundRequest
+import redwingcross.request.RequestIdentity
+import redwingcross.request.RequestTrait
 import redwingcross.version.fleet.EngineTable
 import redwingcross.version.forwarding.ChosenBackend
 import kotlin.time.Duration
@@ -26,64 +25,62 @@
     val table: () -> EngineTable,
     /** Called when this process has learned something that the other processes need to know. */
     val onNewEvidence: () -> Unit,
-    /** Called when a part of prompts was blocked. */
+    /** Called when a trait was blocked. */
     val onBlocked: () -> Unit,
     /** Counts an observed end of an engine. */
     val countCrash: () -> Unit,
-    /** Counts a request that was not sent because of the part. */
-    val countBlocked: (PromptPart) -> Unit,
+    /** Counts a request that was not sent because of the trait. */
+    val countBlocked: (RequestTrait) -> Unit,
     val log: LogEvent,
 )
 
 /**
- * Owns this process's replica of the [CrashLedger]: relates ends of engines to the parts of prompts that the requests
- * there had, and tells which requests must not be sent. A process that can't reach others goes on with its replica.
+ * Owns this process's replica of the [CrashLedger]: relates ends of engines to the traits of the requests
+ * that were there, and tells which requests must not be sent. A process that can't reach others goes on with its replica.
  */
 class CrashAttributionTask(private val dependencies: CrashAttributionDependencies, private val clock: MonotonicClock) {
     private var detector = EngineEndState()
     private var ledger = CrashLedger()
-    private val answered = AnsweredParts()
-    private var knownBlocks = emptySet<PromptPart>()
+    private val answered = AnsweredTraits()
+    private var knownBlocks = emptySet<RequestTrait>()
 
-    /** Blocked parts with their evidence. */
-    fun blockedParts(): List<BlockedPart> = CrashAttribution.blocked(ledger, clock.now(), answered).values.toList()
+    /** Blocked traits with their evidence. */
+    fun blockedTraits(): List<BlockedTrait> = CrashAttribution.blocked(ledger, clock.now(), answered).values.toList()
 
     /** What other processes need to know. */
     fun evidence(): CrashEvidence = CrashAttribution.evidence(ledger, clock.now())
 
     /** Whether [request] must not be sent to an engine; if so, this is logged and counted. */
-    fun isBlocked(request: InboundRequest): Boolean {
-        val parts = request.generation?.sharedParts.orEmpty()
-        if (parts.isEmpty()) return false
-        val block = CrashAttribution.blocking(ledger, parts, clock.now(), answered) ?: return false
-        dependencies.countBlocked(block.part)
+    fun isBlocked(request: RequestIdentity): Boolean {
+        if (request.traits.isEmpty()) return false
+        val block = CrashAttribution.blocking(ledger, request.traits, clock.now(), answered) ?: return false
+        dependencies.countBlocked(block.trait)
         dependencies.log(
             "prompt_part_refused",
-            arrayOf("attempt" to request.attempt, "part" to block.part.id, "crashes" to block.crashes.toLogValue()),
+            arrayOf("attempt" to request.attempt, "part" to block.trait.id, "crashes" to block.crashes.toLogValue()),
         )
         return true
     }
 
-    /** Whether one of [parts] is suspected because of the end of another engine than the one behind [backend]. */
-    fun isSuspect(parts: List<PromptPart>, backend: ChosenBackend): Boolean {
+    /** Whether a trait of [request] is suspected because of the end of another engine than the one behind [backend]. */
+    fun isSuspect(request: RequestIdentity, backend: ChosenBackend): Boolean {
         // All requests at an engine that ended are suspects of that crash; most are sound and have to go on elsewhere.
         val others = if (backend.run in ledger.crashes) ledger.copy(crashes = ledger.crashes - backend.run) else ledger
-        return CrashAttribution.isSuspect(others, parts, clock.now())
+        return CrashAttribution.isSuspect(others, request.traits, clock.now())
     }
 
-    /** Records that an engine began to answer a request with [parts]. */
-    fun answerBegan(parts: List<PromptPart>) {
-        if (parts.isEmpty()) return
+    /** Records that an engine began to answer [request]. */
+    fun answerBegan(request: RequestIdentity) {
+        if (request.traits.isEmpty()) return
         val now = clock.now()
-        answered.record(parts, now)
-        update(CrashAttribution.answerBegan(ledger, parts, now))
+        answered.record(request.traits, now)
+        update(CrashAttribution.answerBegan(ledger, request.traits, now))
     }
 
     /** Records that [request] lost its connection to [backend]; [hasAnswered] tells whether its answer had begun. */
-    fun connectionLost(backend: ChosenBackend, request: InboundRequest, hasAnswered: Boolean) {
+    fun connectionLost(backend: ChosenBackend, request: RequestIdentity, hasAnswered: Boolean) {
         if (backend.group == null) return
-        val parts = request.generation?.sharedParts.orEmpty().toSet()
-        val suspect = SuspectRequest(request.attempt, parts).takeUnless { hasAnswered }
+        val suspect = request.takeUnless { hasAnswered }
         detect(EngineEndMessage.ConnectionLost(backend.run, backend.group, request.attempt, suspect))
     }
 
@@ -97,7 +94,7 @@
         if (detector.runs.isNotEmpty()) detect(EngineEndMessage.GroupsLost(groups))
     }
 
-    /** Compares lost connections with the listed engines and finds parts whose block has begun. */
+    /** Compares lost connections with the listed engines and finds traits whose block has begun. */
     fun check() {
         val engines = detector.engines
         if (engines.isNotEmpty()) detect(EngineEndMessage.EnginesListed(startsOf(engines)))
@@ -114,12 +111,12 @@
         return true
     }
 
-    /** Lifts the block of [part] here and, by the evidence, at the other processes; false if it is not blocked. */
-    fun lift(part: PromptPart): Boolean {
+    /** Lifts the block of [trait] here and, by the evidence, at the other processes; false if it is not blocked. */
+    fun lift(trait: RequestTrait): Boolean {
         val now = clock.now()
-        if (part !in CrashAttribution.blocked(ledger, now, answered)) return false
-        dependencies.log("prompt_part_lifted", arrayOf("part" to part.id))
-        update(CrashAttribution.lifted(ledger, part, now))
+        if (trait !in CrashAttribution.blocked(ledger, now, answered)) return false
+        dependencies.log("prompt_part_lifted", arrayOf("part" to trait.id))
+        update(CrashAttribution.lifted(ledger, trait, now))
         return true
     }
 
@@ -165,8 +162,8 @@
         if (added.isNotEmpty()) dependencies.onBlocked()
     }
 
-    private fun BlockedPart.logFields(): Array<Pair<String, Any?>> = arrayOf(
-        "part" to part.id,
+    private fun BlockedTrait.logFields(): Array<Pair<String, Any?>> = arrayOf(
+        "part" to trait.id,
         "crashes" to crashes.toLogValue(),
         "attempts" to attempts.joinToString(",") { it.value },
     )
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -9,6 +9,7 @@
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.ProcessName
+import redwingcross.request.RequestIdentity
 import redwingcross.request.forward.InboundRequest
 import redwingcross.request.forward.OfferResult
 import redwingcross.request.forward.Repeatability
@@ -239,7 +240,8 @@
         tenant: Tenant?,
         arrivedAt: Duration,
     ) {
-        if (crashes.isBlocked(request)) {
+        val identity = RequestIdentity(request.attempt, request.generation?.sharedParts.orEmpty().toSet())
+        if (crashes.isBlocked(identity)) {
             val delay = CrashSignals.BLOCKED_RETRY_DELAY
             return refuse(exchange, request, SERVICE_UNAVAILABLE, ForwardTask.BLOCKED_PART, retryDelay = delay)
         }
@@ -248,7 +250,7 @@
         budgets[service].recordRequest(now)
         val priority = tenant?.priority ?: route.priority
         val admittedTo = configuration.services[service]
-        val job = ForwardJob(exchange, request, route, service, admittedTo, tenant?.name, priority, arrivedAt)
+        val job = ForwardJob(exchange, request, identity, route, service, admittedTo, tenant?.name, priority, arrivedAt)
         val task = ForwardTask(job, context)
         forwardTasks += task
         task.start()
--- a/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/StallWatch.kt
@@ -2,7 +2,7 @@
 
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
-import redwingcross.request.forward.InboundRequest
+import redwingcross.request.RequestIdentity
 import redwingcross.request.forward.OfferResult
 import redwingcross.version.forwarding.CancelTimer
 import redwingcross.version.forwarding.ChosenBackend
@@ -47,7 +47,7 @@
     /** End of the time over which the first moves from each marked group are spread. */
     private val movesEndAt = HashMap<GroupId, Duration>()
 
-    private class MovedRequest(val backend: ChosenBackend, val request: InboundRequest, val at: Duration)
+    private class MovedRequest(val backend: ChosenBackend, val request: RequestIdentity, val at: Duration)
 
     /** Groups that get no new requests, unless there is no other group. */
     fun marked(): Set<GroupId> = marks.at(clock.now())
@@ -120,7 +120,7 @@
         if (request.hasEvents) return task.moveSilent(OfferResult.Stalled, "group_stalled")
         task.moveSilent(OfferResult.GroupLost, "group_stalled") {
             moved.removeAll { now - it.at >= MOVED_LIFETIME }
-            moved += MovedRequest(backend, task.inbound, now)
+            moved += MovedRequest(backend, task.identity, now)
         }
     }
 
--- a/process/src/test/kotlin/redwingcross/process/crash/AnsweredPartsTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/AnsweredTraitsTest.kt
@@ -3,6 +3,8 @@
 import redwingcross.request.AttemptId
 import redwingcross.request.BackendServer
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestIdentity
+import redwingcross.request.RequestTrait
 import redwingcross.version.fleet.EngineStart
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -18,18 +20,18 @@
 class AnsweredPartsTest {
     private val common = PromptPart("c0")
     private val crashing = PromptPart("cc")
-    private val answered = AnsweredParts().also { it.record(listOf(common), 1.seconds) }
+    private val answered = AnsweredTraits().also { it.record(listOf(common), 1.seconds) }
 
     /** Three engines end at times 1 s apart, each under a request with [parts]. */
-    private fun crashed(from: Duration, parts: List<PromptPart>): CrashLedger =
+    private fun crashed(from: Duration, parts: List<RequestTrait>): CrashLedger =
         (0 until 3).fold(CrashLedger()) { ledger, number ->
             val at = from + 1.seconds * number
-            val request = SuspectRequest(AttemptId("attempt-$number"), parts.toSet())
+            val request = RequestIdentity(AttemptId("attempt-$number"), parts.toSet())
             val run = EngineRun(BackendServer("engine-$number"), EngineStart(1))
             CrashAttribution.observed(ledger, CrashObservation(run, listOf(request)), at)
         }
 
-    private fun blocking(ledger: CrashLedger, now: Duration, parts: List<PromptPart>) =
+    private fun blocking(ledger: CrashLedger, now: Duration, parts: List<RequestTrait>) =
         CrashAttribution.blocking(ledger, parts, now, answered)
 
     @Test
@@ -68,9 +70,9 @@
 
     @Test
     fun `the oldest answers are dropped, so that callers can't fill the memory with parts`() {
-        val parts = AnsweredParts()
-        repeat(CrashLimits.ANSWERED_PARTS * 2) { parts.record(listOf(PromptPart("p$it"), common), it.milliseconds) }
-        assertEquals(CrashLimits.ANSWERED_PARTS, parts.size)
+        val parts = AnsweredTraits()
+        repeat(CrashLimits.ANSWERED_TRAITS * 2) { parts.record(listOf(PromptPart("p$it"), common), it.milliseconds) }
+        assertEquals(CrashLimits.ANSWERED_TRAITS, parts.size)
         assertEquals(true, parts.answeredBefore(common, 1.seconds))
         assertEquals(false, parts.answeredBefore(PromptPart("p0"), 1.seconds))
     }
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashAttributionProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashAttributionProperties.kt
@@ -4,7 +4,7 @@
 import net.jqwik.api.Property
 import net.jqwik.api.ShrinkingMode
 import net.jqwik.api.statistics.Statistics
-import redwingcross.request.PromptPart
+import redwingcross.request.RequestTrait
 import java.util.function.Predicate
 import kotlin.random.Random
 import kotlin.test.assertEquals
@@ -139,13 +139,13 @@
     }
 
     /** The crashing part, with the rare ones that were in each of its crashes: the evidence can't tell these apart. */
-    private fun CrashSimulation.partsInAllCrashes(part: PromptPart): Set<PromptPart> = crashedParts
+    private fun CrashSimulation.partsInAllCrashes(part: RequestTrait): Set<RequestTrait> = crashedParts
         .getValue(part)
         .reduce { one, two -> one intersect two }
         .filterNotTo(HashSet()) { it.id.startsWith("first-") }
 
     /** Whether the first five crashes were of requests with no rare sound part in common. */
-    private fun CrashSimulation.isToldApart(part: PromptPart): Boolean = crashedParts
+    private fun CrashSimulation.isToldApart(part: RequestTrait): Boolean = crashedParts
         .getValue(part)
         .take(5)
         .reduce { one, two -> one intersect two }
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashAttributionTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashAttributionTest.kt
@@ -3,6 +3,8 @@
 import redwingcross.request.AttemptId
 import redwingcross.request.BackendServer
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestIdentity
+import redwingcross.request.RequestTrait
 import redwingcross.version.fleet.EngineStart
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -25,17 +27,17 @@
 
     private fun run(number: Int) = EngineRun(BackendServer("engine-$number"), EngineStart(1))
 
-    private fun CrashLedger.crash(number: Int, at: Duration, parts: Set<PromptPart>, attempt: String = "a$number") =
+    private fun CrashLedger.crash(number: Int, at: Duration, parts: Set<RequestTrait>, attempt: String = "a$number") =
         CrashAttribution.observed(
             this,
-            CrashObservation(run(number), listOf(SuspectRequest(AttemptId(attempt), parts))),
+            CrashObservation(run(number), listOf(RequestIdentity(AttemptId(attempt), parts))),
             at,
         )
 
     private fun CrashLedger.end(number: Int, at: Duration) =
         CrashAttribution.observed(this, CrashObservation(run(number), emptyList()), at)
 
-    private fun CrashLedger.blocks(now: Duration, parts: Set<PromptPart>) =
+    private fun CrashLedger.blocks(now: Duration, parts: Set<RequestTrait>) =
         CrashAttribution.blocking(this, parts, now) != null
 
     private fun blocked() = CrashLedger()
@@ -109,7 +111,7 @@
     @Test
     fun `engines that end at one instant and are confirmed over 5 s block nothing`() {
         val lost = (1..20).fold(EngineEndState()) { state, number ->
-            val suspect = SuspectRequest(AttemptId("a$number"), setOf(first))
+            val suspect = RequestIdentity(AttemptId("a$number"), setOf(first))
             val message = EngineEndMessage.ConnectionLost(run(number), null, suspect.attempt, suspect)
             EngineEndDetector.step(state, message, 1.seconds).state
         }
@@ -127,8 +129,8 @@
         assertTrue(CrashAttribution.blocked(ledger, 11.seconds).isEmpty())
     }
 
-    private fun CrashLedger.lateCrash(number: Int, at: Duration, now: Duration, parts: Set<PromptPart>): CrashLedger {
-        val suspect = SuspectRequest(AttemptId("a$number"), parts)
+    private fun CrashLedger.lateCrash(number: Int, at: Duration, now: Duration, parts: Set<RequestTrait>): CrashLedger {
+        val suspect = RequestIdentity(AttemptId("a$number"), parts)
         return CrashAttribution.observed(this, CrashObservation(run(number), listOf(suspect), now - at), now)
     }
 
@@ -168,7 +170,7 @@
             .crash(3, 30.4.seconds, setOf(crashing))
         assertTrue(ledger.blocks(32.seconds, setOf(crashing)))
         val requests =
-            listOf(SuspectRequest(AttemptId("b1"), setOf(crashing)), SuspectRequest(AttemptId("b2"), setOf(other)))
+            listOf(RequestIdentity(AttemptId("b1"), setOf(crashing)), RequestIdentity(AttemptId("b2"), setOf(other)))
         val later = CrashAttribution.observed(ledger, CrashObservation(run(4), requests), 32.5.seconds)
         assertTrue(later.blocks(32.6.seconds, setOf(crashing)))
     }
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashMergeProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashMergeProperties.kt
@@ -10,6 +10,8 @@
 import redwingcross.request.AttemptId
 import redwingcross.request.BackendServer
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestIdentity
+import redwingcross.request.RequestTrait
 import redwingcross.version.fleet.EngineStart
 import kotlin.random.Random
 import kotlin.test.assertEquals
@@ -57,7 +59,7 @@
             }
         }
         assertTrue(ledger.crashes.size <= CrashLimits.CRASHES)
-        assertTrue(ledger.crashes.values.all { crash -> crash.accused.size <= CrashLimits.PARTS_PER_REQUEST })
+        assertTrue(ledger.crashes.values.all { crash -> crash.accused.size <= CrashLimits.TRAITS_PER_REQUEST })
         assertEquals(setOf(crashing), CrashAttribution.blocked(ledger, 60.seconds).keys)
         assertEquals(setOf(crashing), CrashAttribution.blocked(started, 60.seconds).keys)
     }
@@ -85,7 +87,7 @@
         for (oversized in listOf(long, long.map { it.replace('x', '\u00E9') })) {
             var ledger = CrashLedger()
             repeat(3) { number ->
-                val own = SuspectRequest(AttemptId(oversized[number]), setOf(crashing))
+                val own = RequestIdentity(AttemptId(oversized[number]), setOf(crashing))
                 val others = manyRequests(number).filterIndexed { index, _ -> index > 0 }
                 ledger = observe(ledger, number, others + own, (1 + number).seconds)
             }
@@ -106,7 +108,7 @@
     fun `repeated messages carry all requests and cleared parts of a crash that is too large for one`() {
         val requests = manyRequests(1)
         val seen = observe(CrashLedger(), 1, requests, 1.seconds)
-        val ledger = CrashAttribution.answerBegan(seen, requests.first().parts, 2.seconds)
+        val ledger = CrashAttribution.answerBegan(seen, requests.first().traits, 2.seconds)
         val started = (0 until 96).fold(CrashLedger()) { received, repeat ->
             val time = 3.seconds + 250.milliseconds * repeat
             CrashAttribution.merged(received, CrashAttribution.evidence(ledger, time), time)
@@ -123,7 +125,7 @@
         val ledger = observe(
             CrashLedger(),
             1,
-            listOf("1", "2", "1").map { SuspectRequest(AttemptId(begin + it), setOf(PromptPart("p"))) },
+            listOf("1", "2", "1").map { RequestIdentity(AttemptId(begin + it), setOf(PromptPart("p"))) },
             1.seconds,
         )
         val attempts = ledger.crashes.values.single().requests.keys
@@ -132,20 +134,25 @@
     }
 
     /** As many requests as are kept of a crash, each with the most parts, of the longest ids. */
-    private fun manyRequests(seed: Int): List<SuspectRequest> {
+    private fun manyRequests(seed: Int): List<RequestIdentity> {
         val random = Random(seed)
         return List(CrashLimits.REQUESTS_PER_CRASH) {
-            val parts = List(CrashLimits.PARTS_PER_REQUEST) { PromptPart(hexadecimal(random, 64)) }
-            SuspectRequest(AttemptId(hexadecimal(random, 16)), parts.toSet())
+            val parts = List(CrashLimits.TRAITS_PER_REQUEST) { PromptPart(hexadecimal(random, 64)) }
+            RequestIdentity(AttemptId(hexadecimal(random, 16)), parts.toSet())
         }
     }
 
     private fun merge(ledger: CrashLedger, evidence: CrashEvidence) = CrashAttribution.merged(ledger, evidence, now)
 
-    private fun observe(ledger: CrashLedger, number: Int, parts: Set<PromptPart>, time: Duration): CrashLedger =
-        observe(ledger, number, listOf(SuspectRequest(AttemptId("9c41d07b%08x".format(number)), parts)), time)
+    private fun observe(ledger: CrashLedger, number: Int, parts: Set<RequestTrait>, time: Duration): CrashLedger =
+        observe(ledger, number, listOf(RequestIdentity(AttemptId("9c41d07b%08x".format(number)), parts)), time)
 
-    private fun observe(ledger: CrashLedger, number: Int, requests: List<SuspectRequest>, time: Duration): CrashLedger {
+    private fun observe(
+        ledger: CrashLedger,
+        number: Int,
+        requests: List<RequestIdentity>,
+        time: Duration,
+    ): CrashLedger {
         val run = EngineRun(BackendServer("engine-$number"), EngineStart(1_764_900_000_000))
         return CrashAttribution.observed(ledger, CrashObservation(run, requests), time)
     }
@@ -166,13 +173,13 @@
     /** A ledger as full as it gets: ends of engines with no, few or many requests, clearings, and lifts. */
     private fun fullLedger(random: Random): CrashLedger {
         val mostRequests = random.nextInt(CrashLimits.REQUESTS_PER_CRASH + 1)
-        val mostParts = random.nextInt(1, CrashLimits.PARTS_PER_REQUEST)
+        val mostParts = random.nextInt(1, CrashLimits.TRAITS_PER_REQUEST)
         val ids = List(random.nextInt(1, 400)) { PromptPart(hexadecimal(random, random.nextInt(1, 65))) }
         var ledger = CrashLedger()
         repeat(random.nextInt(1, CrashLimits.CRASHES)) { number ->
             val run = EngineRun(BackendServer("i-%010x".format(number)), EngineStart(1_796_464_835_120 + number))
             val requests = List(random.nextInt(mostRequests + 1)) {
-                SuspectRequest(AttemptId(hexadecimal(random, 16)), List(mostParts) { ids.random(random) }.toSet())
+                RequestIdentity(AttemptId(hexadecimal(random, 16)), List(mostParts) { ids.random(random) }.toSet())
             }
             val time = 10.seconds + 50.milliseconds * number
             ledger = CrashAttribution.observed(ledger, CrashObservation(run, requests), time)
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashSimulation.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashSimulation.kt
@@ -7,6 +7,8 @@
 import redwingcross.request.BackendServer
 import redwingcross.request.MonotonicClock
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestIdentity
+import redwingcross.request.RequestTrait
 import redwingcross.version.fleet.EngineStart
 import java.util.PriorityQueue
 import kotlin.random.Random
@@ -24,7 +26,7 @@
         var ledger = CrashLedger()
             private set
         var alive = true
-        var answered = AnsweredParts()
+        var answered = AnsweredTraits()
             private set
         private var detector = EngineEndState()
         private var relay = newRelay()
@@ -44,7 +46,7 @@
             next.effects.forEach(::observe)
         }
 
-        fun answerBegan(parts: Set<PromptPart>) {
+        fun answerBegan(parts: Set<RequestTrait>) {
             answered.record(parts, clock())
             changed(CrashAttribution.answerBegan(ledger, parts, clock()), relay::onOwnChange)
         }
@@ -68,7 +70,7 @@
             alive = false
             ledger = CrashLedger()
             detector = EngineEndState()
-            answered = AnsweredParts()
+            answered = AnsweredTraits()
             relay = newRelay()
         }
 
@@ -95,7 +97,7 @@
     private class Request(
         val attempt: AttemptId,
         val kind: Int,
-        val parts: Set<PromptPart>,
+        val parts: Set<RequestTrait>,
         val repeatsLeft: Int,
         var gateway: Gateway,
     ) {
@@ -109,7 +111,7 @@
     private val gateways = List(scenario.gateways) { Gateway(random.nextInt(1_000_000).milliseconds) }
     private val engines = List(scenario.engines) { Engine(it) }
     private val enginesByKind = engines.groupBy { it.id % scenario.kinds }
-    private val crashingParts = scenario.crashing.map { PromptPart(it.id) }.toSet()
+    private val crashingParts: Set<RequestTrait> = scenario.crashing.map { PromptPart(it.id) }.toSet()
     private var now = Duration.ZERO
     private var events = 0L
     private var attempts = 0
@@ -121,10 +123,10 @@
     val crashingSends = crashingParts.associateWith { ArrayList<Duration>() }
 
     /** Parts of the requests of the crashes of each crashing part. */
-    val crashedParts = crashingParts.associateWith { ArrayList<Set<PromptPart>>() }
+    val crashedParts = crashingParts.associateWith { ArrayList<Set<RequestTrait>>() }
 
     /** Times at which a sound part was found blocked at a gateway. */
-    val soundBlocks = ArrayList<Pair<Duration, Set<PromptPart>>>()
+    val soundBlocks = ArrayList<Pair<Duration, Set<RequestTrait>>>()
 
     /** Times at which the crashing part was not blocked at a gateway. */
     val openings = crashingParts.associateWith { ArrayList<Duration>() }
@@ -163,7 +165,7 @@
 
     private fun arrival() {
         val kind = random.nextInt(scenario.kinds)
-        val parts = linkedSetOf(PromptPart("first-$kind"), middle(kind))
+        val parts = linkedSetOf<RequestTrait>(PromptPart("first-$kind"), middle(kind))
         scenario.crashing
             .filter { it.kind == kind && now >= it.from && random.nextDouble() < it.share }
             .forEach {
@@ -184,7 +186,7 @@
         PromptPart("subject-$kind-${random.nextInt(scenario.subjects)}")
     }
 
-    private fun caller(kind: Int, parts: Set<PromptPart>, repeatsLeft: Int) {
+    private fun caller(kind: Int, parts: Set<RequestTrait>, repeatsLeft: Int) {
         val gateway = gateways[random.nextInt(gateways.size)]
         if (!gateway.alive) return
         send(Request(AttemptId("attempt-${attempts++}"), kind, parts, repeatsLeft, gateway))
@@ -211,7 +213,7 @@
         }
     }
 
-    private fun beginAnswer(engine: Engine, request: Request, crashing: PromptPart?) {
+    private fun beginAnswer(engine: Engine, request: Request, crashing: RequestTrait?) {
         if (crashing != null) {
             crashes.getValue(crashing) += now
             crashedParts.getValue(crashing) += request.parts
@@ -272,7 +274,7 @@
             gateway.detect(EngineEndMessage.ConnectionLost(run, null, AttemptId("attempt-${attempts++}"), null))
         }
         requests.forEach {
-            val suspect = SuspectRequest(it.attempt, it.parts)
+            val suspect = RequestIdentity(it.attempt, it.parts)
             gateway.detect(EngineEndMessage.ConnectionLost(run, null, it.attempt, suspect))
         }
         requests.forEach(::sendAgain)
@@ -280,7 +282,7 @@
 
     private fun notice(gateway: Gateway, run: EngineRun, requests: List<Request>) {
         if (!gateway.alive) return
-        gateway.observe(CrashObservation(run, requests.map { SuspectRequest(it.attempt, it.parts) }))
+        gateway.observe(CrashObservation(run, requests.map { RequestIdentity(it.attempt, it.parts) }))
         requests.forEach(::sendAgain)
     }
 
@@ -314,16 +316,16 @@
         }
     }
 
-    private fun isBlocked(gateway: Gateway, parts: Set<PromptPart>): Boolean =
+    private fun isBlocked(gateway: Gateway, parts: Set<RequestTrait>): Boolean =
         CrashAttribution.blocking(gateway.ledger, parts, gateway.clock(), gateway.answered) != null
 
     /** Number of live gateways that don't block requests with [parts] at the end of the run. */
-    fun gatewaysWithoutBlock(parts: Set<PromptPart>): Int = gateways.count { it.alive && !isBlocked(it, parts) }
+    fun gatewaysWithoutBlock(parts: Set<RequestTrait>): Int = gateways.count { it.alive && !isBlocked(it, parts) }
 
     private fun inspect() {
         gateways.filter { it.alive }.forEach { gateway ->
             gateway.ledger.explanations.forEach { explanation ->
-                val sound = explanation.parts - crashingParts
+                val sound = explanation.traits - crashingParts
                 if (isBlocked(gateway, sound)) soundBlocks += now to sound
             }
             crashingParts.filterNot { isBlocked(gateway, setOf(it)) }.forEach { openings.getValue(it) += now }
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashTimeProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashTimeProperties.kt
@@ -7,6 +7,7 @@
 import redwingcross.request.AttemptId
 import redwingcross.request.BackendServer
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestIdentity
 import redwingcross.version.fleet.EngineStart
 import kotlin.random.Random
 import kotlin.test.assertEquals
@@ -35,7 +36,7 @@
         one.crashes.forEach { (run, crash) -> assertClose(crash.at, two.crashes.getValue(run).at, "$run") }
         assertEquals(CrashAttribution.blocked(one, now).keys, CrashAttribution.blocked(two, now).keys)
         assertTrue(crashing in CrashAttribution.blocked(one, now).keys)
-        one.explanations.zip(two.explanations) { a, b -> assertClose(a.blockedFrom, b.blockedFrom, "${a.parts}") }
+        one.explanations.zip(two.explanations) { a, b -> assertClose(a.blockedFrom, b.blockedFrom, "${a.traits}") }
         val delay = random.nextInt(500).milliseconds
         evidence.forEach { assertSame(one, CrashAttribution.merged(one, it, now + delay), "repeated $delay later") }
     }
@@ -77,11 +78,11 @@
     }
 
     /** Draws an attempt of a few, some of which were at two replicas; its parts follow from it. */
-    private fun request(engine: Int, replica: Int, random: Random): SuspectRequest {
+    private fun request(engine: Int, replica: Int, random: Random): RequestIdentity {
         val number = engine * 10 + (replica + random.nextInt(2)) % REPLICAS
         val drawn = Random(number)
         val sound = List(drawn.nextInt(1, 3)) { PromptPart("part-${drawn.nextInt(PARTS)}") }.toSet()
-        return SuspectRequest(AttemptId("attempt-$number"), if (engine < CRASHING_ENGINES) sound + crashing else sound)
+        return RequestIdentity(AttemptId("attempt-$number"), if (engine < CRASHING_ENGINES) sound + crashing else sound)
     }
 
     private companion object {
--- a/process/src/test/kotlin/redwingcross/process/crash/EngineEndDetectorTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/EngineEndDetectorTest.kt
@@ -13,6 +13,7 @@
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestIdentity
 import redwingcross.version.fleet.EngineStart
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -37,7 +38,7 @@
         return next.effects
     }
 
-    private fun suspect(attempt: String) = SuspectRequest(AttemptId(attempt), setOf(PromptPart("p-$attempt")))
+    private fun suspect(attempt: String) = RequestIdentity(AttemptId(attempt), setOf(PromptPart("p-$attempt")))
 
     private fun lost(attempt: String, run: EngineRun = this.run) =
         ConnectionLost(run, group, AttemptId(attempt), suspect(attempt))
--- a/process/src/test/kotlin/redwingcross/process/edge/CrashAttributionTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/CrashAttributionTaskTest.kt
@@ -5,12 +5,11 @@
 import redwingcross.request.AvailabilityZone
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
-import redwingcross.request.ModelName
 import redwingcross.request.MonotonicClock
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestIdentity
+import redwingcross.request.RequestTrait
 import redwingcross.request.ServiceName
-import redwingcross.request.forward.GenerationRequest
-import redwingcross.request.forward.InboundRequest
 import redwingcross.version.bundle.Endpoint
 import redwingcross.version.fleet.EngineStart
 import redwingcross.version.fleet.EngineStatus
@@ -33,7 +32,7 @@
     private var newEvidence = 0
     private var blocksBegun = 0
     private var crashes = 0
-    private val refused = mutableListOf<PromptPart>()
+    private val refused = mutableListOf<RequestTrait>()
     private var table = EngineTable()
     private val task = process()
     private val other = process()
@@ -77,15 +76,8 @@
         EngineStart(1),
     )
 
-    private fun request(vararg parts: String) = InboundRequest(
-        AttemptId(parts.joinToString("-")),
-        "POST",
-        "h",
-        "/",
-        null,
-        null,
-        GenerationRequest(ModelName("m"), parts.map(::PromptPart)),
-    )
+    private fun request(vararg parts: String) =
+        RequestIdentity(AttemptId(parts.joinToString("-")), parts.map(::PromptPart).toSet())
 
     private fun endEngine(index: Int, vararg parts: String) {
         task.connectionLost(engine(index), request(*parts), hasAnswered = false)
@@ -139,16 +131,16 @@
         assertEquals(listOf("prompt_part_blocked"), logged.takeLast(1))
         assertTrue(task.isBlocked(request("bad", "p")))
         assertFalse(task.isBlocked(request("own1")))
-        assertEquals(listOf(PromptPart("bad")), refused)
+        assertEquals(listOf<RequestTrait>(PromptPart("bad")), refused)
     }
 
     @Test
     fun `the end of its own engine does not make a request suspect, the end of another engine does`() {
         endEngine(1, "p1")
-        assertFalse(task.isSuspect(listOf(PromptPart("p1")), engine(1)))
-        assertTrue(task.isSuspect(listOf(PromptPart("p1")), engine(2)))
-        task.answerBegan(listOf(PromptPart("p1")))
-        assertFalse(task.isSuspect(listOf(PromptPart("p1")), engine(2)), "an answer proved the part to be sound")
+        assertFalse(task.isSuspect(request("p1"), engine(1)))
+        assertTrue(task.isSuspect(request("p1"), engine(2)))
+        task.answerBegan(request("p1"))
+        assertFalse(task.isSuspect(request("p1"), engine(2)), "an answer proved the part to be sound")
     }
 
     @Test
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
@@ -6,8 +6,7 @@
 import redwingcross.request.GroupId
 import redwingcross.request.ProcessName
 import redwingcross.request.PromptPart
-import redwingcross.request.forward.GenerationRequest
-import redwingcross.request.forward.InboundRequest
+import redwingcross.request.RequestIdentity
 import redwingcross.version.bundle.Endpoint
 import redwingcross.version.fleet.EngineStart
 import redwingcross.version.forwarding.ChosenBackend
@@ -227,15 +226,8 @@
         assertTrue("data: a" in caller.readAnswer())
     }
 
-    private fun requestWith(vararg parts: String) = InboundRequest(
-        AttemptId(parts.joinToString("-")),
-        "GET",
-        "h",
-        "/generation/x",
-        null,
-        null,
-        GenerationRequest(model, parts.map(::PromptPart)),
-    )
+    private fun requestWith(vararg parts: String) =
+        RequestIdentity(AttemptId(parts.joinToString("-")), parts.map(::PromptPart).toSet())
 
     /** Lets three engines end at separate times, each under a request with the part "bad" and one of its own. */
     private fun blockPart() = onLoop {
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -19,6 +19,7 @@
 import redwingcross.request.ModelName
 import redwingcross.request.MonotonicClock
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestTrait
 import redwingcross.request.ServiceName
 import redwingcross.request.forward.GenerationRequest
 import redwingcross.request.forward.InboundRequest
@@ -106,7 +107,7 @@
             },
         )
     protected var retryExtra = 100.0
-    protected val blockedRequests = LinkedBlockingQueue<PromptPart>()
+    protected val blockedRequests = LinkedBlockingQueue<RequestTrait>()
 
     /** Time that has passed for the attribution of crashes only. */
     protected var timePassed = Duration.ZERO
--- a/process/src/test/kotlin/redwingcross/process/edge/MalformedPeerMessageProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/MalformedPeerMessageProperties.kt
@@ -44,7 +44,7 @@
     private val logged = mutableListOf<String>()
 
     private val evidence = CrashEvidence(
-        parts = listOf("p1", "p2"),
+        traits = listOf("p1", "p2"),
         crashes = listOf(CrashReport("e1", 1, 100, listOf(RequestReport("a1", listOf(0, 1))), listOf(1))),
         lifts = listOf(LiftReport("p2", 1, 50)),
     )
--- a/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
@@ -3,11 +3,9 @@
 import redwingcross.request.AttemptId
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
-import redwingcross.request.ModelName
 import redwingcross.request.MonotonicClock
 import redwingcross.request.ProcessName
-import redwingcross.request.forward.GenerationRequest
-import redwingcross.request.forward.InboundRequest
+import redwingcross.request.RequestIdentity
 import redwingcross.request.forward.OfferResult
 import redwingcross.version.bundle.Endpoint
 import redwingcross.version.forwarding.CancelTimer
@@ -246,7 +244,7 @@
         private var sends = 0
         private var received = 0
         private var current: Group? = null
-        override val inbound = INBOUND
+        override val identity = IDENTITY
         override val isStream = true
         override val backend get() = current?.let { ChosenBackend(it.head, ADDRESS, it.id, "small") }
         override var progressAt = now
@@ -308,7 +306,6 @@
         private val CHECK = 100.milliseconds
         private val LOAD_INTERVAL = 250.milliseconds
         private val ADDRESS = Endpoint("10.0.0.1:80")
-        private val INBOUND =
-            InboundRequest(AttemptId("1"), "POST", "h", "/", null, null, GenerationRequest(ModelName("small")))
+        private val IDENTITY = RequestIdentity(AttemptId("1"), emptySet())
     }
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMetrics.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMetrics.kt
@@ -5,7 +5,7 @@
 import redwingcross.process.edge.CountLoggedEvent
 import redwingcross.process.edge.PlaceResult
 import redwingcross.process.metrics.ProcessMetrics
-import redwingcross.request.PromptPart
+import redwingcross.request.RequestTrait
 import redwingcross.version.forwarding.ForwardOutcome
 import kotlin.time.Duration
 
@@ -47,9 +47,9 @@
     /** Counts an observed end of an engine. */
     val countCrash: () -> Unit = { metrics.count("redwingcross_engine_ends", emptyMap()) }
 
-    /** Counts a request that was not sent to an engine because of a blocked part of its prompt. */
-    val countBlockedRequest: (PromptPart) -> Unit = { part ->
-        metrics.count("redwingcross_blocked_requests", mapOf("part" to part.id))
+    /** Counts a request that was not sent to an engine because of a blocked trait. */
+    val countBlockedRequest: (RequestTrait) -> Unit = { trait ->
+        metrics.count("redwingcross_blocked_requests", mapOf("part" to trait.id))
     }
 
     /** Counts a request by what the owner of the places answered. */
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeObserver.kt
@@ -44,7 +44,7 @@
         metrics.gauge("redwingcross_groups_avoided") { gateway.sharedHealth?.stalls?.marked().orEmpty().size }
         metrics.gauge("redwingcross_groups_stalled") { stalls?.markedCount ?: 0 }
         metrics.gauge("redwingcross_stall_evidence_ignored") { stalls?.ignoredReports ?: 0 }
-        metrics.gauge("redwingcross_blocked_parts") { crashes.blockedParts().size }
+        metrics.gauge("redwingcross_blocked_parts") { crashes.blockedTraits().size }
         metrics.gauge("redwingcross_back_ends_known") { fleet().table.engines.size }
         metrics.gauge("redwingcross_engines_without_group") {
             services().sumOf { fleet().table.enginesWithoutGroup(it) }
@@ -84,7 +84,7 @@
             peers = peers.knownPeers.map { it.toState(now) },
             services = current.serviceStates(now),
             formation = controller.groups.map { it.toState(now) },
-            blockedParts = crashes.blockedParts().map { it.toState() },
+            blockedParts = crashes.blockedTraits().map { it.toState() },
         )
     }
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeState.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeState.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import redwingcross.process.crash.BlockedPart
+import redwingcross.process.crash.BlockedTrait
 import redwingcross.process.edge.FleetState
 import redwingcross.process.edge.Peer
 import redwingcross.version.fleet.FormedGroup
@@ -95,8 +95,8 @@
     fun toText(): String = "$engine:${start ?: ""}"
 }
 
-internal fun BlockedPart.toState() = BlockedPartState(
-    part.id,
+internal fun BlockedTrait.toState() = BlockedPartState(
+    trait.id,
     age.inWholeMilliseconds,
     crashes.map { CrashState(it.engine.value, it.start?.unixMillis) },
     attempts.map { it.value },
--- a/programs/edge/src/main/kotlin/redwingcross/edge/OperatorEndpoint.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/OperatorEndpoint.kt
@@ -3,14 +3,14 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import redwingcross.connection.http.CallerExchange
 import redwingcross.platform.RequestFormat
-import redwingcross.request.PromptPart
+import redwingcross.request.RequestTrait
 
 /** Serves metrics, the state of the process and the commands of operators on the port for metrics. */
 internal class OperatorEndpoint(
     private val scrape: () -> String,
     private val state: () -> EdgeState,
     /** Lifts the block of a part; returns false if the part is not blocked. */
-    private val liftBlock: (PromptPart) -> Boolean,
+    private val liftBlock: (RequestTrait) -> Boolean,
 ) {
     fun serve(exchange: CallerExchange) {
         val target = exchange.head.target
--- a/programs/edge/src/test/kotlin/redwingcross/edge/OperatorEndpointTest.kt
+++ b/programs/edge/src/test/kotlin/redwingcross/edge/OperatorEndpointTest.kt
@@ -6,7 +6,7 @@
 import io.netty.channel.nio.NioEventLoopGroup
 import redwingcross.connection.http.CallerConnectionLimits
 import redwingcross.connection.http.CallerListener
-import redwingcross.process.crash.BlockedPart
+import redwingcross.process.crash.BlockedTrait
 import redwingcross.process.crash.EngineRun
 import redwingcross.request.AttemptId
 import redwingcross.request.BackendServer
@@ -30,7 +30,7 @@
 class OperatorEndpointTest {
     private val group = NioEventLoopGroup(1)
     private val blocked = mutableMapOf(
-        "bad1" to BlockedPart(
+        "bad1" to BlockedTrait(
             PromptPart("bad1"),
             listOf(EngineRun(BackendServer("e1"), EngineStart(17)), EngineRun(BackendServer("e2"), null)),
             listOf(AttemptId("a1"), AttemptId("a2")),
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -79,7 +79,7 @@
      * ([isResuming]) can't be refused truthfully, so it is sent once more.
      */
     fun reasonNotToSend(job: ForwardJob, isResuming: Boolean): String? = when {
-        crashes.isBlocked(job.request) -> ForwardTask.BLOCKED_PART
+        crashes.isBlocked(job.identity) -> ForwardTask.BLOCKED_PART
         !isResuming && !shutdown.canComplete(job.route, job.deadline, clock.now()) -> ForwardTask.STOPPING
         else -> null
     }
@@ -88,7 +88,7 @@
     fun reasonToStay(state: ForwardState, job: ForwardJob): String? = when {
         !ForwardDecision.canRedispatch(state) -> "not_repeatable"
         !moves.hasRetry(job.service) -> "no_retry"
-        crashes.isBlocked(job.request) -> ForwardTask.BLOCKED_PART
+        crashes.isBlocked(job.identity) -> ForwardTask.BLOCKED_PART
         else -> null
     }
 }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardJob.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardJob.kt
@@ -3,6 +3,7 @@
 import redwingcross.connection.http.CallerExchange
 import redwingcross.request.BackendServer
 import redwingcross.request.Customer
+import redwingcross.request.RequestIdentity
 import redwingcross.request.ServiceName
 import redwingcross.request.forward.InboundRequest
 import redwingcross.version.fleet.Route
@@ -13,6 +14,8 @@
 class ForwardJob(
     val exchange: CallerExchange,
     val request: InboundRequest,
+    /** What the end of an engine under the request can be attributed to. */
+    val identity: RequestIdentity,
     val route: Route,
     val service: ServiceName,
     /** Properties of [service] when the request was admitted; null if the configuration had no such service. */
@@ -22,6 +25,7 @@
     val priority: Int,
     val arrivedAt: Duration,
 ) {
+
     /** Clock reading at which the caller or the route no longer waits for the response. */
     val deadline: Duration = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
 
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -39,8 +39,6 @@
     /** How long all back ends that could run the request still want none; null unless it ended for that reason. */
     private var backendPause: Duration? = null
 
-    private val sharedParts = job.request.generation?.sharedParts.orEmpty()
-
     // A request that may have run can't be refused any more, so it counts like a stream that has begun.
     private val isResuming: Boolean get() = state.answerStarted || state.mayHaveRun
 
@@ -50,7 +48,7 @@
     /** What this request needs from the next back end that it is sent to. */
     fun choiceRequest() = job.choiceRequest(state.offered.toSet(), isResuming || offer?.loss?.isReported == true)
 
-    override val inbound get() = job.request
+    override val identity get() = job.identity
 
     override val backend: ChosenBackend? get() = offer?.backend
 
@@ -156,7 +154,7 @@
             state,
             end,
             now,
-            isSuspect = { context.crashes.isSuspect(sharedParts, ended.backend) },
+            isSuspect = { context.crashes.isSuspect(job.identity, ended.backend) },
             acquireRetry = { (target != null || context.tryAcquireRetry(job.service)).also { retry = it } },
         )
         log.ended(ended.backend, end, detail, now - ended.startedAt, lastEventId, state.sends, retry, step)
@@ -260,7 +258,7 @@
         var head: ResponseHead? = null
         var hasEvents = false
         private var isError = false
-        val loss = GroupLoss { context.crashes.connectionLost(backend, job.request, hasEvents) }
+        val loss = GroupLoss { context.crashes.connectionLost(backend, job.identity, hasEvents) }
 
         override fun onHead(head: ResponseHead) {
             this.head = head
@@ -309,7 +307,7 @@
             if (hasEvents || batch.events > 0) context.progressed(backend, now - progressAt, !hasEvents)
             if (isFirst(batch.events)) {
                 hasEvents = true
-                context.crashes.answerBegan(sharedParts)
+                context.crashes.answerBegan(job.identity)
             }
             progressAt = now
             if (!state.answerStarted && !hasEvents) return holdComments(batch.bytes)
@@ -352,7 +350,7 @@
         private fun succeed() {
             val now = context.clock.now()
             context.offerEnded(backend, null)
-            if (!isStream) context.crashes.answerBegan(sharedParts)
+            if (!isStream) context.crashes.answerBegan(job.identity)
             if (!isStream) context.health.recordPause(backend.server, backend.kind, now - startedAt)
             state = state.copy(sends = state.sends + 1)
             head?.let(response::complete)
--- a/version/src/main/kotlin/redwingcross/version/forwarding/WatchedRequest.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/WatchedRequest.kt
@@ -1,13 +1,13 @@
 package redwingcross.version.forwarding
 
 import redwingcross.request.GroupId
-import redwingcross.request.forward.InboundRequest
+import redwingcross.request.RequestIdentity
 import redwingcross.request.forward.OfferResult
 import kotlin.time.Duration
 
 /** What the checks of progress need of a request that is forwarded. */
 interface WatchedRequest {
-    val inbound: InboundRequest
+    val identity: RequestIdentity
 
     /** Whether the answer is a stream of events. */
     val isStream: Boolean
