Block a whole request that ends engine after engine

Cause: a crash could accuse only the shared parts of prompts. What such a request shares with its repeats is all of it, and each repeat has a new id, so that it was new to every process.

Change: RequestDigest identifies a request by method, target, customer and body, and is one more trait, so that the ledger, the evidence, the answers that clear, the lift and the log carry it as they do the parts. The customer counts rather than the key, and headers don't count, because a repeat may change them. A whole request is blamed before a part of its prompt that is in the same crashes, and answers have 0.75 s (1.25 s amid other ends) to clear it. The proofs of blocks are sent without the other requests of their crashes, so that a process that starts learns of several blocks from one message.

Ruled out: a lost or late message (all processes observe each end within 1 ms in the log).

--- /dev/null
+++ b/process/src/main/kotlin/redwingcross/process/crash/BlockThreshold.kt
@@ -0,0 +1,38 @@
+package redwingcross.process.crash
+
+import redwingcross.request.RequestDigest
+import redwingcross.request.RequestTrait
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What the crashes of a trait have to show before it is blocked: that they happened at [separateTimes] and under
+ * [attempts]. Answers then have [clearingTime] to clear it.
+ */
+internal data class BlockThreshold(val separateTimes: Int, val attempts: Int, val clearingTime: Duration)
+
+/** The thresholds of one kind of trait; [amidOthers] applies while other ends cast doubt on the crashes. */
+internal data class BlockThresholds(val alone: BlockThreshold, val amidOthers: BlockThreshold) {
+    companion object {
+        private val ofPart = BlockThresholds(
+            BlockThreshold(
+                CrashLimits.SEPARATE_TIMES_TO_BLOCK,
+                CrashLimits.ATTEMPTS_TO_BLOCK,
+                CrashLimits.clearingTime,
+            ),
+            BlockThreshold(
+                CrashLimits.SEPARATE_TIMES_TO_BLOCK_AMID_OTHERS,
+                CrashLimits.ATTEMPTS_TO_BLOCK_AMID_OTHERS,
+                CrashLimits.longClearingTime,
+            ),
+        )
+
+        /** A block of a sound request refuses one caller, so answers elsewhere are only waited for as they spread. */
+        private val ofRequest = BlockThresholds(
+            ofPart.alone.copy(clearingTime = 750.milliseconds),
+            ofPart.amidOthers.copy(clearingTime = 1250.milliseconds),
+        )
+
+        fun of(trait: RequestTrait): BlockThresholds = if (trait is RequestDigest) ofRequest else ofPart
+    }
+}
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashEvidenceBuilder.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashEvidenceBuilder.kt
@@ -4,7 +4,7 @@
 import kotlin.time.Duration
 
 /**
- * Selects what fits into one message: first the proofs of blocks, then the newest crashes. If crashes are left over,
+ * Selects what fits into one message: first the proofs of blocks, without other requests, then the newest crashes. If crashes are left over,
  * half of the remaining room goes to the others in turn, so that repeated messages carry all of them. A crash that
  * takes more than its share is reduced, so that it keeps no other from being sent.
  */
@@ -24,7 +24,7 @@
     fun build(): CrashEvidence {
         val lifts = ledger.lifts.map { (trait, lift) -> LiftReport(trait.id, lift.number, millisSince(lift.at)) }
         val proofs = rotation.rotate(ledger.explanations).flatMap { it.proof }.distinct()
-        addThoseThatFit(proofs, CrashLimits.EVIDENCE_BYTES)
+        addThoseThatFit(proofs, CrashLimits.EVIDENCE_BYTES) { it.provingOnly() }
         val newest = ledger.crashes.keys.sortedByDescending { ledger.crashes.getValue(it).at } - reports.keys
         addThoseThatFit(newest, (CrashLimits.EVIDENCE_BYTES + bytes) / 2)
         val others = newest.filterNot(reports::containsKey)
@@ -32,12 +32,15 @@
         return CrashEvidence(indices.keys.map { it.id }, reports.values.toList(), lifts)
     }
 
-    private fun addThoseThatFit(runs: List<EngineRun>, limit: Int) {
+    private fun addThoseThatFit(runs: List<EngineRun>, limit: Int, select: (Crash) -> Crash = { it }) {
         for (run in runs.filterNot(reports::containsKey)) {
-            withinShare(run, ledger.crashes.getValue(run))?.let { addIfRoom(run, it, limit) }
+            withinShare(run, select(ledger.crashes.getValue(run)))?.let { addIfRoom(run, it, limit) }
         }
     }
 
+    /** The crash with those of its requests that prove a block. */
+    private fun Crash.provingOnly() = Crash(at, requests.filterValues { it.any(explained::contains) }, cleared)
+
     private fun addIfRoom(run: EngineRun, crash: Crash, limit: Int) {
         val size = size(run, crash)
         if (bytes + size > limit) return
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
@@ -1,6 +1,7 @@
 package redwingcross.process.crash
 
 import redwingcross.request.AttemptId
+import redwingcross.request.RequestDigest
 import redwingcross.request.RequestTrait
 import kotlin.time.Duration
 
@@ -35,12 +36,18 @@
                 .entries
                 .filter { it.value.size >= CrashLimits.CRASHES_TO_BLOCK }
                 .groupBy({ it.value }, { it.key })
-                .map { (crashes, traits) -> candidate(traits.toSet(), crashes) }
+                .flatMap { (crashes, traits) -> alternatives(traits).map { candidate(it, crashes) } }
                 .filter { it.decisive != null }
         val strongest = candidates.maxWithOrNull(STRENGTH) ?: return emptyList()
         return candidates.filter { STRENGTH.compare(it, strongest) == 0 }.sortedBy { it.firstTrait.id }
     }
 
+    /** Groups [traits] that are accused by the same crashes. No request has two digests, so each is an alternative. */
+    private fun alternatives(traits: List<RequestTrait>): List<Set<RequestTrait>> {
+        val (requests, parts) = traits.partition { it is RequestDigest }
+        return requests.map(::setOf) + listOf(parts.toSet()).filter { it.isNotEmpty() }
+    }
+
     private fun candidate(traits: Set<RequestTrait>, crashes: List<KnownCrash>): Candidate {
         val own = crashes.toSet()
         val others = known.filterNot { it in own || it.isExplained }
@@ -91,16 +98,20 @@
     ) {
         val firstTrait: RequestTrait = traits.minBy { it.id }
 
+        val isWholeRequest: Boolean get() = firstTrait is RequestDigest
+
         val separateTimes: List<Duration> = separateTimes(crashes)
 
         /** A crash that was confirmed late takes part in the decision only from then on. */
         private val clearable = crashes.sortedBy { it.clearableSince }
 
-        private val decisiveAlone =
-            decisive(CrashLimits.SEPARATE_TIMES_TO_BLOCK, CrashLimits.ATTEMPTS_TO_BLOCK)
+        private val thresholds = BlockThresholds.of(firstTrait)
+
+        private val decisiveAlone = decisive(thresholds.alone)
 
         /** Whether other ends, or another trait, cast doubt. Later crashes don't, so that they don't end a block. */
-        private val amidOthers = decisiveAlone != null && castDoubt(others, decisiveAlone + CrashLimits.clearingTime)
+        private val amidOthers =
+            decisiveAlone != null && castDoubt(others, decisiveAlone + thresholds.alone.clearingTime)
 
         private fun castDoubt(others: List<KnownCrash>, until: Duration): Boolean =
             crashes.any { it.isExplained && it.clearableSince <= until } ||
@@ -109,22 +120,14 @@
                 }
 
         /** Time since which the crashes prove that the traits end engines unless an answer clears them, or null. */
-        val decisive: Duration? =
-            if (amidOthers) {
-                decisive(
-                    CrashLimits.SEPARATE_TIMES_TO_BLOCK_AMID_OTHERS,
-                    CrashLimits.ATTEMPTS_TO_BLOCK_AMID_OTHERS,
-                )
-            } else {
-                decisiveAlone
-            }
+        val decisive: Duration? = if (amidOthers) decisive(thresholds.amidOthers) else decisiveAlone
 
-        private fun decisive(timesNeeded: Int, attemptsNeeded: Int): Duration? {
+        private fun decisive(threshold: BlockThreshold): Duration? {
             val attempts = HashSet<AttemptId>()
             val withAttempts = clearable.firstOrNull {
-                attempts.addAll(attemptsIn(it)) && attempts.size >= attemptsNeeded
+                attempts.addAll(attemptsIn(it)) && attempts.size >= threshold.attempts
             }
-            val withTimes = separateSince(timesNeeded)
+            val withTimes = separateSince(threshold.separateTimes)
             val isUnexplained = crashes.count { !it.isExplained } >= CrashLimits.UNEXPLAINED_CRASHES_TO_BLOCK
             if (withAttempts == null || withTimes == null || !isUnexplained) return null
             return maxOf(
@@ -161,7 +164,7 @@
 
         fun explanation(decisive: Duration): Explanation {
             val attempts = crashes.flatMapTo(LinkedHashSet()) { attemptsIn(it) }.toList()
-            val ownTime = if (amidOthers) CrashLimits.longClearingTime else CrashLimits.clearingTime
+            val ownTime = (if (amidOthers) thresholds.amidOthers else thresholds.alone).clearingTime
             val clearingTime = if (attempts.size > crashes.size) ownTime + CrashLimits.commonTraitTime else ownTime
             return Explanation(
                 traits = traits,
@@ -207,7 +210,9 @@
     }
 
     private companion object {
-        val STRENGTH: Comparator<Candidate> = compareBy({ it.separateTimes.size }, { it.crashes.size })
+        /** Of a request and a part of its prompt that are in the same crashes, blocking the request affects fewer. */
+        val STRENGTH: Comparator<Candidate> =
+            compareBy({ it.separateTimes.size }, { it.crashes.size }, { it.isWholeRequest })
 
         val ORDER: Comparator<KnownCrash> =
             compareBy({ it.at }, { it.run.engine.value }, { it.run.start?.unixMillis ?: 0 })
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
@@ -85,8 +85,8 @@
     /** Kept traits of a request; known traits go before new ones. */
     const val TRAITS_PER_REQUEST = 16
 
-    /** Kept traits of [AnsweredTraits]: those of 80 requests a second with five traits each for [answerLifetime]. */
-    const val ANSWERED_TRAITS = 4_096
+    /** Kept traits of [AnsweredTraits]: 80 requests a second, each with five parts, for [answerLifetime]. */
+    const val ANSWERED_TRAITS = 5_120
 
     /** Kept lifts: an operator lifts single traits. */
     const val LIFTS = 64
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashRetention.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashRetention.kt
@@ -1,6 +1,7 @@
 package redwingcross.process.crash
 
 import redwingcross.request.AttemptId
+import redwingcross.request.RequestDigest
 import redwingcross.request.RequestTrait
 import redwingcross.version.routing.orderHash
 import kotlin.time.Duration
@@ -39,11 +40,16 @@
         return ledger.with(kept.associate { it.key to it.value }, lifts.associate { it.key to it.value })
     }
 
-    /** Returns at most the kept number of [traits], those that are accused already first. */
+    /** Returns at most the kept number of [traits]: the whole request, then those that are accused already. */
     fun boundedTraits(ledger: CrashLedger, traits: Set<RequestTrait>): Set<RequestTrait> {
         if (traits.size <= CrashLimits.TRAITS_PER_REQUEST) return traits
         return traits
-            .sortedByDescending { it in ledger.lastAccusations }
+            .sortedWith(
+                compareByDescending<RequestTrait> { it is RequestDigest }.thenByDescending {
+                    it in
+                        ledger.lastAccusations
+                },
+            )
             .take(CrashLimits.TRAITS_PER_REQUEST)
             .toSet()
     }
--- a/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
@@ -13,10 +13,13 @@
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.MonotonicClock
+import redwingcross.request.PromptPart
+import redwingcross.request.RequestDigest
 import redwingcross.request.RequestIdentity
 import redwingcross.request.RequestTrait
 import redwingcross.version.fleet.EngineTable
 import redwingcross.version.forwarding.ChosenBackend
+import redwingcross.version.forwarding.CrashSignals
 import kotlin.time.Duration
 
 /** Callbacks of [CrashAttributionTask]. */
@@ -50,16 +53,18 @@
     /** What other processes need to know. */
     fun evidence(): CrashEvidence = CrashAttribution.evidence(ledger, clock.now())
 
-    /** Whether [request] must not be sent to an engine; if so, this is logged and counted. */
-    fun isBlocked(request: RequestIdentity): Boolean {
-        if (request.traits.isEmpty()) return false
-        val block = CrashAttribution.blocking(ledger, request.traits, clock.now(), answered) ?: return false
+    /** Why [request] must not be sent to an engine, which is logged and counted; null if it may be sent. */
+    fun blockReason(request: RequestIdentity): String? {
+        val block = CrashAttribution.blocking(ledger, request.traits, clock.now(), answered) ?: return null
         dependencies.countBlocked(block.trait)
         dependencies.log(
-            "prompt_part_refused",
-            arrayOf("attempt" to request.attempt, "part" to block.trait.id, "crashes" to block.crashes.toLogValue()),
+            BlockEvent.REFUSED.of(block.trait),
+            arrayOf("attempt" to request.attempt, block.trait.logField, "crashes" to block.crashes.toLogValue()),
         )
-        return true
+        return when (block.trait) {
+            is PromptPart -> CrashSignals.BLOCKED_PART
+            is RequestDigest -> CrashSignals.BLOCKED_REQUEST
+        }
     }
 
     /** Whether a trait of [request] is suspected because of the end of another engine than the one behind [backend]. */
@@ -71,7 +76,6 @@
 
     /** Records that an engine began to answer [request]. */
     fun answerBegan(request: RequestIdentity) {
-        if (request.traits.isEmpty()) return
         val now = clock.now()
         answered.record(request.traits, now)
         update(CrashAttribution.answerBegan(ledger, request.traits, now))
@@ -115,7 +119,7 @@
     fun lift(trait: RequestTrait): Boolean {
         val now = clock.now()
         if (trait !in CrashAttribution.blocked(ledger, now, answered)) return false
-        dependencies.log("prompt_part_lifted", arrayOf("part" to trait.id))
+        dependencies.log(BlockEvent.LIFTED.of(trait), arrayOf(trait.logField))
         update(CrashAttribution.lifted(ledger, trait, now))
         return true
     }
@@ -156,18 +160,24 @@
         val blocked = CrashAttribution.blocked(ledger, clock.now(), answered)
         if (blocked.keys == knownBlocks) return
         val added = blocked.filterKeys { it !in knownBlocks }
-        (knownBlocks - blocked.keys).forEach { dependencies.log("prompt_part_unblocked", arrayOf("part" to it.id)) }
+        (knownBlocks - blocked.keys).forEach { dependencies.log(BlockEvent.UNBLOCKED.of(it), arrayOf(it.logField)) }
         knownBlocks = blocked.keys.toSet()
-        for (block in added.values) dependencies.log("prompt_part_blocked", block.logFields())
+        for (block in added.values) dependencies.log(BlockEvent.BLOCKED.of(block.trait), block.logFields())
         if (added.isNotEmpty()) dependencies.onBlocked()
     }
 
     private fun BlockedTrait.logFields(): Array<Pair<String, Any?>> = arrayOf(
-        "part" to trait.id,
+        trait.logField,
         "crashes" to crashes.toLogValue(),
         "attempts" to attempts.joinToString(",") { it.value },
     )
 
+    private val RequestTrait.logField: Pair<String, Any?>
+        get() = when (this) {
+            is PromptPart -> "part" to id
+            is RequestDigest -> "digest" to id
+        }
+
     private val ChosenBackend.run get() = EngineRun(server, start)
 
     private fun List<EngineRun>.toLogValue() = joinToString(",") { "${it.engine}:${it.start?.unixMillis ?: ""}" }
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -9,7 +9,6 @@
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
 import redwingcross.request.ProcessName
-import redwingcross.request.RequestIdentity
 import redwingcross.request.forward.InboundRequest
 import redwingcross.request.forward.OfferResult
 import redwingcross.request.forward.Repeatability
@@ -133,7 +132,7 @@
         coldReported = dependencies.coldReported,
         faultReported = { backend, _ -> backend.group?.let(dependencies.reportSuspectedGroup) },
         crashes = CrashSignals(
-            crashes::isBlocked,
+            crashes::blockReason,
             crashes::isSuspect,
             crashes::answerBegan,
             crashes::connectionLost,
@@ -240,10 +239,10 @@
         tenant: Tenant?,
         arrivedAt: Duration,
     ) {
-        val identity = RequestIdentity(request.attempt, request.generation?.sharedParts.orEmpty().toSet())
-        if (crashes.isBlocked(identity)) {
+        val identity = request.identity(tenant?.name, exchange.body)
+        crashes.blockReason(identity)?.let {
             val delay = CrashSignals.BLOCKED_RETRY_DELAY
-            return refuse(exchange, request, SERVICE_UNAVAILABLE, ForwardTask.BLOCKED_PART, retryDelay = delay)
+            return refuse(exchange, request, SERVICE_UNAVAILABLE, it, retryDelay = delay)
         }
         val now = dependencies.clock.now()
         val service = route.pickService(random) ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service")
--- a/process/src/test/kotlin/redwingcross/process/edge/CrashAttributionTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/CrashAttributionTaskTest.kt
@@ -15,9 +15,11 @@
 import redwingcross.version.fleet.EngineStatus
 import redwingcross.version.fleet.EngineTable
 import redwingcross.version.forwarding.ChosenBackend
+import redwingcross.version.forwarding.CrashSignals
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -102,7 +104,7 @@
                 now += 1.seconds
             }
         }
-        assertFalse(task.isBlocked(request("bad")))
+        assertNull(task.blockReason(request("bad")))
         assertEquals(CrashEvidence(), task.evidence())
         assertEquals(0, newEvidence)
         assertEquals(0, crashes)
@@ -129,8 +131,8 @@
         task.check()
         assertEquals(1, blocksBegun, "a block is reported once")
         assertEquals(listOf("prompt_part_blocked"), logged.takeLast(1))
-        assertTrue(task.isBlocked(request("bad", "p")))
-        assertFalse(task.isBlocked(request("own1")))
+        assertEquals(CrashSignals.BLOCKED_PART, task.blockReason(request("bad", "p")))
+        assertNull(task.blockReason(request("own1")))
         assertEquals(listOf<RequestTrait>(PromptPart("bad")), refused)
     }
 
@@ -146,16 +148,16 @@
     @Test
     fun `a block and its lift reach another process by the evidence`() {
         blockPart()
-        assertTrue(task.isBlocked(request("p1", "bad")))
+        assertEquals(CrashSignals.BLOCKED_PART, task.blockReason(request("p1", "bad")))
         assertTrue(other.received(task.evidence()))
         now += 1.seconds
         other.check()
-        assertTrue(other.isBlocked(request("bad")), "the other process blocks the part")
+        assertEquals(CrashSignals.BLOCKED_PART, other.blockReason(request("bad")), "the other process blocks the part")
         assertFalse(other.received(task.evidence()), "known evidence changes nothing")
         now += 1.seconds
         assertTrue(other.lift(PromptPart("bad")))
         assertTrue(task.received(other.evidence()))
-        assertFalse(task.isBlocked(request("bad")), "the block is lifted")
+        assertNull(task.blockReason(request("bad")), "the block is lifted")
         assertEquals(listOf("prompt_part_unblocked"), logged.takeLast(1))
     }
 
@@ -163,6 +165,6 @@
     fun `a part that is not blocked can't be lifted`() {
         blockPart()
         assertFalse(task.lift(PromptPart("own1")))
-        assertTrue(task.isBlocked(request("bad")))
+        assertEquals(CrashSignals.BLOCKED_PART, task.blockReason(request("bad")))
     }
 }
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFixture.kt
@@ -306,12 +306,18 @@
     }
 
     /** Calls a model with a prompt whose shared parts are [parts], separated by commas. */
-    protected fun generate(parts: String, route: String = "generation") =
-        call(route, fields = "Model: m\r\nParts: $parts\r\n")
-
-    protected fun call(route: String, key: String = "k2", fields: String = "", keepAlive: Boolean = false): Socket {
+    protected fun generate(parts: String, route: String = "generation", attempt: String = "7") =
+        call(route, fields = "Model: m\r\nParts: $parts\r\n", attempt = attempt)
+
+    protected fun call(
+        route: String,
+        key: String = "k2",
+        fields: String = "",
+        keepAlive: Boolean = false,
+        attempt: String = "7",
+    ): Socket {
         val socket = Socket(callers.address, callers.port).also { it.soTimeout = READ_TIMEOUT_MILLIS }
-        val head = "GET /$route/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nKey: $key\r\n"
+        val head = "GET /$route/x HTTP/1.1\r\nHost: h\r\nId: $attempt\r\nKey: $key\r\n"
         val request = "$head$fields${if (keepAlive) "" else "Connection: close\r\n"}\r\n"
         socket.getOutputStream().write(request.toByteArray())
         return socket
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeCommand.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeCommand.kt
@@ -36,10 +36,10 @@
         help = "Print the state of the edge process at this address and exit. The port is its metrics port.",
         metavar = "ip:port",
     )
-    private val liftedPart by option(
+    private val liftedTrait by option(
         "--lift-block",
-        help = "Lift the block of a part of prompts at all processes and exit; needs --at.",
-        metavar = "part",
+        help = "Lift the block of a part of prompts or of a request at all processes and exit; needs --at.",
+        metavar = "id",
     )
     private val liftAddress by option(
         "--at",
@@ -59,7 +59,7 @@
 
     override fun run() {
         stateAddress?.let { return showState(it) }
-        if (liftedPart != null || liftAddress != null) return liftBlock(liftedPart, liftAddress)
+        if (liftedTrait != null || liftAddress != null) return liftBlock(liftedTrait, liftAddress)
         val path = settingsFile ?: environment(SettingsFile.ENVIRONMENT_VARIABLE)
             ?: reject(listOf(Finding("--settings", "is required unless ${SettingsFile.ENVIRONMENT_VARIABLE} is set")))
         val readText = { Files.readString(Path.of(path)) }
@@ -99,11 +99,11 @@
         echo(if (asJson) text else EdgeState.fromJson(text).toText())
     }
 
-    private fun liftBlock(part: String?, address: String?) {
-        if (part == null) reject(listOf(Finding("--lift-block", "is required with --at")))
+    private fun liftBlock(trait: String?, address: String?) {
+        if (trait == null) reject(listOf(Finding("--lift-block", "is required with --at")))
         if (address == null) reject(listOf(Finding("--at", "is required with --lift-block")))
-        val id = RequestFormat.decodePart(part)?.id
-            ?: reject(listOf(Finding("--lift-block", "'$part' is not a hexadecimal id of a part")))
+        val id = RequestFormat.decodeTrait(trait)?.id
+            ?: reject(listOf(Finding("--lift-block", "'$trait' is not the id of a part of prompts or of a request")))
         val response = call("--at", address) {
             HttpRequest.newBuilder(it.resolve("${OperatorEndpoint.LIFT_PATH}$id"))
                 .POST(HttpRequest.BodyPublishers.noBody())
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMetrics.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeMetrics.kt
@@ -5,6 +5,7 @@
 import redwingcross.process.edge.CountLoggedEvent
 import redwingcross.process.edge.PlaceResult
 import redwingcross.process.metrics.ProcessMetrics
+import redwingcross.request.RequestDigest
 import redwingcross.request.RequestTrait
 import redwingcross.version.forwarding.ForwardOutcome
 import kotlin.time.Duration
@@ -49,7 +50,9 @@
 
     /** Counts a request that was not sent to an engine because of a blocked trait. */
     val countBlockedRequest: (RequestTrait) -> Unit = { trait ->
-        metrics.count("redwingcross_blocked_requests", mapOf("part" to trait.id))
+        // Callers choose their requests, so a label for each would grow without bound.
+        val label = if (trait is RequestDigest) WHOLE_REQUEST else trait.id
+        metrics.count("redwingcross_blocked_requests", mapOf("part" to label))
     }
 
     /** Counts a request by what the owner of the places answered. */
@@ -68,5 +71,8 @@
     companion object {
         /** Port of the metrics listener; `deploy/system.toml` contains the same number. */
         const val PORT: Int = 9464
+
+        /** Value of the label `part` for all blocked requests that are blocked as a whole. */
+        private const val WHOLE_REQUEST = "whole_request"
     }
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeState.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeState.kt
@@ -27,7 +27,7 @@
     val services: List<ServiceState>,
     /** Groups that this process forms, with their stage; empty unless it holds the controller role. */
     val formation: List<GroupState>,
-    /** Parts of prompts that no engine receives because engines ended under requests with them. */
+    /** Parts of prompts and whole requests that no engine receives because engines ended under them. */
     val blockedParts: List<BlockedPartState> = emptyList(),
 ) {
     fun toJson(): String = json.encodeToString(serializer(), this)
@@ -80,7 +80,7 @@
 @Serializable
 internal data class GroupState(val group: String, val stage: String, val sinceMillis: Long, val members: String)
 
-/** A blocked part, the time in milliseconds that it has been blocked, and the crashes and attempts that accuse it. */
+/** A blocked part or whole request, the time in milliseconds that it has been blocked, and the crashes and attempts that accuse it. */
 @Serializable
 internal data class BlockedPartState(
     val part: String,
--- a/programs/edge/src/main/kotlin/redwingcross/edge/OperatorEndpoint.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/OperatorEndpoint.kt
@@ -9,7 +9,7 @@
 internal class OperatorEndpoint(
     private val scrape: () -> String,
     private val state: () -> EdgeState,
-    /** Lifts the block of a part; returns false if the part is not blocked. */
+    /** Lifts the block of a trait; returns false if it is not blocked. */
     private val liftBlock: (RequestTrait) -> Boolean,
 ) {
     fun serve(exchange: CallerExchange) {
@@ -23,12 +23,16 @@
     }
 
     private fun lift(exchange: CallerExchange, id: String) {
-        val part = RequestFormat.decodePart(id)
+        val trait = RequestFormat.decodeTrait(id)
         when {
             exchange.head.method != "POST" -> exchange.respondText(WRONG_METHOD, PLAIN, "a block is lifted by POST")
-            part == null -> exchange.respondText(BAD_REQUEST, PLAIN, "'$id' is not a hexadecimal id of a part")
-            liftBlock(part) -> exchange.respondText(OK, PLAIN, "the block of ${part.id} is lifted")
-            else -> exchange.respondText(CONFLICT, PLAIN, "${part.id} is not blocked at this process")
+            trait == null -> exchange.respondText(
+                BAD_REQUEST,
+                PLAIN,
+                "'$id' is not the id of a part of prompts or of a request",
+            )
+            liftBlock(trait) -> exchange.respondText(OK, PLAIN, "the block of ${trait.id} is lifted")
+            else -> exchange.respondText(CONFLICT, PLAIN, "${trait.id} is not blocked at this process")
         }
     }
 
@@ -39,7 +43,7 @@
         /** Path of the state of the process, as JSON. */
         const val STATE_PATH: String = "/state"
 
-        /** Path, followed by the id of a part, to which a request to lift its block is posted. */
+        /** Path, followed by the id of a trait, to which a request to lift its block is posted. */
         const val LIFT_PATH: String = "/lift-block/"
         private const val METRICS_PATH = "/metrics"
         private const val PLAIN = "text/plain"
--- a/programs/edge/src/test/kotlin/redwingcross/edge/OperatorEndpointTest.kt
+++ b/programs/edge/src/test/kotlin/redwingcross/edge/OperatorEndpointTest.kt
@@ -105,7 +105,13 @@
         val faults = mapOf(
             listOf("--lift-block", "bad1") to "--at",
             listOf("--at", location) to "--lift-block",
-            listOf("--lift-block", "not/hex", "--at", location) to "--lift-block: 'not/hex' is not a hexadecimal id",
+            listOf("--lift-block", "not/hex", "--at", location) to "--lift-block: 'not/hex' is not the id of a part",
+            listOf(
+                "--lift-block",
+                "request:1",
+                "--at",
+                location,
+            ) to "--lift-block: 'request:1' is not the id of a part",
             listOf("--lift-block", "bad1", "--at", "no address") to "--at: 'no address' is not an address",
             listOf("--lift-block", "bad1", "--at", "127.0.0.1:1") to "--at: 127.0.0.1:1 could not be reached",
             listOf("--lift-block", "bad2", "--at", location) to "bad2 is not blocked at this process",
--- a/request/src/main/kotlin/redwingcross/request/RequestTrait.kt
+++ b/request/src/main/kotlin/redwingcross/request/RequestTrait.kt
@@ -1,13 +1,17 @@
 package redwingcross.request
 
-/** What requests can have in common and the end of an engine can be attributed to. */
+/**
+ * What requests can have in common and the end of an engine can be attributed to: a part of a prompt, or all that a
+ * request shares with its repeats.
+ */
 sealed interface RequestTrait {
     /** Unique among the traits of all kinds. */
     val id: String
 
     companion object {
         /** Returns the trait with the given [RequestTrait.id]. */
-        fun of(id: String): RequestTrait = PromptPart(id)
+        fun of(id: String): RequestTrait =
+            if (id.startsWith(RequestDigest.PREFIX)) RequestDigest(id) else PromptPart(id)
     }
 }
 
--- a/request/src/main/kotlin/redwingcross/request/forward/InboundRequest.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/InboundRequest.kt
@@ -1,8 +1,12 @@
 package redwingcross.request.forward
 
 import redwingcross.request.AttemptId
+import redwingcross.request.Customer
 import redwingcross.request.ModelName
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestDigest
+import redwingcross.request.RequestIdentity
+import redwingcross.request.RequestTrait
 import kotlin.time.Duration
 
 /** Request of a caller, decoded from the HTTP request head. */
@@ -23,6 +27,12 @@
 ) {
     /** [target] without the query. */
     val path: String get() = target.substringBefore('?')
+
+    /** What the end of an engine under this request of [customer] with [body] can be attributed to. */
+    fun identity(customer: Customer?, body: ByteArray): RequestIdentity {
+        val parts: Set<RequestTrait> = generation?.sharedParts.orEmpty().toSet()
+        return RequestIdentity(attempt, parts + RequestDigest.of(method, target, customer, body))
+    }
 }
 
 /** Parameters of a request to a model engine. */
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -78,17 +78,15 @@
      * Why a request must not be sent now; null if it may be. At the end of the process, one that may have run
      * ([isResuming]) can't be refused truthfully, so it is sent once more.
      */
-    fun reasonNotToSend(job: ForwardJob, isResuming: Boolean): String? = when {
-        crashes.isBlocked(job.identity) -> ForwardTask.BLOCKED_PART
-        !isResuming && !shutdown.canComplete(job.route, job.deadline, clock.now()) -> ForwardTask.STOPPING
-        else -> null
+    fun reasonNotToSend(job: ForwardJob, isResuming: Boolean): String? {
+        val canComplete = isResuming || shutdown.canComplete(job.route, job.deadline, clock.now())
+        return crashes.blockReason(job.identity) ?: ForwardTask.STOPPING.takeUnless { canComplete }
     }
 
     /** Why a request at a back end would not be sent again now if that one ended it; null if it would be. */
     fun reasonToStay(state: ForwardState, job: ForwardJob): String? = when {
         !ForwardDecision.canRedispatch(state) -> "not_repeatable"
         !moves.hasRetry(job.service) -> "no_retry"
-        crashes.isBlocked(job.identity) -> ForwardTask.BLOCKED_PART
-        else -> null
+        else -> crashes.blockReason(job.identity)
     }
 }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -170,7 +170,7 @@
         response.finish(step, ended?.head, isSent = state.sends > 0) {
             // Callers that come back within the pause of all back ends would be refused again.
             val delay = context.retryAfter(job) + (backendPause ?: Duration.ZERO)
-            if (reason == BLOCKED_PART) CrashSignals.BLOCKED_RETRY_DELAY else delay
+            if (reason in BLOCK_REASONS) CrashSignals.BLOCKED_RETRY_DELAY else delay
         }
         finish(step.toString(), reason)
     }
@@ -378,12 +378,11 @@
         /** Outcome of a request that was answered by a back end. */
         const val SERVED = "served"
 
-        /** Reason of the end of a request whose prompt has a blocked part. */
-        const val BLOCKED_PART = "blocked_prompt_part"
-
         /** Reason of the end of a request that can't be completed before the process ends. */
         const val STOPPING = "stopping"
 
+        private val BLOCK_REASONS = setOf(CrashSignals.BLOCKED_PART, CrashSignals.BLOCKED_REQUEST)
+
         /** Shorter than the delay after which a refused caller comes back, so waiting serves it sooner. */
         private val SHORT_PAUSE = 250.milliseconds
 
