Attribute the ends of back ends without groups too

Cause: CrashAttributionTask ignored lost connections of services without groups, since parts of prompts exist only for models. A whole request is a trait of every service. Besides, a request that lost its connection was sent once more however suspect it was, as only lost engines of groups were asked for suspicion.

Change: each lost connection is reported, and a suspect request is not sent again after one. A lost connection still accuses nothing until the end of the back end is confirmed; the retry of a request that isn't suspect stays.

--- a/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
@@ -83,7 +83,6 @@
 
     /** Records that [request] lost its connection to [backend]; [hasAnswered] tells whether its answer had begun. */
     fun connectionLost(backend: ChosenBackend, request: RequestIdentity, hasAnswered: Boolean) {
-        if (backend.group == null) return
         val suspect = request.takeUnless { hasAnswered }
         detect(EngineEndMessage.ConnectionLost(backend.run, backend.group, request.attempt, suspect))
     }
--- a/request/src/main/kotlin/redwingcross/request/forward/ForwardDecision.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/ForwardDecision.kt
@@ -96,7 +96,7 @@
     /**
      * Returns the step after an offer that ended with [end]; [state] includes that end.
      *
-     * [isSuspect] tells whether a part of the request's prompt is suspected of ending engines.
+     * [isSuspect] tells whether the request or a part of its prompt is suspected of ending engines.
      *
      * [acquireRetry] takes one retry out of the retry budget and returns false if none is left. It is called only if
      * the request was sent before and can be offered again.
@@ -140,14 +140,16 @@
 
     /**
      * Whether another offer of the request could end one more engine. After the first engine that ended it runs at
-     * most once more, because the engine may have ended for another reason. A request that was answered in part ends no
-     * engines.
+     * most once more, because the engine may have ended for another reason. A back end of a service without groups may
+     * have lost only a connection, so the request goes on unless it is suspect. A request that was answered in part ends
+     * no engines.
      *
      * A request of a lost group may have a suspect part: when a zone is lost, the first reported ends accuse parts that
      * many sound requests there share.
      */
     private fun mayEndEngines(state: ForwardState, end: OfferResult, isSuspect: () -> Boolean): Boolean = when {
-        state.answerStarted || state.enginesLost == 0 -> false
+        state.answerStarted -> false
+        state.enginesLost == 0 -> end == OfferResult.Lost && isSuspect()
         state.enginesLost >= MAXIMUM_ENGINES_LOST -> true
         end == OfferResult.GroupLost -> false
         end == OfferResult.NotSent || end == OfferResult.Declined -> isSuspect()
