Clear a request when its back end completes an error response

Callers would see: a call that a back end answers with an error each time, such as a status call for an unknown booking, is never cleared of the ends of back ends that it was at, and is blocked after three of them.

Cause: only successful answers cleared the traits of a request. An error response that is the back end's own and is complete shows as well that the request did not end it.

GatewayRepeatTest (a request that back ends answer with an error ...) failed before.

--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayRepeatTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayRepeatTest.kt
@@ -65,6 +65,18 @@
         assertRefused(call("non-idempotent"))
     }
 
+    @Test
+    fun `a request that back ends answer with an error is not blocked when they end`() {
+        startBackends(4)
+        endBackEnds(2, 0, call("idempotent", attempt = "0"))
+        val caller = call("idempotent")
+        nextArrival().let { onLoop { it.respond(404, headers("Id" to "7", "Signed" to "1"), ByteArray(0)) } }
+        nextArrival().let { onLoop { it.respond(404, headers("Id" to "7", "Signed" to "1"), ByteArray(0)) } }
+        assertTrue("404" in caller.readAnswer())
+        repeat(2) { nextSend() }
+        assertEquals(emptyList(), onLoop { crashes.evidence() }.crashes.flatMap { it.requests })
+    }
+
     @Test
     fun `connections of a service without groups that are lost while its back ends run accuse nothing`() {
         startBackends(4)
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -258,6 +258,7 @@
         var head: ResponseHead? = null
         var hasEvents = false
         private var isError = false
+        private var showsRun = false
         val loss = GroupLoss { context.crashes.connectionLost(backend, job.identity, hasEvents) }
 
         override fun onHead(head: ResponseHead) {
@@ -266,7 +267,8 @@
             metadata.coldFor?.let { context.coldReported(backend.server, it) }
             metadata.faultyEngine?.let { context.faultReported(backend, it) }
             val rejection = ResponseCheck.ofHead(head, metadata, state, response.begunHead)
-            if (!isStream && ResponseCheck.showsRun(head, metadata)) context.runBegan(job)
+            showsRun = ResponseCheck.showsRun(head, metadata)
+            if (!isStream && showsRun) context.runBegan(job)
             if (rejection != null) reject(rejection) else isError = !ResponseCheck.isSuccess(head)
         }
 
@@ -335,7 +337,7 @@
         override fun onEnd() {
             if (finished || offer !== this) return
             when {
-                isError -> offerEnded(this, OfferResult.Failed, "status_${head?.status}")
+                isError -> failed()
                 // A response without any event may have been cut off, also where it resumes a stream.
                 isStream && (splitter.pendingBytes > 0 || !hasEvents) ->
                     if (head?.isDelimitedByClose == true) {
@@ -347,6 +349,12 @@
             }
         }
 
+        private fun failed() {
+            // The back end still runs after its error, so the request did not end it.
+            if (showsRun) context.crashes.answerBegan(job.identity)
+            offerEnded(this, OfferResult.Failed, "status_${head?.status}")
+        }
+
         private fun succeed() {
             val now = context.clock.now()
             context.offerEnded(backend, null)
