Take blocked requests away from the engines that they wait at

Callers saw: an engine ended 1 s after the request that ends engines was blocked at every process, under an attempt that had been sent before and waited at the engine for its turn; all other requests there were broken off with it.

Cause: a block was asked for before a request is sent and while it waits for a place, but not while it waits at an engine.

Change: when a block begins, requests that it hits and that have no answer yet leave their engines. They end with 502, because they may have run, or 503 if nothing was sent.

GatewayRepeatTest (a request that waits at an engine ...) failed before.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -364,8 +364,8 @@
     }
 
     /**
-     * Ends the requests that wait for a place and must not be sent any more: because a part of their prompts was
-     * blocked meanwhile, or because the process stops.
+     * Ends the requests that wait for a place, or for an answer, and would end an engine because one of their traits was
+     * blocked meanwhile, and those that wait for a place while the process stops.
      */
     fun endUnsendableRequests(): Unit = forwardTasks.toList().forEach(ForwardTask::endIfUnsendable)
 
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayRepeatTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayRepeatTest.kt
@@ -2,6 +2,7 @@
 
 import redwingcross.version.forwarding.ChosenBackend
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -65,6 +66,19 @@
         assertRefused(call("non-idempotent"))
     }
 
+    @Test
+    fun `a request that waits at an engine is ended when it is blocked before the engine runs it`() {
+        startEngines(4)
+        val waiting = generate("p", attempt = "waiting")
+        val held = nextArrival()
+        nextSend()
+        val cancelled = CountDownLatch(1)
+        onLoop { held.onDisconnect = cancelled::countDown }
+        endThreeBackEnds { generate("p$it", attempt = it) }
+        assertTrue("502" in waiting.readAnswer())
+        assertTrue(cancelled.await(5, TimeUnit.SECONDS), "the engine still has the request")
+    }
+
     @Test
     fun `a request that back ends answer with an error is not blocked when they end`() {
         startBackends(4)
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -79,9 +79,20 @@
         offer()
     }
 
-    /** Ends the request if it isn't at a back end and must not be sent to one any more. */
+    /** Ends the request if it must not be sent to a back end any more, or if it waits at one that it would end. */
     fun endIfUnsendable() {
-        if (!finished && offer == null) context.reasonNotToSend(job, isResuming)?.let(::finishWithout)
+        if (finished) return
+        val current = offer
+        if (current == null) {
+            context.reasonNotToSend(job, isResuming)?.let(::finishWithout)
+        } else if (current.isUnanswered) {
+            context.crashes.blockReason(job.identity)?.let(::leaveBackend)
+        }
+    }
+
+    private fun leaveBackend(reason: String) {
+        cancelOffer()
+        finishWithout(reason)
     }
 
     private fun offer() = context.beforeChoice(this) { if (!finished) offerNow() }
@@ -204,9 +215,7 @@
 
     /** Ends the request with the answer that its state allows, because the process ends. */
     fun endForShutdown() {
-        if (finished) return
-        cancelOffer()
-        finishWithout(STOPPING)
+        if (!finished) leaveBackend(STOPPING)
     }
 
     private fun cancelOffer() {
@@ -259,6 +268,9 @@
         var hasEvents = false
         private var isError = false
         private var showsRun = false
+
+        /** Whether the back end may not have begun to run the request. */
+        val isUnanswered: Boolean get() = !hasEvents && (isStream || head == null)
         val loss = GroupLoss { context.crashes.connectionLost(backend, job.identity, hasEvents) }
 
         override fun onHead(head: ResponseHead) {
