--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -132,7 +132,7 @@
         coldReported = dependencies.coldReported,
         faultReported = { backend, _ -> backend.group?.let(dependencies.reportSuspectedGroup) },
         crashes = CrashSignals(
-            crashes::isBlocked,
+            crashes::blockReason,
             crashes::isSuspect,
             crashes::answerBegan,
             crashes::connectionLost,
@@ -241,16 +241,17 @@
         tenant: Tenant?,
         arrivedAt: Duration,
     ) {
-        if (crashes.isBlocked(request)) {
+        val identity = request.identity(tenant?.name, exchange.body)
+        crashes.blockReason(identity)?.let {
             val delay = CrashSignals.BLOCKED_RETRY_DELAY
-            return refuse(exchange, request, SERVICE_UNAVAILABLE, ForwardTask.BLOCKED_PART, retryDelay = delay)
+            return refuse(exchange, request, SERVICE_UNAVAILABLE, it, retryDelay = delay)
         }
         val now = dependencies.clock.now()
         val service = route.pickService(random) ?: return refuse(exchange, request, SERVICE_UNAVAILABLE, "no_service")
         budgets[service].recordRequest(now)
         val priority = tenant?.priority ?: route.priority
         val admittedTo = configuration.services[service]
-        val job = ForwardJob(exchange, request, route, service, admittedTo, tenant?.name, priority, arrivedAt)
+        val job = ForwardJob(exchange, request, identity, route, service, admittedTo, tenant?.name, priority, arrivedAt)
         val task = ForwardTask(job, context)
         forwardTasks += task
         task.start()
@@ -367,8 +368,8 @@
     }
 
     /**
-     * Ends the requests that wait for a place and must not be sent any more: because a part of their prompts was
-     * blocked meanwhile, or because the process stops.
+     * Ends the requests that wait for a place, or for an answer, and would end an engine because one of their traits was
+     * blocked meanwhile, and those that wait for a place while the process stops.
      */
     fun endUnsendableRequests(): Unit = forwardTasks.toList().forEach(ForwardTask::endIfUnsendable)
 
--- a/process/src/test/kotlin/redwingcross/process/edge/CrashAttributionTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/CrashAttributionTaskTest.kt
@@ -5,20 +5,21 @@
 import redwingcross.request.AvailabilityZone
 import redwingcross.request.BackendServer
 import redwingcross.request.GroupId
-import redwingcross.request.ModelName
 import redwingcross.request.MonotonicClock
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestIdentity
+import redwingcross.request.RequestTrait
 import redwingcross.request.ServiceName
-import redwingcross.request.forward.GenerationRequest
-import redwingcross.request.forward.InboundRequest
 import redwingcross.version.bundle.Endpoint
 import redwingcross.version.fleet.EngineStart
 import redwingcross.version.fleet.EngineStatus
 import redwingcross.version.fleet.EngineTable
 import redwingcross.version.forwarding.ChosenBackend
+import redwingcross.version.forwarding.CrashSignals
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -33,7 +34,7 @@
     private var newEvidence = 0
     private var blocksBegun = 0
     private var crashes = 0
-    private val refused = mutableListOf<PromptPart>()
+    private val refused = mutableListOf<RequestTrait>()
     private var table = EngineTable()
     private val task = process()
     private val other = process()
@@ -77,15 +78,8 @@
         EngineStart(1),
     )
 
-    private fun request(vararg parts: String) = InboundRequest(
-        AttemptId(parts.joinToString("-")),
-        "POST",
-        "h",
-        "/",
-        null,
-        null,
-        GenerationRequest(ModelName("m"), parts.map(::PromptPart)),
-    )
+    private fun request(vararg parts: String) =
+        RequestIdentity(AttemptId(parts.joinToString("-")), parts.map(::PromptPart).toSet())
 
     private fun endEngine(index: Int, vararg parts: String) {
         task.connectionLost(engine(index), request(*parts), hasAnswered = false)
@@ -110,7 +104,7 @@
                 now += 1.seconds
             }
         }
-        assertFalse(task.isBlocked(request("bad")))
+        assertNull(task.blockReason(request("bad")))
         assertEquals(CrashEvidence(), task.evidence())
         assertEquals(0, newEvidence)
         assertEquals(0, crashes)
@@ -137,33 +131,33 @@
         task.check()
         assertEquals(1, blocksBegun, "a block is reported once")
         assertEquals(listOf("prompt_part_blocked"), logged.takeLast(1))
-        assertTrue(task.isBlocked(request("bad", "p")))
-        assertFalse(task.isBlocked(request("own1")))
-        assertEquals(listOf(PromptPart("bad")), refused)
+        assertEquals(CrashSignals.BLOCKED_PART, task.blockReason(request("bad", "p")))
+        assertNull(task.blockReason(request("own1")))
+        assertEquals(listOf<RequestTrait>(PromptPart("bad")), refused)
     }
 
     @Test
     fun `the end of its own engine does not make a request suspect, the end of another engine does`() {
         endEngine(1, "p1")
-        assertFalse(task.isSuspect(listOf(PromptPart("p1")), engine(1)))
-        assertTrue(task.isSuspect(listOf(PromptPart("p1")), engine(2)))
-        task.answerBegan(listOf(PromptPart("p1")))
-        assertFalse(task.isSuspect(listOf(PromptPart("p1")), engine(2)), "an answer proved the part to be sound")
+        assertFalse(task.isSuspect(request("p1"), engine(1)))
+        assertTrue(task.isSuspect(request("p1"), engine(2)))
+        task.answerBegan(request("p1"))
+        assertFalse(task.isSuspect(request("p1"), engine(2)), "an answer proved the part to be sound")
     }
 
     @Test
     fun `a block and its lift reach another process by the evidence`() {
         blockPart()
-        assertTrue(task.isBlocked(request("p1", "bad")))
+        assertEquals(CrashSignals.BLOCKED_PART, task.blockReason(request("p1", "bad")))
         assertTrue(other.received(task.evidence()))
         now += 1.seconds
         other.check()
-        assertTrue(other.isBlocked(request("bad")), "the other process blocks the part")
+        assertEquals(CrashSignals.BLOCKED_PART, other.blockReason(request("bad")), "the other process blocks the part")
         assertFalse(other.received(task.evidence()), "known evidence changes nothing")
         now += 1.seconds
         assertTrue(other.lift(PromptPart("bad")))
         assertTrue(task.received(other.evidence()))
-        assertFalse(task.isBlocked(request("bad")), "the block is lifted")
+        assertNull(task.blockReason(request("bad")), "the block is lifted")
         assertEquals(listOf("prompt_part_unblocked"), logged.takeLast(1))
     }
 
@@ -171,6 +165,6 @@
     fun `a part that is not blocked can't be lifted`() {
         blockPart()
         assertFalse(task.lift(PromptPart("own1")))
-        assertTrue(task.isBlocked(request("bad")))
+        assertEquals(CrashSignals.BLOCKED_PART, task.blockReason(request("bad")))
     }
 }
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeState.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeState.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import redwingcross.process.crash.BlockedPart
+import redwingcross.process.crash.BlockedTrait
 import redwingcross.process.edge.FleetState
 import redwingcross.process.edge.Peer
 import redwingcross.version.fleet.FormedGroup
@@ -27,7 +27,7 @@
     val services: List<ServiceState>,
     /** Groups that this process forms, with their stage; empty unless it holds the controller role. */
     val formation: List<GroupState>,
-    /** Parts of prompts that no engine receives because engines ended under requests with them. */
+    /** Parts of prompts and whole requests that no engine receives because engines ended under them. */
     val blockedParts: List<BlockedPartState> = emptyList(),
 ) {
     fun toJson(): String = json.encodeToString(serializer(), this)
@@ -80,7 +80,7 @@
 @Serializable
 internal data class GroupState(val group: String, val stage: String, val sinceMillis: Long, val members: String)
 
-/** A blocked part, the time in milliseconds that it has been blocked, and the crashes and attempts that accuse it. */
+/** A blocked part or whole request, the time in milliseconds that it has been blocked, and the crashes and attempts that accuse it. */
 @Serializable
 internal data class BlockedPartState(
     val part: String,
@@ -95,8 +95,8 @@
     fun toText(): String = "$engine:${start ?: ""}"
 }
 
-internal fun BlockedPart.toState() = BlockedPartState(
-    part.id,
+internal fun BlockedTrait.toState() = BlockedPartState(
+    trait.id,
     age.inWholeMilliseconds,
     crashes.map { CrashState(it.engine.value, it.start?.unixMillis) },
     attempts.map { it.value },
--- a/programs/edge/src/test/kotlin/redwingcross/edge/OperatorEndpointTest.kt
+++ b/programs/edge/src/test/kotlin/redwingcross/edge/OperatorEndpointTest.kt
@@ -6,7 +6,7 @@
 import io.netty.channel.nio.NioEventLoopGroup
 import redwingcross.connection.http.CallerConnectionLimits
 import redwingcross.connection.http.CallerListener
-import redwingcross.process.crash.BlockedPart
+import redwingcross.process.crash.BlockedTrait
 import redwingcross.process.crash.EngineRun
 import redwingcross.request.AttemptId
 import redwingcross.request.BackendServer
@@ -30,7 +30,7 @@
 class OperatorEndpointTest {
     private val group = NioEventLoopGroup(1)
     private val blocked = mutableMapOf(
-        "bad1" to BlockedPart(
+        "bad1" to BlockedTrait(
             PromptPart("bad1"),
             listOf(EngineRun(BackendServer("e1"), EngineStart(17)), EngineRun(BackendServer("e2"), null)),
             listOf(AttemptId("a1"), AttemptId("a2")),
@@ -105,7 +105,13 @@
         val faults = mapOf(
             listOf("--lift-block", "bad1") to "--at",
             listOf("--at", location) to "--lift-block",
-            listOf("--lift-block", "not/hex", "--at", location) to "--lift-block: 'not/hex' is not a hexadecimal id",
+            listOf("--lift-block", "not/hex", "--at", location) to "--lift-block: 'not/hex' is not the id of a part",
+            listOf(
+                "--lift-block",
+                "request:1",
+                "--at",
+                location,
+            ) to "--lift-block: 'request:1' is not the id of a part",
             listOf("--lift-block", "bad1", "--at", "no address") to "--at: 'no address' is not an address",
             listOf("--lift-block", "bad1", "--at", "127.0.0.1:1") to "--at: 127.0.0.1:1 could not be reached",
             listOf("--lift-block", "bad2", "--at", location) to "bad2 is not blocked at this process",
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -39,8 +39,6 @@
     /** How long all back ends that could run the request still want none; null unless it ended for that reason. */
     private var backendPause: Duration? = null
 
-    private val sharedParts = job.request.generation?.sharedParts.orEmpty()
-
     // A request that may have run can't be refused any more, so it counts like a stream that has begun.
     private val isResuming: Boolean get() = state.answerStarted || state.mayHaveRun
 
@@ -50,7 +48,7 @@
     /** What this request needs from the next back end that it is sent to. */
     fun choiceRequest() = job.choiceRequest(state.offered.toSet(), isResuming || offer?.loss?.isReported == true)
 
-    override val inbound get() = job.request
+    override val identity get() = job.identity
 
     override val backend: ChosenBackend? get() = offer?.backend
 
@@ -83,9 +81,16 @@
         offer()
     }
 
-    /** Ends the request if it isn't at a back end and must not be sent to one any more. */
+    /** Ends the request if it must not be sent to a back end any more, or if it waits at one that it would end. */
     fun endIfUnsendable() = exchange.guarded {
-        if (!finished && offer == null) context.reasonNotToSend(job, isResuming)?.let(::finishWithout)
+        val current = offer
+        val reason = when {
+            finished -> null
+            current == null -> context.reasonNotToSend(job, isResuming)
+            current.isUnanswered -> context.crashes.blockReason(job.identity)
+            else -> null
+        }
+        reason?.let { endNow(it, ForwardDecision::withoutOffer) }
     }
 
     private fun offer() = context.beforeChoice(this) { exchange.guarded { if (!finished) offerNow() } }
@@ -148,7 +153,7 @@
             state,
             end,
             now,
-            isSuspect = { context.crashes.isSuspect(sharedParts, ended.backend) },
+            isSuspect = { context.crashes.isSuspect(job.identity, ended.backend) },
             acquireRetry = { (target != null || context.tryAcquireRetry(job.service)).also { retry = it } },
         )
         log.ended(ended.backend, end, detail, now - ended.startedAt, lastEventId, state.sends, retry, step)
@@ -164,7 +169,7 @@
         response.finish(step, ended?.head, isSent = state.sends > 0) {
             // Callers that come back within the pause of all back ends would be refused again.
             val delay = context.retryAfter(job) + (backendPause ?: Duration.ZERO)
-            if (reason == BLOCKED_PART) CrashSignals.BLOCKED_RETRY_DELAY else delay
+            if (reason in BLOCK_REASONS) CrashSignals.BLOCKED_RETRY_DELAY else delay
         }
         finish(step.toString(), reason)
     }
@@ -244,7 +249,11 @@
         var hasEvents = false
         val mayBeSent: Boolean get() = pending?.wasSent ?: isSending
         private var isError = false
-        val loss = GroupLoss { context.crashes.connectionLost(backend, job.request, hasEvents) }
+        private var showsRun = false
+
+        /** Whether the back end may not have begun to run the request. */
+        val isUnanswered: Boolean get() = !hasEvents && (isStream || head == null)
+        val loss = GroupLoss { context.crashes.connectionLost(backend, job.identity, hasEvents) }
 
         fun release() {
             offer = null
@@ -257,7 +266,8 @@
             metadata.coldFor?.let { context.coldReported(backend.server, it) }
             metadata.faultyEngine?.let { context.faultReported(backend, it) }
             val rejection = ResponseCheck.ofHead(head, metadata, state, response.begunHead)
-            if (!isStream && ResponseCheck.showsRun(head, metadata)) context.runBegan(job)
+            showsRun = ResponseCheck.showsRun(head, metadata)
+            if (!isStream && showsRun) context.runBegan(job)
             if (rejection != null) reject(rejection) else isError = !ResponseCheck.isSuccess(head)
         }
 
@@ -298,7 +308,7 @@
             if (hasEvents || batch.events > 0) context.progressed(backend, now - progressAt, !hasEvents)
             if (isFirst(batch.events)) {
                 hasEvents = true
-                context.crashes.answerBegan(sharedParts)
+                context.crashes.answerBegan(job.identity)
             }
             progressAt = now
             if (!state.answerStarted && !hasEvents) return holdComments(batch.bytes)
@@ -326,7 +336,7 @@
         override fun onEnd() {
             if (finished || offer !== this) return
             when {
-                isError -> offerEnded(this, OfferResult.Failed, "status_${head?.status}")
+                isError -> failed()
                 // A response without any event may have been cut off, also where it resumes a stream.
                 isStream && (splitter.pendingBytes > 0 || !hasEvents) ->
                     if (head?.isDelimitedByClose == true) {
@@ -338,6 +348,12 @@
             }
         }
 
+        private fun failed() {
+            // The back end still runs after its error, so the request did not end it.
+            if (showsRun) context.crashes.answerBegan(job.identity)
+            offerEnded(this, OfferResult.Failed, "status_${head?.status}")
+        }
+
         private fun succeed() {
             head?.let(response::complete)
             state = state.copy(sends = state.sends + 1)
@@ -348,7 +364,7 @@
             val now = context.clock.now()
             context.offerEnded(backend, null)
             if (isStream) return
-            context.crashes.answerBegan(sharedParts)
+            context.crashes.answerBegan(job.identity)
             context.health.recordPause(backend.server, backend.kind, now - startedAt)
         }
 
@@ -375,13 +391,12 @@
         /** Outcome of a request that was answered by a back end. */
         const val SERVED = "served"
 
-        /** Reason of the end of a request whose prompt has a blocked part. */
-        const val BLOCKED_PART = "blocked_prompt_part"
-
         /** Reason of the end of a request in whose handling this process failed. */
         const val HANDLER_FAILED = "handler_failed"
 
         /** Reason of the end of a request that can't be completed before the process ends. */
         const val STOPPING = "stopping"
+
+        private val BLOCK_REASONS = setOf(CrashSignals.BLOCKED_PART, CrashSignals.BLOCKED_REQUEST)
     }
 }
