--- a/process/src/test/kotlin/redwingcross/process/crash/AnsweredTraitsTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/AnsweredTraitsTest.kt
@@ -17,7 +17,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Guards against a common part that is blocked because all engines that could answer it were lost at once. */
-class AnsweredPartsTest {
+class AnsweredTraitsTest {
     private val common = PromptPart("c0")
     private val crashing = PromptPart("cc")
     private val answered = AnsweredTraits().also { it.record(listOf(common), 1.seconds) }
