Give simulated requests digests and test deadly whole requests

Each request of CrashSimulation now has a digest, as InboundRequest.identity gives it: its own, kept by its repeats, or in one request in twelve that of the popular request of its kind. A second Random draws them. Histories still differ from those without digests, because changes of the ledger by digests send further messages, which are drawn too.

Like ForwardDecision, the simulation doesn't send a suspect request to a second engine there (resendsSuspects).

--- a/process/src/test/kotlin/redwingcross/process/crash/CrashAttributionProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashAttributionProperties.kt
@@ -139,13 +139,13 @@
     }
 
     /** The crashing part, with the rare ones that were in each of its crashes: the evidence can't tell these apart. */
-    private fun CrashSimulation.partsInAllCrashes(part: RequestTrait): Set<RequestTrait> = crashedParts
+    private fun CrashSimulation.partsInAllCrashes(part: RequestTrait): Set<RequestTrait> = crashedTraits
         .getValue(part)
         .reduce { one, two -> one intersect two }
         .filterNotTo(HashSet()) { it.id.startsWith("first-") }
 
     /** Whether the first five crashes were of requests with no rare sound part in common. */
-    private fun CrashSimulation.isToldApart(part: RequestTrait): Boolean = crashedParts
+    private fun CrashSimulation.isToldApart(part: RequestTrait): Boolean = crashedTraits
         .getValue(part)
         .take(5)
         .reduce { one, two -> one intersect two }
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashSimulation.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashSimulation.kt
@@ -46,11 +46,15 @@
             next.effects.forEach(::observe)
         }
 
-        fun answerBegan(parts: Set<RequestTrait>) {
-            answered.record(parts, clock())
-            changed(CrashAttribution.answerBegan(ledger, parts, clock()), relay::onOwnChange)
+        fun answerBegan(traits: Set<RequestTrait>) {
+            answered.record(traits, clock())
+            changed(CrashAttribution.answerBegan(ledger, traits, clock()), relay::onOwnChange)
         }
 
+        /** Whether the ends of other engines than that of [run] accuse any of [traits]. */
+        fun suspects(traits: Set<RequestTrait>, run: EngineRun) =
+            CrashAttribution.isSuspect(ledger.copy(crashes = ledger.crashes - run), traits, clock())
+
         fun receive(evidence: CrashEvidence) =
             changed(CrashAttribution.merged(ledger, evidence, clock()), relay::onReceivedChange)
 
@@ -79,8 +83,8 @@
                 evidence = ::evidence,
                 isActiveController = { this === controller() },
                 fleetSize = { scenario.gateways },
-                sendToAll = { evidence -> gateways.forEach { if (it !== this) deliver(evidence, it) } },
-                sendToObservers = { evidence -> observers().forEach { if (it !== this) deliver(evidence, it) } },
+                sendToAll = { evidence -> gateways.forEach { if (it !== this) deliver(evidence, this, it) } },
+                sendToObservers = { evidence -> observers().forEach { if (it !== this) deliver(evidence, this, it) } },
             )
             return CrashEvidenceRelay(dependencies, MonotonicClock(::clock))
         }
@@ -97,7 +101,7 @@
     private class Request(
         val attempt: AttemptId,
         val kind: Int,
-        val parts: Set<RequestTrait>,
+        val traits: Set<RequestTrait>,
         val repeatsLeft: Int,
         var gateway: Gateway,
     ) {
@@ -111,32 +115,44 @@
     private val gateways = List(scenario.gateways) { Gateway(random.nextInt(1_000_000).milliseconds) }
     private val engines = List(scenario.engines) { Engine(it) }
     private val enginesByKind = engines.groupBy { it.id % scenario.kinds }
-    private val crashingParts: Set<RequestTrait> = scenario.crashing.map { PromptPart(it.id) }.toSet()
+    private val digests = SimulatedDigests(scenario.seed)
+    private val crashingTraits: Set<RequestTrait> =
+        scenario.crashing.mapTo(LinkedHashSet<RequestTrait>()) { PromptPart(it.id) } + scenario.deadly.map { it.digest }
+
+    /** Digests of requests with a crashing part: these requests end engines too. */
+    private val crashingRequests = HashSet<RequestTrait>()
     private var now = Duration.ZERO
     private var events = 0L
     private var attempts = 0
 
-    /** Times of the crashes of each crashing part. */
-    val crashes = crashingParts.associateWith { ArrayList<Duration>() }
+    /** Times of the crashes of each crashing trait. */
+    val crashes = crashingTraits.associateWith { ArrayList<Duration>() }
 
-    /** Sends to engines of requests with each crashing part. */
-    val crashingSends = crashingParts.associateWith { ArrayList<Duration>() }
+    /** Sends to engines of requests with each crashing trait. */
+    val crashingSends = crashingTraits.associateWith { ArrayList<Duration>() }
 
-    /** Parts of the requests of the crashes of each crashing part. */
-    val crashedParts = crashingParts.associateWith { ArrayList<Set<RequestTrait>>() }
+    /** Those of [crashingSends] by gateways that were cut from their peers. */
+    val cutSends = crashingTraits.associateWith { ArrayList<Duration>() }
 
-    /** Times at which a sound part was found blocked at a gateway. */
+    /** Traits of the requests of the crashes of each crashing trait. */
+    val crashedTraits = crashingTraits.associateWith { ArrayList<Set<RequestTrait>>() }
+
+    /** Times at which sound traits were found blocked at a gateway. */
     val soundBlocks = ArrayList<Pair<Duration, Set<RequestTrait>>>()
 
-    /** Times at which the crashing part was not blocked at a gateway. */
-    val openings = crashingParts.associateWith { ArrayList<Duration>() }
+    /** Times at which the crashing trait was not blocked at a gateway. */
+    val openings = crashingTraits.associateWith { ArrayList<Duration>() }
     var soundSends = 0
         private set
 
-    /** Requests without a crashing part that were refused. */
+    /** Requests without a crashing trait that were refused. */
     var soundRefusals = 0
         private set
 
+    /** Times of the refusals of popular requests, with their last answers at any gateway. */
+    val popularRefusals = ArrayList<PopularRefusal>()
+    private val popularAnswers = HashMap<RequestTrait, Duration>()
+
     fun run(): CrashSimulation {
         scenario.ends.forEach { end -> at(end.at) { endEngine(engines[end.engine % engines.size], end.noticedWithin) } }
         scenario.losses.forEach { loss -> at(loss.at) { loseKind(loss) } }
@@ -144,6 +160,7 @@
         gateways.forEach { gateway -> at(tick * random.nextDouble()) { runTick(gateway) } }
         at(100.milliseconds) { inspect() }
         at(Duration.ZERO) { arrival() }
+        scenario.deadly.forEach { deadly -> at(deadly.from) { repeatDeadly(deadly) } }
         while (queue.isNotEmpty()) {
             val event = queue.poll()
             if (event.at > scenario.duration) break
@@ -173,11 +190,20 @@
                 if (random.nextDouble() < it.companionShare) parts += PromptPart("companion-$kind")
             }
         if (random.nextInt(200) == 0) parts += PromptPart("companion-$kind")
-        caller(kind, parts, repeatsLeft = 2)
+        val isCrashing = parts.any { it in crashingTraits }
+        val digest = digests.next(kind, isOwn = isCrashing)
+        if (isCrashing) crashingRequests += digest
+        caller(kind, parts + digest, repeatsLeft = 2, gateways.random(random))
         val mean = 1.seconds / scenario.requestsPerSecond
         after(mean * 2, ::arrival)
     }
 
+    /** The callers of a deadly request repeat it without end, each time as a new attempt. */
+    private fun repeatDeadly(deadly: DeadlyRequest) {
+        caller(deadly.kind, deadly.traits, repeatsLeft = 0, digests.choose(gateways))
+        at(now + digests.pause(deadly)) { repeatDeadly(deadly) }
+    }
+
     /** One request in five belongs to a session with about three requests in all. */
     private fun middle(kind: Int): PromptPart = if (random.nextInt(5) == 0) {
         val session = (now / 1.seconds * scenario.requestsPerSecond / 15).toInt() - random.nextInt(10)
@@ -186,24 +212,20 @@
         PromptPart("subject-$kind-${random.nextInt(scenario.subjects)}")
     }
 
-    private fun caller(kind: Int, parts: Set<RequestTrait>, repeatsLeft: Int) {
-        val gateway = gateways[random.nextInt(gateways.size)]
+    private fun caller(kind: Int, traits: Set<RequestTrait>, repeatsLeft: Int, gateway: Gateway) {
         if (!gateway.alive) return
-        send(Request(AttemptId("attempt-${attempts++}"), kind, parts, repeatsLeft, gateway))
+        send(Request(AttemptId("attempt-${attempts++}"), kind, traits, repeatsLeft, gateway))
     }
 
     private fun send(request: Request) {
         if (!request.gateway.alive) return
-        if (isBlocked(request.gateway, request.parts)) {
-            if (request.parts.none { it in crashingParts }) soundRefusals++
-            return
-        }
+        blockOf(request.gateway, request.traits)?.let { return refused(request, it.trait) }
         val candidates = if (scenario.hasEnginesPerKind) enginesOf(request.kind) else engines
         val engine = candidates[random.nextInt(candidates.size)]
         if (!engine.alive) return request.gateway.detect(EngineEndMessage.NotConnected(engine.run.engine))
         if (engine.held >= 12) return
-        val crashing = request.parts.firstOrNull { it in crashingParts }
-        if (crashing == null) soundSends++ else crashingSends.getValue(crashing) += now
+        val crashing = request.traits.firstOrNull { it in crashingTraits }
+        if (crashing == null) soundSends++ else countCrashingSend(crashing, request.gateway)
         val start = engine.start
         engine.held++
         engine.waiting += request
@@ -213,17 +235,35 @@
         }
     }
 
+    private fun refused(request: Request, block: RequestTrait) {
+        if (request.traits.any { it in crashingTraits }) return
+        soundRefusals++
+        request.traits.filter { it in digests.popular }.forEach {
+            popularRefusals += PopularRefusal(now, it, block, popularAnswers[it])
+        }
+    }
+
+    private fun countCrashingSend(trait: RequestTrait, gateway: Gateway) {
+        crashingSends.getValue(trait) += now
+        if (isCut(gateway)) cutSends.getValue(trait) += now
+    }
+
+    private fun isCut(gateway: Gateway) =
+        scenario.cuts.any { gateway === gateways[it.gateway % gateways.size] && now in it.from..it.until }
+
     private fun beginAnswer(engine: Engine, request: Request, crashing: RequestTrait?) {
         if (crashing != null) {
             crashes.getValue(crashing) += now
-            crashedParts.getValue(crashing) += request.parts
+            crashedTraits.getValue(crashing) += request.traits
             return endEngine(engine, Duration.ZERO)
         }
         engine.waiting -= request
         val start = engine.start
         after(2.seconds) { if (engine.start == start) engine.held-- }
         val gateway = request.gateway
-        if (gateway.alive) gateway.answerBegan(request.parts)
+        if (!gateway.alive) return
+        gateway.answerBegan(request.traits)
+        request.traits.filter { it in digests.popular }.forEach { popularAnswers[it] = now }
     }
 
     private fun endEngine(engine: Engine, noticedWithin: Duration) {
@@ -274,24 +314,25 @@
             gateway.detect(EngineEndMessage.ConnectionLost(run, null, AttemptId("attempt-${attempts++}"), null))
         }
         requests.forEach {
-            val suspect = RequestIdentity(it.attempt, it.parts)
+            val suspect = RequestIdentity(it.attempt, it.traits)
             gateway.detect(EngineEndMessage.ConnectionLost(run, null, it.attempt, suspect))
         }
-        requests.forEach(::sendAgain)
+        requests.forEach { sendAgain(it, run) }
     }
 
     private fun notice(gateway: Gateway, run: EngineRun, requests: List<Request>) {
         if (!gateway.alive) return
-        gateway.observe(CrashObservation(run, requests.map { RequestIdentity(it.attempt, it.parts) }))
-        requests.forEach(::sendAgain)
+        gateway.observe(CrashObservation(run, requests.map { RequestIdentity(it.attempt, it.traits) }))
+        requests.forEach { sendAgain(it, run) }
     }
 
-    private fun sendAgain(request: Request) {
-        if (!request.isResent) {
+    private fun sendAgain(request: Request, lost: EngineRun) {
+        val mayBeSent = scenario.resendsSuspects || !request.gateway.suspects(request.traits, lost)
+        if (!request.isResent && mayBeSent) {
             request.isResent = true
             send(request)
         } else if (request.repeatsLeft > 0) {
-            after(2.seconds) { caller(request.kind, request.parts, request.repeatsLeft - 1) }
+            after(2.seconds) { caller(request.kind, request.traits, request.repeatsLeft - 1, gateways.random(random)) }
         }
     }
 
@@ -300,7 +341,8 @@
         at(now + tick) { runTick(gateway) }
     }
 
-    private fun deliver(evidence: CrashEvidence, gateway: Gateway) {
+    private fun deliver(evidence: CrashEvidence, sender: Gateway, gateway: Gateway) {
+        if (isCut(sender) || isCut(gateway)) return
         if (random.nextInt(100) < scenario.lossPercent) return
         repeat(if (random.nextInt(20) == 0) 2 else 1) {
             after(scenario.messageDelay) { if (gateway.alive) gateway.receive(evidence) }
@@ -316,19 +358,21 @@
         }
     }
 
-    private fun isBlocked(gateway: Gateway, parts: Set<RequestTrait>): Boolean =
-        CrashAttribution.blocking(gateway.ledger, parts, gateway.clock(), gateway.answered) != null
+    private fun isBlocked(gateway: Gateway, traits: Set<RequestTrait>): Boolean = blockOf(gateway, traits) != null
+
+    private fun blockOf(gateway: Gateway, traits: Set<RequestTrait>): BlockedTrait? =
+        CrashAttribution.blocking(gateway.ledger, traits, gateway.clock(), gateway.answered)
 
-    /** Number of live gateways that don't block requests with [parts] at the end of the run. */
-    fun gatewaysWithoutBlock(parts: Set<RequestTrait>): Int = gateways.count { it.alive && !isBlocked(it, parts) }
+    /** Number of live gateways that don't block requests with [traits] at the end of the run. */
+    fun gatewaysWithoutBlock(traits: Set<RequestTrait>): Int = gateways.count { it.alive && !isBlocked(it, traits) }
 
     private fun inspect() {
         gateways.filter { it.alive }.forEach { gateway ->
             gateway.ledger.explanations.forEach { explanation ->
-                val sound = explanation.traits - crashingParts
+                val sound = explanation.traits - crashingTraits - crashingRequests
                 if (isBlocked(gateway, sound)) soundBlocks += now to sound
             }
-            crashingParts.filterNot { isBlocked(gateway, setOf(it)) }.forEach { openings.getValue(it) += now }
+            crashingTraits.filterNot { isBlocked(gateway, setOf(it)) }.forEach { openings.getValue(it) += now }
         }
         at(now + 100.milliseconds, ::inspect)
     }
