--- a/process/src/main/kotlin/redwingcross/process/crash/AnsweredTraits.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/AnsweredTraits.kt
@@ -31,8 +31,8 @@
     }
 
     /**
-     * Whether answers before the crashes, at [times], clear [trait]: too few of the crashes are much later than its last
-     * answer to block it. A trait that engines no longer stand is blocked by later crashes.
+     * Whether answers before the crashes, at [times], clear [trait]: too few of the crashes are much later than its
+     * last answer to block it. A trait that engines no longer stand is blocked by later crashes.
      */
     internal fun clears(trait: RequestTrait, times: List<Duration>): Boolean {
         if (trait !in lastAnswers) return false
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashAttribution.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashAttribution.kt
@@ -71,8 +71,8 @@
         ?.let { it.block(it.traits.first(), now) }
 
     /**
-     * Returns the blocked traits, to show them or to lift a block. [blocking] decides about a request. Traits that always
-     * occur together are listed once their crashes are as many as the users allow.
+     * Returns the blocked traits, to show them or to lift a block. [blocking] decides about a request. Traits that
+     * always occur together are listed once their crashes are as many as the users allow.
      */
     fun blocked(
         ledger: CrashLedger,
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
@@ -8,7 +8,8 @@
 /**
  * Finds few traits that explain the crashes: repeatedly the trait with the most crashes at separate times. Its requests
  * then accuse no other trait, so a trait that is in some of the requests of another one isn't blamed. Other requests of
- * its crashes still accuse, since a second crashing trait may wait at the same engines, but don't suffice by themselves.
+ * its crashes still accuse, since a second crashing trait may wait at the same engines, but don't suffice by
+ * themselves.
  */
 internal class CrashExplanation(ledger: CrashLedger) {
     private var known = ledger.crashes
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashLedger.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashLedger.kt
@@ -31,8 +31,8 @@
         CrashLedger(crashes, lifts, confirmedAt.filterKeys { it in crashes })
 
     /**
-     * Time since which answers can clear the traits of the crash of [run]: the time of the crash, or of its confirmation
-     * if that was late. No process relates answers to a crash that it doesn't know.
+     * Time since which answers can clear the traits of the crash of [run]: the time of the crash, or of its
+     * confirmation if that was late. No process relates answers to a crash that it doesn't know.
      */
     internal fun clearableSince(run: EngineRun): Duration {
         val at = crashes.getValue(run).at
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
@@ -62,8 +62,8 @@
     val longestConfirmationTime: Duration = EngineEndDetector.confirmationTime + clearingTime
 
     /**
-     * An answer clears its traits of the crashes up to this much later. The loss of an engine is noticed up to 5 s after
-     * it, and processes with little traffic answer a common trait every few seconds.
+     * An answer clears its traits of the crashes up to this much later. The loss of an engine is noticed up to 5 s
+     * after it, and processes with little traffic answer a common trait every few seconds.
      */
     val answerLifetime: Duration = 10.seconds
 
--- a/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
@@ -39,7 +39,8 @@
 
 /**
  * Owns this process's replica of the [CrashLedger]: relates ends of engines to the traits of the requests
- * that were there, and tells which requests must not be sent. A process that can't reach others goes on with its replica.
+ * that were there, and tells which requests must not be sent. A process that can't reach others goes on with its
+ * replica.
  */
 class CrashAttributionTask(private val dependencies: CrashAttributionDependencies, private val clock: MonotonicClock) {
     private var detector = EngineEndState()
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeState.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeState.kt
@@ -80,7 +80,10 @@
 @Serializable
 internal data class GroupState(val group: String, val stage: String, val sinceMillis: Long, val members: String)
 
-/** A blocked part or whole request, the time in milliseconds that it has been blocked, and the crashes and attempts that accuse it. */
+/**
+ * A blocked part or whole request, the time in milliseconds that it has been blocked, and the crashes and attempts that
+ * accuse it.
+ */
 @Serializable
 internal data class BlockedPartState(
     val part: String,
