--- a/bench/src/main/kotlin/redwingcross/bench/crash/CrashCostCommand.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/crash/CrashCostCommand.kt
@@ -7,6 +7,7 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.restrictTo
+import redwingcross.process.crash.CrashLimits
 import java.util.Locale
 import kotlin.time.Duration
 import kotlin.time.measureTime
@@ -20,15 +21,26 @@
     private val seed by option(help = "Seed of the drawn parts").int().default(1)
 
     override fun help(context: Context): String =
-        "Measures the functions of CrashAttribution on a ledger of the given size, without sockets and encoding."
+        "Measures the functions of CrashAttribution on a ledger of the given size, without and with digests of " +
+            "requests, and the memory of answered digests. Sockets and encoding are left out."
 
     override fun run() {
-        val scenario = CrashCostScenario(crashes, requests, parts, seed)
-        echo("call;microseconds, median;microseconds, maximum")
-        for (call in scenario.calls()) {
-            repeat(WARM_UP_CALLS) { call.call(call.input()) }
-            print(call.name, List(calls) { call.input().let { ledger -> measureTime { call.call(ledger) } } })
+        echo("call;digests;microseconds, median;microseconds, maximum")
+        val withoutAndWith = listOf(false, true).map {
+            it to
+                CrashCostScenario(crashes, requests, parts, it, seed).calls()
         }
+        withoutAndWith.flatMap { (hasDigests, calls) -> calls.map { hasDigests to it } }
+            .sortedBy { (_, call) -> call.name }
+            .forEach { (hasDigests, call) -> print("${call.name};$hasDigests", measure(call)) }
+        echo(
+            "bytes of the heap for ${CrashLimits.ANSWERED_TRAITS} answered digests;${CrashCostScenario.answeredBytes()}",
+        )
+    }
+
+    private fun measure(call: MeasuredCall): List<Duration> {
+        repeat(WARM_UP_CALLS) { call.call(call.input()) }
+        return List(calls) { call.input().let { ledger -> measureTime { call.call(ledger) } } }
     }
 
     private fun print(name: String, times: List<Duration>) {
--- a/bench/src/main/kotlin/redwingcross/bench/crash/CrashCostScenario.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/crash/CrashCostScenario.kt
@@ -1,12 +1,15 @@
 package redwingcross.bench.crash
 
+import redwingcross.process.crash.AnsweredTraits
 import redwingcross.process.crash.CrashAttribution
 import redwingcross.process.crash.CrashLedger
+import redwingcross.process.crash.CrashLimits
 import redwingcross.process.crash.CrashObservation
 import redwingcross.process.crash.EngineRun
 import redwingcross.request.AttemptId
 import redwingcross.request.BackendServer
 import redwingcross.request.PromptPart
+import redwingcross.request.RequestDigest
 import redwingcross.request.RequestIdentity
 import redwingcross.version.fleet.EngineStart
 import kotlin.random.Random
@@ -23,11 +26,15 @@
     fun input(): CrashLedger = if (reuses) ledger else ledger.copy()
 }
 
-/** A ledger of [crashes] with [requests] each, of which one has a crashing part, and calls on it. */
+/**
+ * A ledger of [crashes] with [requests] each, of which one has a crashing part, and calls on it. With [hasDigests],
+ * each request has a digest of its own.
+ */
 internal class CrashCostScenario(
     private val crashes: Int,
     private val requests: Int,
     private val parts: Int,
+    private val hasDigests: Boolean,
     seed: Int,
 ) {
     private val random = Random(seed)
@@ -58,17 +65,41 @@
         val suspects = List(requests) { index ->
             val shared = List(parts) { ordinary.random(random) }
             val all = if (index == 0) shared.drop(1) + crashing else shared
-            RequestIdentity(AttemptId("%08x%08x".format(number, index)), all.toSet())
+            val digests = if (hasDigests) listOf(digest("$number-$index")) else emptyList()
+            RequestIdentity(AttemptId("%08x%08x".format(number, index)), (all + digests).toSet())
         }
         return CrashObservation(EngineRun(BackendServer("engine-$number"), EngineStart(START)), suspects)
     }
 
-    private companion object {
+    companion object {
+        /** Bytes of the heap that [AnsweredTraits] of one process takes with the most digests that it keeps. */
+        fun answeredBytes(): Long {
+            val before = usedBytes()
+            val answered = List(ANSWERED_INSTANCES) { instance ->
+                AnsweredTraits().apply {
+                    repeat(CrashLimits.ANSWERED_TRAITS) { record(listOf(digest("$instance-$it")), it.milliseconds) }
+                }
+            }
+            val bytes = usedBytes() - before
+            check(answered.all { it.size == CrashLimits.ANSWERED_TRAITS }) { "the bound was not reached" }
+            return bytes / ANSWERED_INSTANCES
+        }
+
+        private fun usedBytes(): Long {
+            System.gc()
+            return Runtime.getRuntime().run { totalMemory() - freeMemory() }
+        }
+
+        private fun digest(body: String) = RequestDigest.of("POST", "/bench", null, body.encodeToByteArray())
+
+        /** Enough that other allocations hardly change the mean. */
+        private const val ANSWERED_INSTANCES = 20
+
         /** Parts that requests without the crashing one share. */
-        const val ORDINARY_PARTS = 2_000
+        private const val ORDINARY_PARTS = 2_000
 
         /** 256 crashes within the time for which a crash accuses. */
-        val INTERVAL: Duration = 200.milliseconds
-        const val START = 1_764_900_000_000
+        private val INTERVAL: Duration = 200.milliseconds
+        private const val START = 1_764_900_000_000
     }
 }
