Block new requests while older blocks fill the ledger

Callers would see: once 85 requests are blocked, each further request that ends engines goes on ending them at every process, until an operator lifts blocks. Blocks have no other end, so they add up over the life of the processes.

Cause: a full ledger kept all crashes that prove blocks before all others. Three crashes for each of 85 blocks leave one place, and a block needs three crashes.

The 64 newest crashes are kept now, and of the others first those that prove blocks, the newest first. So the oldest blocks go first; a request of one of these is blocked again after three more crashes.

Ruled out: a larger ledger only delays it and costs processor time with each change.

--- a/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
@@ -79,6 +79,9 @@
     /** Kept crashes: the engines of the two largest zones of 600 engines, which may be lost together. */
     const val CRASHES = 256
 
+    /** Of the kept crashes, the newest that older blocks don't displace: three crashes at each of 21 traits. */
+    const val NEWEST_CRASHES = 64
+
     /** Kept requests of a crash: twice the requests that an engine holds. */
     const val REQUESTS_PER_CRASH = 24
 
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashRetention.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashRetention.kt
@@ -28,16 +28,24 @@
     fun bounded(ledger: CrashLedger): CrashLedger {
         val isWithin = ledger.crashes.size <= CrashLimits.CRASHES && ledger.lifts.size <= CrashLimits.LIFTS
         if (isWithin) return ledger
-        val proofs = proofs(ledger)
-        val kept =
-            ledger.crashes.entries
-                .sortedWith(
-                    compareByDescending<Map.Entry<EngineRun, Crash>> { it.key in proofs }
-                        .thenByDescending { it.value.accused.isNotEmpty() }
-                        .thenByDescending { it.value.at },
-                ).take(CrashLimits.CRASHES)
         val lifts = ledger.lifts.entries.sortedByDescending { it.value.at }.take(CrashLimits.LIFTS)
-        return ledger.with(kept.associate { it.key to it.value }, lifts.associate { it.key to it.value })
+        return ledger.with(boundedCrashes(ledger), lifts.associate { it.key to it.value })
+    }
+
+    /** Keeps the newest crashes, because a new block needs several, and of the others those that prove blocks. */
+    private fun boundedCrashes(ledger: CrashLedger): Map<EngineRun, Crash> {
+        if (ledger.crashes.size <= CrashLimits.CRASHES) return ledger.crashes
+        val proofs = proofs(ledger)
+        val byTime = ledger.crashes.entries.sortedByDescending { it.value.at }
+        val others = byTime
+            .drop(CrashLimits.NEWEST_CRASHES)
+            .sortedWith(
+                compareByDescending<Map.Entry<EngineRun, Crash>> { it.key in proofs }
+                    .thenByDescending { it.value.accused.isNotEmpty() }
+                    .thenByDescending { it.value.at },
+            )
+        val kept = byTime.take(CrashLimits.NEWEST_CRASHES) + others
+        return kept.take(CrashLimits.CRASHES).associate { it.key to it.value }
     }
 
     /** Returns at most the kept number of [traits]: the whole request, then those that are accused already. */
