--- a/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
@@ -62,8 +62,8 @@
     val longestConfirmationTime: Duration = EngineEndDetector.confirmationTime + clearingTime
 
     /**
-     * An answer clears its traits of the crashes up to this much later. The loss of an engine is noticed up to 5 s after
-     * it, and processes with little traffic answer a common trait every few seconds.
+     * An answer clears its traits of the crashes up to this much later. The loss of an engine is noticed up to 5 s
+     * after it, and processes with little traffic answer a common trait every few seconds.
      */
     val answerLifetime: Duration = 10.seconds
 
@@ -79,6 +79,9 @@
     /** Kept crashes: the engines of the two largest zones of 600 engines, which may be lost together. */
     const val CRASHES = 256
 
+    /** Of the kept crashes, the newest that older blocks don't displace: three crashes at each of 21 traits. */
+    const val NEWEST_CRASHES = 64
+
     /** Kept requests of a crash: twice the requests that an engine holds. */
     const val REQUESTS_PER_CRASH = 24
 
