--- a/connection/src/main/kotlin/redwingcross/connection/http/CallerWait.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/CallerWait.kt
@@ -11,8 +11,9 @@
 /**
  * The wait of a connection for its caller.
  *
- * The limits in force when the wait for a request began apply to the end of the request: a caller can't know of a change
- * in between, and a request may have been sent before the change and be read after it. A longer limit applies at once.
+ * The limits in force when the wait for a request began apply to the end of the request: a caller can't know of a
+ * change in between, and a request may have been sent before the change and be read after it. A longer limit applies at
+ * once.
  */
 internal data class CallerWait(
     val stage: CallerWaitStage,
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakRun.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakRun.kt
@@ -44,7 +44,7 @@
                 findings += fabric.findings + violations(callers.bookings, callers.refusals)
                 kept?.let { findings += it.findings + violations(it.bookings, it.refusals) + unanswered(it) }
             }
-            if (mix.isSound) findings += callers.lostEarly.map { "LOST: ${it.attempt} ${it.outcome}, ran: ${it.attempt in fabric.runs}" }
+            if (mix.isSound) findings += callers.lostEarly.map(::describeLost)
             findings += deployment.exceptions()
             val summary = "seed=$seed faults_served=${faulty.served} faults_failed=${faulty.failed} " +
                 "calm_served=${calm.served} calm_failed=${calm.failed} findings=${findings.size} " +
@@ -91,6 +91,9 @@
         return twice + refused + stale
     }
 
+    private fun describeLost(lost: LostAnswer) =
+        "LOST: ${lost.attempt} ${lost.outcome}, ran: ${lost.attempt in fabric.runs}"
+
     /** Requests whose connection ended without a response, and not because the request and the close crossed. */
     private fun unanswered(kept: KeptConnectionCallers) = kept.unanswered
         .filter { it.attempt in fabric.runs || it.ageMillis > LONGEST_CROSSING_MILLIS }
