--- a/bench/src/main/kotlin/redwingcross/bench/crash/CrashCostCommand.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/crash/CrashCostCommand.kt
@@ -33,9 +33,8 @@
         withoutAndWith.flatMap { (hasDigests, calls) -> calls.map { hasDigests to it } }
             .sortedBy { (_, call) -> call.name }
             .forEach { (hasDigests, call) -> print("${call.name};$hasDigests", measure(call)) }
-        echo(
-            "bytes of the heap for ${CrashLimits.ANSWERED_TRAITS} answered digests;${CrashCostScenario.answeredBytes()}",
-        )
+        val digests = CrashLimits.ANSWERED_TRAITS
+        echo("bytes of the heap for $digests answered digests;${CrashCostScenario.answeredBytes()}")
     }
 
     private fun measure(call: MeasuredCall): List<Duration> {
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -368,7 +368,7 @@
     }
 
     /**
-     * Ends the requests that wait for a place, or for an answer, and would end an engine because one of their traits was
+     * Ends the requests that wait for a place or an answer and would end an engine, because one of their traits was
      * blocked meanwhile, and those that wait for a place while the process stops.
      */
     fun endUnsendableRequests(): Unit = forwardTasks.toList().forEach(ForwardTask::endIfUnsendable)
--- a/request/src/main/kotlin/redwingcross/request/forward/ForwardDecision.kt
+++ b/request/src/main/kotlin/redwingcross/request/forward/ForwardDecision.kt
@@ -141,8 +141,8 @@
     /**
      * Whether another offer of the request could end one more engine. After the first engine that ended it runs at
      * most once more, because the engine may have ended for another reason. A back end of a service without groups may
-     * have lost only a connection, so the request goes on unless it is suspect. A request that was answered in part ends
-     * no engines.
+     * have lost only a connection, so the request goes on unless it is suspect. A request that was answered in part
+     * ends no engines.
      *
      * A request of a lost group may have a suspect part: when a zone is lost, the first reported ends accuse parts that
      * many sound requests there share.
