Block a part after five crashes also if one request explains them

Callers would see: a part of prompts that ends engines is blocked late if its first crashes are all of one request and its repeats: the request is blocked in its place, and the next request with the part ends a further engine.

Cause: a whole request was preferred to a part in the same crashes however many these were. The users allow five crashes of a part, so from then on both are blocked.

--- a/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
@@ -1,6 +1,7 @@
 package redwingcross.process.crash
 
 import redwingcross.request.AttemptId
+import redwingcross.request.PromptPart
 import redwingcross.request.RequestDigest
 import redwingcross.request.RequestTrait
 import kotlin.time.Duration
@@ -99,7 +100,8 @@
     ) {
         val firstTrait: RequestTrait = traits.minBy { it.id }
 
-        val isWholeRequest: Boolean get() = firstTrait is RequestDigest
+        /** Whether requests beyond the repeats of one have to be refused to explain so few crashes. */
+        val isBroad: Boolean get() = firstTrait is PromptPart && crashes.size < CrashLimits.CRASHES_TO_LIST_TOGETHER
 
         val separateTimes: List<Duration> = separateTimes(crashes)
 
@@ -213,7 +215,7 @@
     private companion object {
         /** Of a request and a part of its prompt that are in the same crashes, blocking the request affects fewer. */
         val STRENGTH: Comparator<Candidate> =
-            compareBy({ it.separateTimes.size }, { it.crashes.size }, { it.isWholeRequest })
+            compareBy({ it.separateTimes.size }, { it.crashes.size }, { !it.isBroad })
 
         val ORDER: Comparator<KnownCrash> =
             compareBy({ it.at }, { it.run.engine.value }, { it.run.start?.unixMillis ?: 0 })
--- a/process/src/test/kotlin/redwingcross/process/crash/WholeRequestTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/WholeRequestTest.kt
@@ -63,6 +63,14 @@
         assertTrue(ledger.blocks(16.seconds, common, digest("new")))
     }
 
+    @Test
+    fun `a part is blocked too once one request with it has ended as many engines as the users allow`() {
+        val four = repeatedThrice().crash(4, 12.seconds, "a3" to setOf(common, repeated))
+        assertFalse(four.blocks(20.seconds, common, digest("other")))
+        val five = four.crash(5, 13.seconds, "a4" to setOf(common, repeated))
+        assertTrue(five.blocks(15.seconds, common, digest("other")))
+    }
+
     @Test
     fun `an answer to a repeat clears the request`() {
         val ledger = CrashAttribution.answerBegan(repeatedThrice(), listOf(common, repeated), 11.2.seconds)
