Tell a process that was cut off what the others learned of crashes

Callers would see: after an active controller was cut off from the others for some seconds, it sends a request to engines that all others have blocked meanwhile.

Cause: a change is repeated for 0.75 s, and after that only by the active controller. If that is the process that missed the change, nobody tells it.

Change: a process that hears another one again after more than a second sends it what it knows; in a large fleet only the active controller and those next in line do. A process that has just started is told by the controller as before.

Evidence: WholeRequestProperties, "a gateway that was cut from its peers ...", failed without this message in the simulation and passes with it; PeerTaskTest (a process that was cut off ...) is new. In the traced histories of the simulation the cut gateway is the active controller, which keeps its role there.

--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -254,14 +254,26 @@
 
     /**
      * Tells a process that has just started who the active controller is, so that it can request its routes, and which
-     * parts of prompts are blocked.
+     * traits are blocked.
      */
     private fun welcome(newcomer: GatewayRecord) {
         val heartbeat = dependencies.nextHeartbeat()
         val lease = heartbeat.controllerLease ?: return
         if (table.isLarge) send(newcomer, PeerCodec.encode(nextDigest(heartbeat, lease)))
+        sendEvidence(newcomer)
+    }
+
+    /**
+     * Tells a process that was not heard for a while which traits are blocked. Not only the active controller does so,
+     * which repeats what it knows: it may itself be the one that has missed changes.
+     */
+    private fun tellMissedChanges(returned: GatewayRecord) {
+        if (!table.isLarge || rank < ServerSourceDecision.STANDBYS) sendEvidence(returned)
+    }
+
+    private fun sendEvidence(receiver: GatewayRecord) {
         val evidence = dependencies.crashEvidence()
-        if (!evidence.isEmpty) send(newcomer, PeerCodec.encode(CrashReports(self, evidence)))
+        if (!evidence.isEmpty) send(receiver, PeerCodec.encode(CrashReports(self, evidence)))
     }
 
     /** Sends [message] to every other process. */
@@ -318,7 +330,10 @@
         val isNew = known == null
         if (isNew) log("peer_heard", arrayOf("node" to heartbeat.sender.node, "start" to heartbeat.sender.start))
         if (isNew) updateGatewayShare(before)
-        if (known?.heartbeat == null || known.record.start != heartbeat.sender.start) welcome(heartbeat.sender)
+        val hasStarted = known?.heartbeat == null || known.record.start != heartbeat.sender.start
+        if (hasStarted) welcome(heartbeat.sender)
+        val wasSilent = known == null || clock.now() - known.lastSeenAt > LONGEST_REPEATS
+        if (wasSilent && heartbeat.sequence > FIRST_HEARTBEATS) tellMissedChanges(heartbeat.sender)
         dependencies.onLoad(ProcessName(heartbeat.sender.node), heartbeat.load.mapKeys { BackendServer(it.key) })
         dependencies.demand?.heartbeatReceived(heartbeat)
         heartbeat.health?.let { dependencies.onHealth(ProcessName(heartbeat.sender.node), it) }
@@ -332,6 +347,12 @@
         /** In the first round of a cycle, heartbeats go to all observers and not only to the controller. */
         const val ROUND_TO_ALL_OBSERVERS = 0L
 
+        /** Heartbeats of a process that has just started, of 250 ms each. */
+        const val FIRST_HEARTBEATS = 8L
+
+        /** Evidence of crashes is repeated for less than this after a change. */
+        val LONGEST_REPEATS = 1.seconds
+
         /** Without a digest for this long, heartbeats go to every process again. */
         val DIGEST_TIMEOUT = 2.3.seconds
     }
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashSimulation.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashSimulation.kt
@@ -156,6 +156,7 @@
     fun run(): CrashSimulation {
         scenario.ends.forEach { end -> at(end.at) { endEngine(engines[end.engine % engines.size], end.noticedWithin) } }
         scenario.losses.forEach { loss -> at(loss.at) { loseKind(loss) } }
+        scenario.cuts.forEach { at(it.until + tick) { hearAgain(gateways[it.gateway % gateways.size]) } }
         scenario.deaths.forEach { death -> at(death.at) { endGateway(gateways[death.gateway % gateways.size]) } }
         gateways.forEach { gateway -> at(tick * random.nextDouble()) { runTick(gateway) } }
         at(100.milliseconds) { inspect() }
@@ -349,6 +350,12 @@
         }
     }
 
+    /** Those that hear each other again send what they know, as an edge process does at such a heartbeat. */
+    private fun hearAgain(returned: Gateway) = gateways.filter { it !== returned && it.alive }.forEach {
+        deliver(it.evidence(), it, returned)
+        deliver(returned.evidence(), returned, it)
+    }
+
     /** The replica of a gateway that ends is lost; the new one gets another's evidence before it takes requests. */
     private fun endGateway(gateway: Gateway) {
         gateway.end()
--- a/process/src/test/kotlin/redwingcross/process/edge/PeerTaskTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/PeerTaskTest.kt
@@ -1,6 +1,7 @@
 package redwingcross.process.edge
 
 import redwingcross.process.crash.CrashEvidence
+import redwingcross.process.crash.CrashReport
 import redwingcross.request.MonotonicClock
 import java.net.InetSocketAddress
 import kotlin.random.Random
@@ -20,13 +21,18 @@
 
     private var now = Duration.ZERO
     private val sent = mutableListOf<InetSocketAddress>()
+    private var evidence = CrashEvidence()
+    private var evidenceSent = 0
     private val registryCalls = mutableListOf<String>()
     private val registrations = mutableListOf<RegistrationCall>()
 
     private val task = PeerTask(
         record("self"),
         PeerDependencies(
-            send = { address, _ -> sent += address },
+            send = { address, bytes ->
+                sent += address
+                (PeerCodec.decode(bytes) as? CrashReports)?.let { evidenceSent++ }
+            },
             nextHeartbeat = { heartbeat("self", 0) },
             register = {
                 registryCalls += "register"
@@ -43,7 +49,7 @@
             onRank = {},
             onSuspicion = {},
             onLease = {},
-            crashEvidence = ::CrashEvidence,
+            crashEvidence = { evidence },
             onCrashEvidence = {},
         ),
         MonotonicClock { now },
@@ -92,6 +98,19 @@
         )
     }
 
+    @Test
+    fun `a process that was cut off from the others is told what they learned of crashes meanwhile`() {
+        registerBesideAnother()
+        receiveHeartbeat("a", 21)
+        evidence = CrashEvidence(crashes = listOf(CrashReport("e1", 1, 100, emptyList(), emptyList())))
+        runFor(750.milliseconds)
+        receiveHeartbeat("a", 22)
+        assertEquals(0, evidenceSent, "it got the change and its repeats")
+        runFor(3.seconds)
+        receiveHeartbeat("a", 23)
+        assertEquals(1, evidenceSent)
+    }
+
     @Test
     fun `a process that removed all others during a partition finds them again through the registry`() {
         registered(RegistrationCall(1))
