--- a/request/src/main/kotlin/redwingcross/request/RequestDigest.kt
+++ b/request/src/main/kotlin/redwingcross/request/RequestDigest.kt
@@ -5,8 +5,8 @@
 import java.util.Base64
 
 /**
- * Identifies a whole request and its repeats: equal for equal method, target, customer and body, at every process. It
- * reveals none of them.
+ * Identifies a whole request and its repeats: equal for equal method, target, customer and body, at every process. None
+ * of these can be read from it.
  */
 @JvmInline
 value class RequestDigest(override val id: String) : RequestTrait {
