Leave requests with a blocked part at the engines that have them

Callers would see: when a part that many requests share is blocked by mistake, all of them that wait for an answer get 502 at once at every process, and none of their answers can show that the part is sound: the block stays until an operator lifts it.

Cause: a block of a part took its requests away from their engines as a block of a whole request does.

Only requests that are blocked as a whole leave now. GatewayCrashTest (a request at an engine is answered although ...) failed before.

--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -368,8 +368,8 @@
     }
 
     /**
-     * Ends the requests that wait for a place or an answer and would end an engine, because one of their traits was
-     * blocked meanwhile, and those that wait for a place while the process stops.
+     * Ends the requests that wait for a place and must not be sent any more, because one of their traits was blocked
+     * meanwhile or the process stops, and those that wait for an answer and were blocked as a whole.
      */
     fun endUnsendableRequests(): Unit = forwardTasks.toList().forEach(ForwardTask::endIfUnsendable)
 
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
@@ -261,6 +261,17 @@
         assertTrue("data: a" in caller.readAnswer())
     }
 
+    @Test
+    fun `a request at an engine is answered although one of its parts is blocked meanwhile, and lifts the block`() {
+        startEngines(2)
+        val caller = generate("p1,bad")
+        val arrival = nextArrival()
+        blockPart()
+        arrival.respondSigned("id: 1\ndata: a\n\n")
+        assertTrue("data: a" in caller.readAnswer())
+        assertEquals(emptyList(), onLoop { crashes.blockedTraits() })
+    }
+
     @Test
     fun `a request that waits for a place is refused when one of its parts is blocked`() {
         startEngines(1)
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -81,13 +81,17 @@
         offer()
     }
 
-    /** Ends the request if it must not be sent to a back end any more, or if it waits at one that it would end. */
+    /**
+     * Ends the request if it must not be sent to a back end any more, or if it is blocked as a whole and waits at a back
+     * end. One with a blocked part stays there, because its answer shows that the part is sound after all.
+     */
     fun endIfUnsendable() = exchange.guarded {
         val current = offer
         val reason = when {
             finished -> null
             current == null -> context.reasonNotToSend(job, isResuming)
-            current.isUnanswered -> context.crashes.blockReason(job.identity)
+            current.isUnanswered ->
+                context.crashes.blockReason(job.identity).takeIf { it == CrashSignals.BLOCKED_REQUEST }
             else -> null
         }
         reason?.let { endNow(it, ForwardDecision::withoutOffer) }
