Send all requests of a crash that proves a block if there is room

Callers would see: a second request that ends engines is blocked later if it was at an engine beside a blocked one.

Cause: since a crash that proves a block is sent with the requests that prove it, and no message carried its other requests any more, so a process that learned of the crash later did not suspect them.

The proofs still come first; after them the newest crashes are sent as a whole again, also those. WholeRequestTest (a request beside a blocked one ...) failed before.

--- a/process/src/main/kotlin/redwingcross/process/crash/CrashEvidenceBuilder.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashEvidenceBuilder.kt
@@ -4,13 +4,17 @@
 import kotlin.time.Duration
 
 /**
- * Selects what fits into one message: first the proofs of blocks, without other requests, then the newest crashes. If
+ * Selects what fits into one message: first the proofs of blocks, without other requests, then the newest crashes as a whole. If
  * crashes are left over, half of the remaining room goes to the others in turn, so that repeated messages carry all of
  * them. A crash that takes more than its share is reduced, so that it keeps no other from being sent.
  */
 internal class CrashEvidenceBuilder(private val ledger: CrashLedger, private val now: Duration) {
     private val indices = LinkedHashMap<RequestTrait, Int>()
     private val reports = LinkedHashMap<EngineRun, CrashReport>()
+    private val reported = HashMap<EngineRun, Crash>()
+
+    /** Crashes that are reported with all their requests, or with as many as their share admits. */
+    private val complete = HashSet<EngineRun>()
     private val rotation = EvidenceRotation(now)
     private val explained = ledger.explanations.flatMapTo(HashSet()) { it.traits }
     private var bytes = ledger.lifts.keys.sumOf(EvidenceSize::lift)
@@ -24,28 +28,33 @@
     fun build(): CrashEvidence {
         val lifts = ledger.lifts.map { (trait, lift) -> LiftReport(trait.id, lift.number, millisSince(lift.at)) }
         val proofs = rotation.rotate(ledger.explanations).flatMap { it.proof }.distinct()
-        addThoseThatFit(proofs, CrashLimits.EVIDENCE_BYTES) { it.provingOnly() }
-        val newest = ledger.crashes.keys.sortedByDescending { ledger.crashes.getValue(it).at } - reports.keys
+        for (run in proofs) addIfRoom(run, ledger.crashes.getValue(run).provingOnly(), CrashLimits.EVIDENCE_BYTES)
+        val newest = ledger.crashes.keys.sortedByDescending { ledger.crashes.getValue(it).at }
         addThoseThatFit(newest, (CrashLimits.EVIDENCE_BYTES + bytes) / 2)
-        val others = newest.filterNot(reports::containsKey)
+        val others = newest.filterNot(complete::contains)
         addThoseThatFit(rotation.rotate(others), CrashLimits.EVIDENCE_BYTES)
         return CrashEvidence(indices.keys.map { it.id }, reports.values.toList(), lifts)
     }
 
-    private fun addThoseThatFit(runs: List<EngineRun>, limit: Int, select: (Crash) -> Crash = { it }) {
-        for (run in runs.filterNot(reports::containsKey)) {
-            withinShare(run, select(ledger.crashes.getValue(run)))?.let { addIfRoom(run, it, limit) }
+    private fun addThoseThatFit(runs: List<EngineRun>, limit: Int) {
+        for (run in runs.filterNot(complete::contains)) {
+            if (addIfRoom(run, ledger.crashes.getValue(run), limit)) complete += run
         }
     }
 
     /** The crash with those of its requests that prove a block. */
     private fun Crash.provingOnly() = Crash(at, requests.filterValues { it.any(explained::contains) }, cleared)
 
-    private fun addIfRoom(run: EngineRun, crash: Crash, limit: Int) {
-        val size = size(run, crash)
-        if (bytes + size > limit) return
+    /** Adds [crash], or what of it is within the share, in place of an earlier report; returns whether it was added. */
+    private fun addIfRoom(run: EngineRun, crash: Crash, limit: Int): Boolean {
+        val added = withinShare(run, crash) ?: return false
+        val replaced = reported[run]?.let { sizeWithoutTraits(run, it) } ?: 0
+        val size = size(run, added) - replaced
+        if (bytes + size > limit) return false
         bytes += size
-        reports[run] = report(run, crash)
+        reported[run] = added
+        reports[run] = report(run, added)
+        return true
     }
 
     private fun withinShare(run: EngineRun, crash: Crash): Crash? {
@@ -65,9 +74,12 @@
 
     private fun millisSince(time: Duration): Long = (now - time).inWholeMilliseconds.coerceAtLeast(0)
 
-    private fun size(run: EngineRun, crash: Crash): Int = EvidenceSize.end(run) +
-        crash.accused.sumOf(::sizeIfNew) +
-        crash.cleared.sumOf { sizeIfNew(it) + EvidenceSize.INDEX } +
+    private fun size(run: EngineRun, crash: Crash): Int =
+        sizeWithoutTraits(run, crash) + crash.accused.sumOf(::sizeIfNew) + crash.cleared.sumOf(::sizeIfNew)
+
+    /** The traits of a report stay listed when it is replaced. */
+    private fun sizeWithoutTraits(run: EngineRun, crash: Crash): Int = EvidenceSize.end(run) +
+        crash.cleared.size * EvidenceSize.INDEX +
         crash.requests.entries.sumOf { (attempt, traits) -> EvidenceSize.request(attempt, traits.size) }
 
     private fun sizeIfNew(trait: RequestTrait): Int = if (trait in indices) 0 else EvidenceSize.trait(trait)
--- a/process/src/test/kotlin/redwingcross/process/crash/WholeRequestTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/WholeRequestTest.kt
@@ -116,6 +116,16 @@
         blocked.forEach { assertTrue(started.blocks(now, it), "$it at the process that started") }
     }
 
+    @Test
+    fun `a request beside a blocked one is still suspected by a process that learns of the crash later`() {
+        val other = digest("other")
+        val ledger = repeatedThrice()
+            .crash(4, 12.seconds, "a3" to setOf(common, repeated), "b" to setOf(other))
+        val started = CrashAttribution.merged(CrashLedger(), CrashAttribution.evidence(ledger, 20.seconds), 20.seconds)
+        assertTrue(started.blocks(20.seconds, common, repeated))
+        assertTrue(CrashAttribution.isSuspect(started, listOf(other), 20.seconds))
+    }
+
     private companion object {
         const val BLOCKED_REQUESTS = 5
         const val NEIGHBORS = 12
