Tell a returning controller of missed crashes also if its digest comes first

Callers would see, in a fleet of more than 12: a controller that was cut off for some seconds isn't told of the blocks of the others, in about half of the cases.

Cause: a digest counts as hearing its sender, and comes before the sender's heartbeat in every second round; the heartbeat then found that the process had not been silent. The limit of 1 s was also the pause between two digests of the largest fleets, so that jitter alone made processes send evidence.

The silence is looked at for digests too, and is 2 s.

--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -193,6 +193,7 @@
         table = table.copy(peers = table.peers.put(digest.sender.node, Peer(digest.sender, heartbeat, now)))
             .digested(CompactCounts.of(digest.states), now)
         if (digest.sender.node !in before.peers) updateGatewayShare(before)
+        tellMissedChanges(digest.sender, before.peers[digest.sender.node])
         if (isFirst) updateRank(now)
         dependencies.onFleetLoad(CompactCounts.of(digest.load))
         dependencies.demand?.digestReceived(digest)
@@ -264,11 +265,12 @@
     }
 
     /**
-     * Tells a process that was not heard for a while which traits are blocked. Not only the active controller does so,
-     * which repeats what it knows: it may itself be the one that has missed changes.
+     * Tells a process which traits are blocked if it was not heard for a while; [known] is what was known of it before.
+     * Not only the active controller does so, which repeats what it knows: it may itself have missed changes.
      */
-    private fun tellMissedChanges(returned: GatewayRecord) {
-        if (!table.isLarge || rank < ServerSourceDecision.STANDBYS) sendEvidence(returned)
+    private fun tellMissedChanges(sender: GatewayRecord, known: Peer?) {
+        if (known != null && clock.now() - known.lastSeenAt <= LONGEST_REPEATS) return
+        if (!table.isLarge || rank < ServerSourceDecision.STANDBYS) sendEvidence(sender)
     }
 
     private fun sendEvidence(receiver: GatewayRecord) {
@@ -332,8 +334,7 @@
         if (isNew) updateGatewayShare(before)
         val hasStarted = known?.heartbeat == null || known.record.start != heartbeat.sender.start
         if (hasStarted) welcome(heartbeat.sender)
-        val wasSilent = known == null || clock.now() - known.lastSeenAt > LONGEST_REPEATS
-        if (wasSilent && heartbeat.sequence > FIRST_HEARTBEATS) tellMissedChanges(heartbeat.sender)
+        if (heartbeat.sequence > FIRST_HEARTBEATS) tellMissedChanges(heartbeat.sender, known)
         dependencies.onLoad(ProcessName(heartbeat.sender.node), heartbeat.load.mapKeys { BackendServer(it.key) })
         dependencies.demand?.heartbeatReceived(heartbeat)
         heartbeat.health?.let { dependencies.onHealth(ProcessName(heartbeat.sender.node), it) }
@@ -350,8 +351,8 @@
         /** Heartbeats of a process that has just started, of 250 ms each. */
         const val FIRST_HEARTBEATS = 8L
 
-        /** Evidence of crashes is repeated for less than this after a change. */
-        val LONGEST_REPEATS = 1.seconds
+        /** Evidence of crashes is repeated for less than this after a change, and digests come more often. */
+        val LONGEST_REPEATS = 2.seconds
 
         /** Without a digest for this long, heartbeats go to every process again. */
         val DIGEST_TIMEOUT = 2.3.seconds
--- a/process/src/test/kotlin/redwingcross/process/edge/FleetDigestTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/FleetDigestTest.kt
@@ -140,6 +140,19 @@
             listOf(CrashReport("e1", 1, 100, listOf(RequestReport("a1", listOf(0))), emptyList())),
         )
 
+    @Test
+    fun `a controller that was cut off is told of crashes by a process next in line at its first digest`() {
+        evidence = someEvidence
+        val standby = task(names.drop(1).minBy { orderHash(it) })
+        names.forEach { standby.receive(heartbeat(it, 1)) }
+        standby.handle(PeerTaskMessage.Tick)
+        standby.receive(digest(1, allReady))
+        assertTrue(sent.none { it.second is CrashReports }, "it has missed nothing")
+        now += 2.2.seconds
+        standby.receive(digest(2, allReady))
+        assertEquals(listOf(7001), sent.filter { it.second is CrashReports }.map { it.first.port })
+    }
+
     @Test
     fun `a process that starts hears of blocked parts from the active controller of a fleet of any size`() {
         evidence = someEvidence
