--- a/process/src/main/kotlin/redwingcross/process/crash/BlockThreshold.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/BlockThreshold.kt
@@ -27,7 +27,7 @@
             ),
         )
 
-        /** A block of a sound request refuses only its repeats, so answers are waited for no longer than they spread. */
+        /** A wrong block refuses only repeats of one request, so answers get just the time that they take to spread. */
         private val ofRequest = BlockThresholds(
             ofPart.alone.copy(clearingTime = 750.milliseconds),
             ofPart.amidOthers.copy(clearingTime = 1250.milliseconds),
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashEvidenceBuilder.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashEvidenceBuilder.kt
@@ -4,9 +4,9 @@
 import kotlin.time.Duration
 
 /**
- * Selects what fits into one message: first the proofs of blocks, without other requests, then the newest crashes as a whole. If
- * crashes are left over, half of the remaining room goes to the others in turn, so that repeated messages carry all of
- * them. A crash that takes more than its share is reduced, so that it keeps no other from being sent.
+ * Selects what fits into one message: first the proofs of blocks, without other requests, then the newest crashes as a
+ * whole. If crashes are left over, half of the remaining room goes to the others in turn, so that repeated messages
+ * carry all of them. A crash that takes more than its share is reduced, so that it keeps no other from being sent.
  */
 internal class CrashEvidenceBuilder(private val ledger: CrashLedger, private val now: Duration) {
     private val indices = LinkedHashMap<RequestTrait, Int>()
--- a/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/PeerTask.kt
@@ -193,7 +193,7 @@
         table = table.copy(peers = table.peers.put(digest.sender.node, Peer(digest.sender, heartbeat, now)))
             .digested(CompactCounts.of(digest.states), now)
         if (digest.sender.node !in before.peers) updateGatewayShare(before)
-        tellMissedChanges(digest.sender, before.peers[digest.sender.node])
+        if (mayTell) missedCrashes.tellIfSilent(digest.sender, before.peers[digest.sender.node], now)
         if (isFirst) updateRank(now)
         dependencies.onFleetLoad(CompactCounts.of(digest.load))
         dependencies.demand?.digestReceived(digest)
@@ -253,6 +253,11 @@
             .copy(health = dependencies.fleetHealth(), fleetMillis = dependencies.usage.fleetMillis())
             .let { dependencies.demand?.complete(it) ?: it }
 
+    private val missedCrashes = MissedCrashReports(self, dependencies.crashEvidence, ::send)
+
+    /** In a large fleet only the active controller and the processes next in line tell others what they missed. */
+    private val mayTell get() = !table.isLarge || rank < ServerSourceDecision.STANDBYS
+
     /**
      * Tells a process that has just started who the active controller is, so that it can request its routes, and which
      * traits are blocked.
@@ -261,21 +266,7 @@
         val heartbeat = dependencies.nextHeartbeat()
         val lease = heartbeat.controllerLease ?: return
         if (table.isLarge) send(newcomer, PeerCodec.encode(nextDigest(heartbeat, lease)))
-        sendEvidence(newcomer)
-    }
-
-    /**
-     * Tells a process which traits are blocked if it was not heard for a while; [known] is what was known of it before.
-     * Not only the active controller does so, which repeats what it knows: it may itself have missed changes.
-     */
-    private fun tellMissedChanges(sender: GatewayRecord, known: Peer?) {
-        if (known != null && clock.now() - known.lastSeenAt <= LONGEST_REPEATS) return
-        if (!table.isLarge || rank < ServerSourceDecision.STANDBYS) sendEvidence(sender)
-    }
-
-    private fun sendEvidence(receiver: GatewayRecord) {
-        val evidence = dependencies.crashEvidence()
-        if (!evidence.isEmpty) send(receiver, PeerCodec.encode(CrashReports(self, evidence)))
+        missedCrashes.tell(newcomer)
     }
 
     /** Sends [message] to every other process. */
@@ -334,7 +325,9 @@
         if (isNew) updateGatewayShare(before)
         val hasStarted = known?.heartbeat == null || known.record.start != heartbeat.sender.start
         if (hasStarted) welcome(heartbeat.sender)
-        if (heartbeat.sequence > FIRST_HEARTBEATS) tellMissedChanges(heartbeat.sender, known)
+        if (mayTell && heartbeat.sequence > FIRST_HEARTBEATS) {
+            missedCrashes.tellIfSilent(heartbeat.sender, known, clock.now())
+        }
         dependencies.onLoad(ProcessName(heartbeat.sender.node), heartbeat.load.mapKeys { BackendServer(it.key) })
         dependencies.demand?.heartbeatReceived(heartbeat)
         heartbeat.health?.let { dependencies.onHealth(ProcessName(heartbeat.sender.node), it) }
@@ -351,9 +344,6 @@
         /** Heartbeats of a process that has just started, of 250 ms each. */
         const val FIRST_HEARTBEATS = 8L
 
-        /** Evidence of crashes is repeated for less than this after a change, and digests come more often. */
-        val LONGEST_REPEATS = 2.seconds
-
         /** Without a digest for this long, heartbeats go to every process again. */
         val DIGEST_TIMEOUT = 2.3.seconds
     }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -82,8 +82,8 @@
     }
 
     /**
-     * Ends the request if it must not be sent to a back end any more, or if it is blocked as a whole and waits at a back
-     * end. One with a blocked part stays there, because its answer shows that the part is sound after all.
+     * Ends the request if it must not be sent to a back end any more, or if it is blocked as a whole and waits at one.
+     * One with a blocked part stays there, because its answer shows that the part is sound after all.
      */
     fun endIfUnsendable() = exchange.guarded {
         val current = offer
