Don't log a refusal for each check of a request that stays at its engine

Operators would see: for each request that waits at an engine and has a blocked part, a line prompt_part_refused and a count each 100 ms.

Cause: the check whether a request leaves its engine asked for the reason of a refusal, which is logged and counted. It now asks only whether the request is blocked as a whole. The test of GatewayCrashTest for such a request looks at the log too; it was not run on the code before.

--- a/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
@@ -68,6 +68,12 @@
         }
     }
 
+    /** Whether [request] is blocked as a whole. */
+    fun isRequestBlocked(request: RequestIdentity): Boolean {
+        val digest = request.traits.filterIsInstance<RequestDigest>()
+        return CrashAttribution.blocking(ledger, digest, clock.now(), answered) != null
+    }
+
     /** Whether a trait of [request] is suspected because of the end of another engine than the one behind [backend]. */
     fun isSuspect(request: RequestIdentity, backend: ChosenBackend): Boolean {
         // All requests at an engine that ended are suspects of that crash; most are sound and have to go on elsewhere.
--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -133,6 +133,7 @@
         faultReported = { backend, _ -> backend.group?.let(dependencies.reportSuspectedGroup) },
         crashes = CrashSignals(
             crashes::blockReason,
+            crashes::isRequestBlocked,
             crashes::isSuspect,
             crashes::answerBegan,
             crashes::connectionLost,
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayCrashTest.kt
@@ -267,6 +267,8 @@
         val caller = generate("p1,bad")
         val arrival = nextArrival()
         blockPart()
+        onLoop(gateway::checkProgress)
+        assertTrue(logged.none { it.startsWith("prompt_part_refused") }, "$logged")
         arrival.respondSigned("id: 1\ndata: a\n\n")
         assertTrue("data: a" in caller.readAnswer())
         assertEquals(emptyList(), onLoop { crashes.blockedTraits() })
--- a/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/StallReplay.kt
@@ -192,7 +192,7 @@
                 report = { report -> toController { if (fleet.isShared) coordinator.received(name, report) } },
                 inFlight = { backend -> reported.getValue(backend.group!!) },
                 freePlaces = { _, except -> groups.filter { it.id !in except }.sumOf { SLOTS - it.running.size } },
-                crashes = CrashSignals({ null }, { _, _ -> false }, {}, { _, _, _ -> }),
+                crashes = CrashSignals({ null }, { false }, { _, _ -> false }, {}, { _, _, _ -> }),
                 runLater = ::runLater,
             ),
             clock,
--- a/version/src/main/kotlin/redwingcross/version/forwarding/CrashSignals.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/CrashSignals.kt
@@ -8,6 +8,8 @@
 class CrashSignals(
     /** Why no engine may receive a request, [BLOCKED_PART] or [BLOCKED_REQUEST]; null if it may be sent. */
     val blockReason: (RequestIdentity) -> String?,
+    /** Whether a request is blocked as a whole; unlike [blockReason] this is neither logged nor counted. */
+    val isRequestBlocked: (RequestIdentity) -> Boolean,
     /** Whether a trait of a request is suspected because of the end of another engine than the given one. */
     val isSuspect: (RequestIdentity, ChosenBackend) -> Boolean,
     /** Called when an engine began to answer a request. */
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -90,8 +90,7 @@
         val reason = when {
             finished -> null
             current == null -> context.reasonNotToSend(job, isResuming)
-            current.isUnanswered ->
-                context.crashes.blockReason(job.identity).takeIf { it == CrashSignals.BLOCKED_REQUEST }
+            current.isUnanswered && context.crashes.isRequestBlocked(job.identity) -> CrashSignals.BLOCKED_REQUEST
             else -> null
         }
         reason?.let { endNow(it, ForwardDecision::withoutOffer) }
