Block a request amid other ends also after four attempts at two times

Cause: amid other ends three separate times were needed, and a service of few engines loses all of them at a time, so that its crashes come in bursts that are seconds apart.

Change: four attempts at two separate times suffice as well. Ruled out by the properties: two times and three attempts (CrashAttributionProperties, "the loss of all engines of a kind", fails) and four attempts in place of three at three times (WholeRequestProperties, "a deadly request is blocked while engines end by themselves", fails).

WholeRequestTest (a request that ends all engines of a small service twice ...) is new; it was not run on the code before.

--- a/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashExplanation.kt
@@ -123,7 +123,8 @@
                 }
 
         /** Time since which the crashes prove that the traits end engines unless an answer clears them, or null. */
-        val decisive: Duration? = if (amidOthers) decisive(thresholds.amidOthers) else decisiveAlone
+        val decisive: Duration? =
+            if (amidOthers) thresholds.amidOthers.mapNotNull(::decisive).minOrNull() else decisiveAlone
 
         private fun decisive(threshold: BlockThreshold): Duration? {
             val attempts = HashSet<AttemptId>()
@@ -167,7 +168,7 @@
 
         fun explanation(decisive: Duration): Explanation {
             val attempts = crashes.flatMapTo(LinkedHashSet()) { attemptsIn(it) }.toList()
-            val ownTime = (if (amidOthers) thresholds.amidOthers else thresholds.alone).clearingTime
+            val ownTime = (if (amidOthers) thresholds.amidOthers.first() else thresholds.alone).clearingTime
             val clearingTime = if (attempts.size > crashes.size) ownTime + CrashLimits.commonTraitTime else ownTime
             return Explanation(
                 traits = traits,
--- a/process/src/test/kotlin/redwingcross/process/crash/WholeRequestTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/WholeRequestTest.kt
@@ -63,6 +63,17 @@
         assertTrue(ledger.blocks(16.seconds, common, digest("new")))
     }
 
+    @Test
+    fun `a request that ends all engines of a small service twice is blocked although other ends are near`() {
+        val ledger = CrashLedger()
+            .crash(1, 10.seconds, "a1" to setOf(repeated))
+            .crash(2, 10.1.seconds, "a2" to setOf(repeated))
+            .crash(9, 13.seconds, "b" to setOf(digest("other")))
+            .crash(4, 14.seconds, "a3" to setOf(repeated))
+            .crash(5, 14.1.seconds, "a4" to setOf(repeated))
+        assertTrue(ledger.blocks(16.seconds, repeated))
+    }
+
     @Test
     fun `a part is blocked too once one request with it has ended as many engines as the users allow`() {
         val four = repeatedThrice().crash(4, 12.seconds, "a3" to setOf(common, repeated))
