Bound the reports of engines by what a report takes

Callers would see: calls to the store and to back ends that fail, or requests that end with handler_failed, while several engines send bytes without end in place of their reports.

Cause: a report was collected up to 8 MiB like a page of the store, in a buffer that doubles, and twelve engines at a time used up the heap of 96 MB.

A report and the answer to an order may take 128 KiB now.

--- a/programs/edge/src/main/kotlin/redwingcross/edge/BackendNetwork.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/BackendNetwork.kt
@@ -36,9 +36,12 @@
     private val controls = HttpConnections(group, clock, CONTROL_CONNECTION_LIMITS, onResponse = ::onResponse)
     private val orders = HttpConnections(group, clock, EngineControl.ORDER_CONNECTION_LIMITS, onResponse = ::onResponse)
 
-    /** Calls the store and requests reports of engines. */
+    /** Calls the store. */
     val controlClient = BufferedHttpClient(controls, loop)
-    val orderClient = BufferedHttpClient(orders, loop)
+
+    /** Requests reports of engines; many may answer at a time. */
+    val reportClient = BufferedHttpClient(controls, loop, MAXIMUM_REPORT_BYTES)
+    val orderClient = BufferedHttpClient(orders, loop, MAXIMUM_REPORT_BYTES)
 
     /** Sends a request of a caller to a back end. */
     val send: SendToBackend = { backend, head, body, repeatability, matches, listener ->
@@ -73,6 +76,9 @@
     }
 
     private companion object {
+        /** Far more than a report or the answer to an order takes; all engines of a zone may send that much at once. */
+        const val MAXIMUM_REPORT_BYTES = 131_072
+
         val REQUEST_CONNECTION_LIMITS = OutgoingConnectionLimits(connectTimeout = 300.milliseconds, maximumIdle = 16)
         val CONTROL_CONNECTION_LIMITS = OutgoingConnectionLimits(connectTimeout = 300.milliseconds, maximumIdle = 4)
 
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeProcess.kt
@@ -209,7 +209,7 @@
         events.info,
     )
     private val engines =
-        EngineControl(network.controlClient::call, network.orderClient::call, clock, controllerPost, events.info)
+        EngineControl(network.reportClient::call, network.orderClient::call, clock, controllerPost, events.info)
     private val demandFollower: DemandFollower? =
         if (EdgeFeature.DEMAND_FORMATION in settings.features) {
             DemandFollower(
