--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -340,17 +340,20 @@
             if (finished || offer !== this) return
             when {
                 isError -> failed()
-                // A response without any event may have been cut off, also where it resumes a stream.
-                isStream && (splitter.pendingBytes > 0 || !hasEvents) ->
-                    if (head?.isDelimitedByClose == true) {
-                        connectionLost("stream_incomplete")
-                    } else {
-                        offerEnded(this, OfferResult.Lost, "stream_incomplete")
-                    }
+                isStream -> streamEnded()
                 else -> succeed()
             }
         }
 
+        private fun streamEnded() {
+            val isIncomplete = splitter.pendingBytes > 0
+            when (StreamEnd.of(head?.isDelimitedByClose == true, isIncomplete, hasEvents, lastEventId != null)) {
+                StreamEnd.COMPLETE -> succeed()
+                StreamEnd.CUT_OFF -> offerEnded(this, OfferResult.Lost, "stream_incomplete")
+                StreamEnd.CONNECTION_LOST -> connectionLost("stream_incomplete")
+            }
+        }
+
         private fun failed() {
             // The back end still runs after its error, so the request did not end it.
             if (showsRun) context.crashes.answerBegan(job.identity)
