--- a/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/GatewayTask.kt
@@ -33,6 +33,7 @@
 import redwingcross.version.forwarding.ForwardTask
 import redwingcross.version.forwarding.MoveAdmission
 import redwingcross.version.forwarding.ShutdownAdmission
+import redwingcross.version.forwarding.StopPeriod
 import kotlin.random.Random
 import kotlin.time.Duration
 
@@ -357,15 +358,19 @@
         { progress.check(watchedTasks()) },
     )
 
-    /** From now on refuses requests that can't be completed before the process ends all requests at [time]. */
-    fun stopAt(time: Duration) {
-        shutdown.endsAt = time
+    /** From now on refuses requests that can't be completed before the process ends all requests in [period]. */
+    fun stop(period: StopPeriod) {
+        shutdown.period = period
         startup?.refuseAll()
     }
 
     /** Answers all requests in flight as their state allows and refuses further ones. */
     fun endRequests() {
-        runEvery({ stopAt(dependencies.clock.now()) }, { forwardTasks.toList().forEach(ForwardTask::endForShutdown) })
+        val endNow = {
+            val now = dependencies.clock.now()
+            stop(StopPeriod(shutdown.period?.startedAt ?: now, endsAt = now))
+        }
+        runEvery(endNow, { forwardTasks.toList().forEach(ForwardTask::endForShutdown) })
     }
 
     /**
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayFailureTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayFailureTest.kt
@@ -6,6 +6,7 @@
 import redwingcross.version.admission.BackendKind
 import redwingcross.version.admission.DemandView
 import redwingcross.version.admission.KindDemand
+import redwingcross.version.forwarding.StopPeriod
 import redwingcross.version.places.GatewayStart
 import java.net.Socket
 import java.util.concurrent.Executors
@@ -75,7 +76,7 @@
     private fun isServed(answers: List<Pair<String, Boolean>>) = answers.any { (text, _) -> " 200 " in text }
 
     private fun run(begin: () -> List<Socket>, next: () -> Unit): List<Pair<String, Boolean>> {
-        onLoop { gateway.stopAt(Duration.INFINITE) }
+        onLoop { gateway.stop(StopPeriod(Duration.ZERO, Duration.INFINITE)) }
         failures.clear()
         ran = 0
         val answers = begin().map { readers.submit<Pair<String, Boolean>> { it.readUntilClosed() } }
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewayStopTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewayStopTest.kt
@@ -1,6 +1,7 @@
 package redwingcross.process.edge
 
 import redwingcross.request.MonotonicClock
+import redwingcross.version.forwarding.StopPeriod
 import java.net.Socket
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
@@ -12,7 +13,10 @@
 
 /** Guards against requests that a stopping gateway sends to a back end although it ends before they are complete. */
 class GatewayStopTest : GatewayFixture() {
-    private fun stopIn(delay: Duration) = onLoop { gateway.stopAt(MonotonicClock.system.now() + delay) }
+    private fun stopIn(delay: Duration) = onLoop {
+        val now = MonotonicClock.system.now()
+        gateway.stop(StopPeriod(now, now + delay))
+    }
 
     private fun assertRefused(caller: Socket) {
         val (answer, _) = caller.readUntilClosed()
--- a/programs/edge/src/main/kotlin/redwingcross/edge/EdgeShutdown.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/EdgeShutdown.kt
@@ -27,7 +27,7 @@
     }
 
     private fun actions() = StopActions(
-        limitRequests = gateway::stopAt,
+        limitRequests = gateway::stop,
         closeGracefully = listeners::closeCallersGracefully,
         endRequests = {
             log("requests_ended", arrayOf("running" to gateway.runningRequests))
--- a/programs/edge/src/main/kotlin/redwingcross/edge/StopSequence.kt
+++ b/programs/edge/src/main/kotlin/redwingcross/edge/StopSequence.kt
@@ -3,13 +3,14 @@
 import redwingcross.connection.http.runEvery
 import redwingcross.request.MonotonicClock
 import redwingcross.version.forwarding.CancelTimer
+import redwingcross.version.forwarding.StopPeriod
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** What a [StopSequence] asks of the process. */
 internal class StopActions(
-    /** Refuses requests that can't be completed before the given clock reading, at which all requests end. */
-    val limitRequests: (Duration) -> Unit,
+    /** Refuses requests that can't be completed before all requests end. */
+    val limitRequests: (StopPeriod) -> Unit,
     /** Ends each caller's connection with its next response. */
     val closeGracefully: () -> Unit,
     /** Answers the requests in flight, refuses further ones and accepts no new connections. */
@@ -58,7 +59,7 @@
     fun start() {
         runLater(listExpiry, actions.closeGracefully)
         // A step that fails must not stop the sequence: the platform would kill the process under its requests.
-        runEvery({ actions.limitRequests(requestsEndAt) }, ::endWhenIdle)
+        runEvery({ actions.limitRequests(StopPeriod(startedAt, requestsEndAt)) }, ::endWhenIdle)
     }
 
     private fun endWhenIdle() {
--- a/programs/edge/src/test/kotlin/redwingcross/edge/StopSequenceTest.kt
+++ b/programs/edge/src/test/kotlin/redwingcross/edge/StopSequenceTest.kt
@@ -30,7 +30,7 @@
         },
         StopProgress({ running }, { held }, { unsent }),
         StopActions(
-            limitRequests = { record("limit until ${it - 100.seconds}") },
+            limitRequests = { record("limit from ${it.startedAt - 100.seconds} until ${it.endsAt - 100.seconds}") },
             closeGracefully = { record("close connections") },
             endRequests = { record("end requests") },
             receiveRequests = {
@@ -62,7 +62,7 @@
     @Test
     fun `requests are limited from the start and ended while their answers can still be sent`() {
         sequence.start()
-        assertEquals("limit until 7.5s" to Duration.ZERO, steps.first())
+        assertEquals("limit from 0s until 7.5s" to Duration.ZERO, steps.first())
         runUntil(8.seconds)
         assertEquals(3.seconds, timeOf("close connections"))
         assertEquals(7500.milliseconds, timeOf("end requests"))
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ShutdownAdmission.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ShutdownAdmission.kt
@@ -4,19 +4,26 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
+/** The clock readings at which a process was told to stop and at which it ends all requests. */
+data class StopPeriod(val startedAt: Duration, val endsAt: Duration)
+
 /**
  * Decides which requests a stopping process still sends to a back end. Callers whose address list is old, or who know
  * no other address, send requests until the process ends. One that is cut off by that end may have run, so a request is
- * only sent if it can be completed before.
+ * only sent if it is over before: if it is answered or times out by then.
  *
- * A request that must not be repeated needs all of its time limit. The others usually need far less: the longest time
- * that a request of the same route took lately, with a margin.
+ * For [PREDICTION_TIME] after the stop, while most callers have not learned another address yet, a request that may be
+ * repeated is also sent if it is likely to be completed: if the longest request of its route lately would be, with a
+ * margin. No earlier request bounds the duration of a later one, but the operators excuse the end of such a request.
  */
 class ShutdownAdmission {
     private val longest = HashMap<String, RecentMaximum>()
 
+    /** When the process stops; null while it doesn't. */
+    var period: StopPeriod? = null
+
     /** Clock reading at which the process ends all requests; infinite while it isn't stopping. */
-    var endsAt: Duration = Duration.INFINITE
+    val endsAt: Duration get() = period?.endsAt ?: Duration.INFINITE
 
     /** Whether the process is about to end all requests. */
     val isEnding: Boolean get() = endsAt < Duration.INFINITE
@@ -26,14 +33,24 @@
         longest.getOrPut(route.name, ::RecentMaximum).record(total, now)
     }
 
-    /** Whether a request of [route] that is sent at [now] and ends at [deadline] at the latest can be completed. */
-    fun canComplete(route: Route, deadline: Duration, now: Duration): Boolean {
-        if (deadline <= endsAt) return true
-        val usual = longest[route.name]?.at(now)?.takeIf { route.repeatability.isRepeatable } ?: return false
+    /** Whether a request of [route] that is sent at [now] and ends at [deadline] at the latest may be sent. */
+    fun canComplete(route: Route, deadline: Duration, now: Duration): Boolean =
+        deadline <= endsAt || canPredict(route, now) && isLikelyCompleted(route, now)
+
+    private fun canPredict(route: Route, now: Duration): Boolean {
+        val startedAt = period?.startedAt ?: return false
+        return route.repeatability.isRepeatable && now - startedAt <= PREDICTION_TIME
+    }
+
+    private fun isLikelyCompleted(route: Route, now: Duration): Boolean {
+        val usual = longest[route.name]?.at(now) ?: return false
         return now + usual * USUAL_TIME_MARGIN <= endsAt
     }
 
     private companion object {
+        /** The operators don't count a request of this time that still runs when the process ends. */
+        val PREDICTION_TIME = 3.seconds
+
         /** Back ends get slower while they take over the requests of the stopping process. */
         const val USUAL_TIME_MARGIN = 1.5
     }
