--- a/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/BackendConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.CodecException
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -71,6 +72,7 @@
     private var listener: ResponseListener? = null
     private var matches: ResponseMatcher = { true }
     private var answer: HttpResponse? = null
+    private var isDelimitedByClose = false
     private var discarding = false
 
     /** Whether an earlier exchange used the connection, so that bytes of its response may still be received. */
@@ -79,7 +81,7 @@
     /** Size of the responses that were discarded during the current exchange; an estimate for their heads. */
     private var discardedBytes = 0
     private var requestWritten = true
-    private var wasReset = false
+    private val input = InputEnd()
 
     /** Time at which the connection last finished an exchange, or at which it was created. */
     var idleSince: Duration = clock.now()
@@ -93,7 +95,7 @@
     val isIdle: Boolean
         get() = channel.isActive && listener == null && requestWritten && !decoder.hasUndecodedBytes
 
-    internal val decoder = ResponseDecoder(maximumHeadBytes) { listener != null || discarding }
+    internal val decoder = ResponseDecoder(maximumHeadBytes, { listener != null || discarding }, input::closed)
     internal val handler: ChannelInboundHandlerAdapter = Handler()
 
     /** Sends a request; [listener] receives the first response for which [matches] returns true. */
@@ -107,13 +109,20 @@
         if (body.isNotEmpty() || head.method !in methodsWithoutBody) {
             head.headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         }
-        val writer = RequestWriter(channel, body) { isWritten ->
-            requestWritten = isWritten
-            if (!isWritten) channel.close()
-        }
+        val writer = RequestWriter(channel, body, ::onWritten)
         runCatching { writer.write(head) }.onFailure(::error)
     }
 
+    /** After a failed write, the response is still read: the remote end may have sent it and closed its side before. */
+    private fun onWritten(failure: Throwable?) {
+        requestWritten = failure == null
+        when (failure) {
+            null -> Unit
+            is IOException -> input.writeFailed(failure)
+            else -> channel.close()
+        }
+    }
+
     /** Stops reading until [resumeReading] is called; applies backpressure while the caller reads too slowly. */
     fun pauseReading() {
         channel.config().isAutoRead = false
@@ -159,6 +168,7 @@
         if (isReused && response.containsStatusLine()) return fail(ExchangeFailure.MALFORMED)
         answer = response
         val head = ResponseHead(response.status().code(), response.headers(), isFirstOnConnection = !isReused)
+        isDelimitedByClose = head.isDelimitedByClose
         onResponse(head)
         discarding = !matches(head)
         if (discarding) discard(ASSUMED_HEAD_BYTES) else listener?.onHead(head)
@@ -210,11 +220,11 @@
                 when {
                     // Bytes after a complete response belong to no exchange, so the connection can't be reused.
                     listener == null && !discarding -> channel.close()
-                    part.decoderResult().isFailure -> fail(if (wasReset) lost else ExchangeFailure.MALFORMED)
+                    part.decoderResult().isFailure -> fail(if (input.wasReset) lost else ExchangeFailure.MALFORMED)
                     else -> {
                         if (part is HttpResponse) onHead(part)
                         if (part is HttpContent) onContent(part.content())
-                        if (part is LastHttpContent && !wasReset) onResponseEnd()
+                        if (part is LastHttpContent && isWhole()) onResponseEnd()
                     }
                 }
             } finally {
@@ -222,6 +232,13 @@
             }
         }
 
+        /** The decoder also ends a response without a length when the channel closes for another reason. */
+        private fun isWhole() = !isDelimitedByClose || input.isClosedInOrder
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event is ChannelInputShutdownEvent) fail(ExchangeFailure.CONNECTION_LOST)
+        }
+
         override fun channelInactive(context: ChannelHandlerContext) {
             onClosed(this@BackendConnection)
             fail(ExchangeFailure.CONNECTION_LOST)
@@ -229,8 +246,7 @@
 
         @Deprecated("Netty still reports channel errors through this method.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            // After a reset, a response without a length must not count as complete.
-            wasReset = true
+            input.readFailed()
             if (cause is IOException || cause is CodecException) context.close() else error(cause)
         }
     }
--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpConnections.kt
@@ -151,6 +151,9 @@
             .group(group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            // The end of the input and a failed write are reported and don't close the channel, see InputEnd.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .option(ChannelOption.AUTO_CLOSE, false)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout.inWholeMilliseconds.toInt())
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
--- a/connection/src/main/kotlin/redwingcross/connection/http/HttpMessages.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/HttpMessages.kt
@@ -1,5 +1,7 @@
 package redwingcross.connection.http
 
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 
 /** Method, target and headers of a request. Header names and values are as received, or as they will be sent. */
@@ -15,7 +17,10 @@
 
     /** Whether only the end of the connection ends the body, so that a body that was cut off appears to be complete. */
     val isDelimitedByClose: Boolean
-        get() = status !in statusesWithoutBody && "Content-Length" !in headers && "Transfer-Encoding" !in headers
+        get() = status !in statusesWithoutBody && "Content-Length" !in headers && !isChunked
+
+    private val isChunked: Boolean
+        get() = headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true)
 
     private companion object {
         val statusesWithoutBody = setOf(204, 304)
--- a/connection/src/main/kotlin/redwingcross/connection/http/RequestWriter.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/RequestWriter.kt
@@ -11,7 +11,8 @@
 import io.netty.handler.codec.http.HttpVersion
 
 /**
- * Writes one request to [channel] and reports to [onWritten] whether all of it was passed to the socket.
+ * Writes one request to [channel] and reports to [onWritten] that all of it was passed to the socket (null), or why the
+ * rest can't be.
  *
  * Netty copies what is written into direct memory, where it stays until the remote end has read it. Therefore a longer
  * body is written in parts of [PART_BYTES], the next one when the previous one is in the socket: this is the share of
@@ -20,7 +21,7 @@
 internal class RequestWriter(
     private val channel: Channel,
     private val body: ByteArray,
-    private val onWritten: (Boolean) -> Unit,
+    private val onWritten: (Throwable?) -> Unit,
 ) {
     private var position = 0
 
@@ -39,7 +40,7 @@
             head.headers,
             DefaultHttpHeadersFactory.trailersFactory().newHeaders(),
         )
-        channel.writeAndFlush(request).addListener { onWritten(it.isSuccess) }
+        channel.writeAndFlush(request).addListener { onWritten(it.cause()) }
     }
 
     private fun writeNextPart() {
@@ -49,7 +50,7 @@
         val isLast = position == body.size
         val part = if (isLast) DefaultLastHttpContent(bytes) else DefaultHttpContent(bytes)
         channel.writeAndFlush(part).addListener { written ->
-            if (written.isSuccess && !isLast) writeNextPart() else onWritten(written.isSuccess)
+            if (written.isSuccess && !isLast) writeNextPart() else onWritten(written.cause())
         }
     }
 
--- a/connection/src/main/kotlin/redwingcross/connection/http/ResponseDecoder.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/ResponseDecoder.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 
@@ -9,11 +10,20 @@
  * Decodes responses while [awaitsResponse] returns true; other bytes close the connection. An incomplete head that is
  * received in between would otherwise become the head of the next response.
  */
-internal class ResponseDecoder(maximumHeadBytes: Int, private val awaitsResponse: () -> Boolean) :
-    HttpResponseDecoder(maximumHeadBytes, maximumHeadBytes, maximumHeadBytes) {
+internal class ResponseDecoder(
+    maximumHeadBytes: Int,
+    private val awaitsResponse: () -> Boolean,
+    /** Called when all that the remote end sent before it closed its side was read, before the rest is decoded. */
+    private val onInputEnd: () -> Unit,
+) : HttpResponseDecoder(maximumHeadBytes, maximumHeadBytes, maximumHeadBytes) {
     /** Whether received bytes have not been decoded yet. */
     val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) onInputEnd()
+        super.userEventTriggered(context, event)
+    }
+
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, output: MutableList<Any>) {
         if (awaitsResponse()) {
             super.decode(context, buffer, output)
