--- a/bench/src/main/kotlin/redwingcross/bench/crash/CrashCostCommand.kt
+++ b/bench/src/main/kotlin/redwingcross/bench/crash/CrashCostCommand.kt
@@ -15,7 +15,7 @@
 internal class CrashCostCommand : CliktCommand(name = "crash-cost") {
     private val crashes by option(help = "Crashes of the ledger").int().restrictTo(1..256).default(256)
     private val requests by option(help = "Requests at each engine that ended").int().restrictTo(1..24).default(12)
-    private val parts by option(help = "Shared parts of each request").int().restrictTo(1..16).default(4)
+    private val parts by option(help = "Shared parts of each request").int().restrictTo(1..1_280).default(4)
     private val deadly by option(help = "Requests whose repeats end the engines").int().restrictTo(0..256).default(0)
     private val calls by option(help = "Measured calls of each function").int().restrictTo(1..100_000).default(200)
     private val seed by option(help = "Seed of the drawn parts").int().default(1)
--- a/process/src/main/kotlin/redwingcross/process/crash/AnsweredTraits.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/AnsweredTraits.kt
@@ -11,37 +11,46 @@
  * thread-safe: owned by one task.
  */
 class AnsweredTraits {
-    /** In the order of the times. */
-    private val lastAnswers = LinkedHashMap<RequestTrait, Duration>()
+    /** Traits that were answered once, in the order of the times. */
+    private val answeredOnce = LinkedHashMap<RequestTrait, Duration>()
+
+    /** Traits that were answered again while they were kept, in the order of the times. */
+    private val answeredAgain = LinkedHashMap<RequestTrait, Duration>()
 
     /** Number of traits that are kept. */
-    val size: Int get() = lastAnswers.size
+    val size: Int get() = answeredOnce.size + answeredAgain.size
 
     /** Records that an answer began on a request with [traits]. */
     fun record(traits: Collection<RequestTrait>, now: Duration) {
         traits.forEach { trait ->
-            lastAnswers.remove(trait)
-            lastAnswers[trait] = now
+            val isKnown = answeredAgain.remove(trait) != null || answeredOnce.remove(trait) != null
+            (if (isKnown) answeredAgain else answeredOnce)[trait] = now
         }
-        val oldest = lastAnswers.entries.iterator()
-        while (lastAnswers.size > CrashLimits.ANSWERED_TRAITS) {
-            oldest.next()
-            oldest.remove()
+        while (size > CrashLimits.ANSWERED_TRAITS) {
+            removeOldest(if (answeredAgain.size > CrashLimits.ANSWERED_TRAITS / 2) answeredAgain else answeredOnce)
         }
     }
 
+    private fun removeOldest(answers: LinkedHashMap<RequestTrait, Duration>) {
+        val oldest = answers.entries.iterator()
+        oldest.next()
+        oldest.remove()
+    }
+
+    private fun lastAnswer(trait: RequestTrait): Duration? = answeredAgain[trait] ?: answeredOnce[trait]
+
     /**
      * Whether answers before the crashes, at [times], clear [trait]: too few of the crashes are much later than its
      * last answer to block it. A trait that engines no longer stand is blocked by later crashes.
      */
     internal fun clears(trait: RequestTrait, times: List<Duration>): Boolean {
-        if (trait !in lastAnswers) return false
+        if (lastAnswer(trait) == null) return false
         return times.count { !answeredBefore(trait, it) } < CrashLimits.CRASHES_TO_BLOCK
     }
 
     /** Whether an answer began on [trait] at most [CrashLimits.answerLifetime] before [at], or later. */
     internal fun answeredBefore(trait: RequestTrait, at: Duration): Boolean {
-        val last = lastAnswers[trait] ?: return false
+        val last = lastAnswer(trait) ?: return false
         return at <= last + CrashLimits.answerLifetime
     }
 }
--- a/process/src/main/kotlin/redwingcross/process/crash/Crash.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/Crash.kt
@@ -19,6 +19,9 @@
     /** Parts that this crash accuses. */
     val accused: Set<RequestTrait> by lazy { requests.values.flatMapTo(HashSet()) { it } }
 
+    /** Traits of all requests, and cleared ones; a trait of several requests counts for each. */
+    val traitCount: Int by lazy { cleared.size + requests.values.sumOf { it.size } }
+
     /** Returns this crash with [traits] cleared, or this instance if none of them is accused. */
     fun clear(traits: Collection<RequestTrait>): Crash {
         val proved = traits.filterTo(HashSet()) { it in accused }
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashAttribution.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashAttribution.kt
@@ -19,15 +19,21 @@
  * instance if nothing changes.
  */
 object CrashAttribution {
-    /** Records what this gateway saw of the end of an engine. */
-    fun observed(ledger: CrashLedger, observation: CrashObservation, now: Duration): CrashLedger {
+    /** Records what this gateway saw of the end of an engine; [answered] are the traits that it answered lately. */
+    fun observed(
+        ledger: CrashLedger,
+        observation: CrashObservation,
+        now: Duration,
+        answered: AnsweredTraits = AnsweredTraits(),
+    ): CrashLedger {
+        val at = now - observation.age
         val current = CrashRetention.current(ledger, now)
         val requests = HashMap<AttemptId, Set<RequestTrait>>()
         observation.requests.forEach { request ->
-            val traits = CrashRetention.boundedTraits(current, request.traits)
+            val traits = TraitRetention.suspects(request.traits, at, answered)
             requests.merge(CrashRetention.boundedAttempt(request.attempt), traits) { one, two -> one + two }
         }
-        val crash = Crash.reduced(now - observation.age, requests, emptySet())
+        val crash = Crash.reduced(at, requests, emptySet())
         return added(current, mapOf(observation.run to crash), now)
     }
 
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashEvidenceBuilder.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashEvidenceBuilder.kt
@@ -59,7 +59,7 @@
 
     private fun withinShare(run: EngineRun, crash: Crash): Crash? {
         if (size(run, crash) <= share) return crash
-        return CrashReduction(share, indices.keys).reduce(run, crash, explained, rotation)
+        return CrashReduction(share, indices.keys, ledger.recurring, rotation).reduce(run, crash, explained)
     }
 
     private fun report(run: EngineRun, crash: Crash) = CrashReport(
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashLedger.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashLedger.kt
@@ -23,6 +23,12 @@
         last
     }
 
+    /** Traits that more than one crash accuses. */
+    internal val recurring: Set<RequestTrait> by lazy {
+        val seen = HashSet<RequestTrait>()
+        crashes.values.flatMapTo(HashSet()) { crash -> crash.accused.filterNot(seen::add) }
+    }
+
     /** Traits that explain the crashes, computed once. */
     internal val explanations: List<Explanation> by lazy { CrashExplanation(this).explanations() }
 
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashLimits.kt
@@ -85,10 +85,19 @@
     /** Kept requests of a crash: twice the requests that an engine holds. */
     const val REQUESTS_PER_CRASH = 24
 
-    /** Kept traits of a request; known traits go before new ones. */
+    /** A request with more traits is kept without those that were answered lately. */
     const val TRAITS_PER_REQUEST = 16
 
-    /** Kept traits of [AnsweredTraits]: 80 requests a second, each with five parts, for [answerLifetime]. */
+    /** Kept traits of a crash, counted for each request: those of [REQUESTS_PER_CRASH] prompts of some 340 parts. */
+    const val TRAITS_PER_CRASH = 8_192
+
+    /** Kept traits of all crashes, counted like those of a crash: 4,096 requests with [REQUESTS_PER_CRASH] each. */
+    const val TRAITS = 98_304
+
+    /**
+     * Kept traits of [AnsweredTraits]: 80 requests a second, each with five parts, for [answerLifetime]. Half of them
+     * are for traits that were answered again: prompts of many new parts don't displace those that requests share.
+     */
     const val ANSWERED_TRAITS = 5_120
 
     /** Kept lifts: an operator lifts single traits. */
--- a/process/src/main/kotlin/redwingcross/process/crash/CrashRetention.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/CrashRetention.kt
@@ -1,8 +1,6 @@
 package redwingcross.process.crash
 
 import redwingcross.request.AttemptId
-import redwingcross.request.RequestDigest
-import redwingcross.request.RequestTrait
 import redwingcross.version.routing.orderHash
 import kotlin.time.Duration
 
@@ -24,8 +22,10 @@
         return ledger.with(crashes, lifts)
     }
 
-    /** Returns [ledger] with no more crashes and lifts than are kept. */
-    fun bounded(ledger: CrashLedger): CrashLedger {
+    /** Returns [ledger] with no more crashes, traits and lifts than are kept. */
+    fun bounded(ledger: CrashLedger): CrashLedger = TraitRetention.bounded(withinCounts(ledger))
+
+    private fun withinCounts(ledger: CrashLedger): CrashLedger {
         val isWithin = ledger.crashes.size <= CrashLimits.CRASHES && ledger.lifts.size <= CrashLimits.LIFTS
         if (isWithin) return ledger
         val lifts = ledger.lifts.entries.sortedByDescending { it.value.at }.take(CrashLimits.LIFTS)
@@ -48,20 +48,6 @@
         return kept.take(CrashLimits.CRASHES).associate { it.key to it.value }
     }
 
-    /** Returns at most the kept number of [traits]: the whole request, then those that are accused already. */
-    fun boundedTraits(ledger: CrashLedger, traits: Set<RequestTrait>): Set<RequestTrait> {
-        if (traits.size <= CrashLimits.TRAITS_PER_REQUEST) return traits
-        return traits
-            .sortedWith(
-                compareByDescending<RequestTrait> { it is RequestDigest }.thenByDescending {
-                    it in
-                        ledger.lastAccusations
-                },
-            )
-            .take(CrashLimits.TRAITS_PER_REQUEST)
-            .toSet()
-    }
-
     /**
      * Returns [attempt] with an id of bounded length; a hash of the whole id keeps attempts with the same beginning
      * apart. All processes shorten alike, so that an attempt that is sent twice counts once.
--- a/process/src/main/kotlin/redwingcross/process/crash/EvidenceRotation.kt
+++ b/process/src/main/kotlin/redwingcross/process/crash/EvidenceRotation.kt
@@ -7,10 +7,11 @@
 internal class EvidenceRotation(now: Duration) {
     private val turn = (now / STEP).toLong()
 
-    fun <T> rotate(list: List<T>): List<T> {
+    /** Returns [list] from another place on in each step of time, [stride] places further than in the step before. */
+    fun <T> rotate(list: List<T>, stride: Int = STRIDE): List<T> {
         if (list.isEmpty()) return list
         // The second summand reaches the places that a stride with a common factor with the size leaves out.
-        val offset = (turn * STRIDE + turn / list.size).mod(list.size)
+        val offset = (turn * stride + turn / list.size).mod(list.size)
         return list.drop(offset) + list.take(offset)
     }
 
--- a/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
+++ b/process/src/main/kotlin/redwingcross/process/edge/CrashAttributionTask.kt
@@ -151,7 +151,7 @@
                 "attempts" to observation.requests.joinToString(",") { it.attempt.value },
             ),
         )
-        update(CrashAttribution.observed(ledger, observation, now))
+        update(CrashAttribution.observed(ledger, observation, now, answered))
     }
 
     private fun update(next: CrashLedger) {
--- a/process/src/test/kotlin/redwingcross/process/crash/AnsweredTraitsTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/AnsweredTraitsTest.kt
@@ -76,4 +76,15 @@
         assertEquals(true, parts.answeredBefore(common, 1.seconds))
         assertEquals(false, parts.answeredBefore(PromptPart("p0"), 1.seconds))
     }
+
+    @Test
+    fun `prompts of many new parts do not displace a part that requests share`() {
+        val parts = AnsweredTraits()
+        repeat(100) { request ->
+            val time = 100.milliseconds * request
+            if (request % 20 < 2) parts.record(listOf(common), time)
+            parts.record(List(600) { PromptPart("p$request-$it") }, time)
+        }
+        assertEquals(true, parts.answeredBefore(common, 10.seconds))
+    }
 }
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashAttributionProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashAttributionProperties.kt
@@ -97,6 +97,31 @@
         checkBlocked(CrashScenario(seed, 350, requestsPerSecond = 800, crashing = listOf(drawn(Random(seed), 0))))
     }
 
+    @Property(seed = "20270111", tries = 30, shrinking = ShrinkingMode.OFF)
+    fun `a crashing part in any place of a long prompt of shared parts is blocked`(@ForAll seed: Long) {
+        checkBlocked(longPrompts(seed, hasNewParts = false))
+    }
+
+    @Property(seed = "20270112", tries = 30, shrinking = ShrinkingMode.OFF)
+    fun `a crashing part in any place of a long prompt of new parts is blocked`(@ForAll seed: Long) {
+        checkBlocked(longPrompts(seed, hasNewParts = true))
+    }
+
+    /** Evidence of the crashes comes from all gateways, because requests with the part come at any of them. */
+    private fun longPrompts(seed: Long, hasNewParts: Boolean): CrashScenario {
+        val random = Random(seed)
+        val parts = if (random.nextBoolean()) random.nextInt(5, 60) else random.nextInt(60, 400)
+        val crashing = listOf(drawn(random, 0))
+        return CrashScenario(
+            seed,
+            8,
+            duration = longRun,
+            crashing = crashing,
+            furtherParts = parts,
+            hasNewParts = hasNewParts,
+        )
+    }
+
     private fun checkNothingBlocked(scenario: CrashScenario) {
         val simulation = CrashSimulation(scenario).run()
         Statistics.label("ended engines").collect(scenario.ends.size + scenario.losses.size)
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashBoundsTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashBoundsTest.kt
@@ -10,6 +10,7 @@
 import redwingcross.request.RequestIdentity
 import redwingcross.request.RequestTrait
 import redwingcross.version.fleet.EngineStart
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -70,7 +71,56 @@
         assertTrue(kept.size >= (CrashLimits.CRASHES - CrashLimits.NEWEST_CRASHES) / 3, "${kept.size} blocks")
     }
 
+    /** Guards against a part that stays unknown because other parts of its prompt fill the bounds. */
+    @Test
+    fun `a part behind hundreds of new parts is blocked while the ledger and its evidence stay within their bounds`() {
+        val deadly = PromptPart("deadly")
+        val random = Random(SEED)
+        val ledger = (0 until CrashLimits.CRASHES).fold(CrashLedger()) { ledger, number ->
+            val requests = List(CrashLimits.REQUESTS_PER_CRASH) { index ->
+                val parts = List(LONG_PROMPT) { PromptPart("%08x".format((number * 24 + index) * LONG_PROMPT + it)) }
+                (if (index == 0) (parts + deadly).shuffled(random) else parts).toSet() + digest("$number-$index")
+            }
+            ledger.crash(number, 200.milliseconds * number, requests)
+        }
+        assertTrue(ledger.crashes.values.all { it.traitCount <= CrashLimits.TRAITS_PER_CRASH })
+        assertTrue(ledger.crashes.values.sumOf { it.traitCount } <= CrashLimits.TRAITS)
+        assertEquals(setOf<RequestTrait>(deadly), CrashAttribution.blocked(ledger, 60.seconds).keys)
+        val received = (0 until 8).fold(CrashLedger()) { received, turn ->
+            val now = 60.seconds + 250.milliseconds * turn
+            val evidence = CrashAttribution.evidence(ledger, now)
+            assertTrue(size(evidence) - size(CrashEvidence()) <= CrashLimits.EVIDENCE_BYTES)
+            CrashAttribution.merged(received, evidence, now)
+        }
+        assertEquals(setOf<RequestTrait>(deadly), CrashAttribution.blocked(received, 70.seconds).keys)
+    }
+
+    @Test
+    fun `each part of a prompt that exceeds the bounds is kept of some crashes`() {
+        val parts = List(CrashLimits.TRAITS_PER_CRASH * 2) { PromptPart("%08x".format(it)) }
+        val ledgers = List(16) { CrashLedger().crash(it, 1.seconds, listOf(parts.toSet())) }
+        assertTrue(ledgers.all { it.traits().size <= CrashLimits.TRAITS_PER_CRASH })
+        assertEquals(parts.size, ledgers.flatMapTo(HashSet()) { it.traits() }.size)
+    }
+
+    @Test
+    fun `of a long prompt, parts that were answered lately are left out and the others stay in any place`() {
+        val parts = List(LONG_PROMPT) { PromptPart("%08x".format(it)) }
+        for (place in listOf(0, 15, 16, 64, LONG_PROMPT - 1)) {
+            val answered = AnsweredTraits().also { it.record(parts - parts[place], 1.seconds) }
+            val request = RequestIdentity(AttemptId("a"), parts.toSet())
+            val observation = CrashObservation(EngineRun(BackendServer("engine"), EngineStart(1)), listOf(request))
+            val ledger = CrashAttribution.observed(CrashLedger(), observation, 2.seconds, answered)
+            assertEquals(setOf<RequestTrait>(parts[place]), ledger.traits())
+        }
+    }
+
+    private fun CrashLedger.traits() = crashes.values.flatMapTo(HashSet()) { it.accused }
+
     private companion object {
+        const val LONG_PROMPT = 300
+        const val SEED = 20270113
+
         /** Blocks of three crashes each, more than are kept. */
         const val BLOCKS = 90
     }
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashMergeProperties.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashMergeProperties.kt
@@ -59,7 +59,8 @@
             }
         }
         assertTrue(ledger.crashes.size <= CrashLimits.CRASHES)
-        assertTrue(ledger.crashes.values.all { crash -> crash.accused.size <= CrashLimits.TRAITS_PER_REQUEST })
+        assertTrue(ledger.crashes.values.all { crash -> crash.traitCount <= CrashLimits.TRAITS_PER_CRASH })
+        assertTrue(ledger.crashes.values.sumOf { it.traitCount } <= CrashLimits.TRAITS)
         assertEquals(setOf(crashing), CrashAttribution.blocked(ledger, 60.seconds).keys)
         assertEquals(setOf(crashing), CrashAttribution.blocked(started, 60.seconds).keys)
     }
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashScenario.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashScenario.kt
@@ -64,6 +64,10 @@
     val kinds: Int = 5,
     val subjects: Int = 30,
     val duration: Duration = 12.seconds,
+    /** Further parts of each prompt, in places drawn anew for each request. */
+    val furtherParts: Int = 0,
+    /** Whether the further parts are new in each request; otherwise requests of a kind share them. */
+    val hasNewParts: Boolean = false,
     val crashing: List<CrashingPart> = emptyList(),
     val ends: List<EngineEnd> = emptyList(),
     val losses: List<KindLoss> = emptyList(),
--- a/process/src/test/kotlin/redwingcross/process/crash/CrashSimulation.kt
+++ b/process/src/test/kotlin/redwingcross/process/crash/CrashSimulation.kt
@@ -36,7 +36,7 @@
         fun evidence() = CrashAttribution.evidence(ledger, clock())
 
         fun observe(observation: CrashObservation) =
-            changed(CrashAttribution.observed(ledger, observation, clock()), relay::onOwnChange)
+            changed(CrashAttribution.observed(ledger, observation, clock(), answered), relay::onOwnChange)
 
         /** Passes [message] to the detector and observes the ends that it confirms. */
         fun detect(message: EngineEndMessage) {
@@ -124,6 +124,7 @@
     private var now = Duration.ZERO
     private var events = 0L
     private var attempts = 0
+    private var newParts = 0
 
     /** Times of the crashes of each crashing trait. */
     val crashes = crashingTraits.associateWith { ArrayList<Duration>() }
@@ -191,14 +192,20 @@
                 if (random.nextDouble() < it.companionShare) parts += PromptPart("companion-$kind")
             }
         if (random.nextInt(200) == 0) parts += PromptPart("companion-$kind")
+        parts += furtherParts(kind)
         val isCrashing = parts.any { it in crashingTraits }
         val digest = digests.next(kind, isOwn = isCrashing)
         if (isCrashing) crashingRequests += digest
-        caller(kind, parts + digest, repeatsLeft = 2, gateways.random(random))
+        val placed = if (scenario.furtherParts > 0) parts.shuffled(random).toSet() else parts
+        caller(kind, placed + digest, repeatsLeft = 2, gateways.random(random))
         val mean = 1.seconds / scenario.requestsPerSecond
         after(mean * 2, ::arrival)
     }
 
+    private fun furtherParts(kind: Int) = List(scenario.furtherParts) {
+        PromptPart(if (scenario.hasNewParts) "new-${newParts++}" else "shared-$kind-$it")
+    }
+
     /** The callers of a deadly request repeat it without end, each time as a new attempt. */
     private fun repeatDeadly(deadly: DeadlyRequest) {
         caller(deadly.kind, deadly.traits, repeatsLeft = 0, digests.choose(gateways))
