--- a/connection/src/main/kotlin/redwingcross/connection/backend/BackendHttp.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/backend/BackendHttp.kt
@@ -14,6 +14,7 @@
 import okhttp3.Request
 import okhttp3.RequestBody
 import okio.BufferedSink
+import redwingcross.connection.http.validStatusInterceptor
 import java.net.Proxy
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -52,6 +53,7 @@
         .readTimeout(limits.readTimeout.toJavaDuration())
         .eventListenerFactory { call -> call.request().tag(SendPermission::class.java) ?: EventListener.NONE }
         .addNetworkInterceptor(sendOnceInterceptor)
+        .addNetworkInterceptor(validStatusInterceptor)
         .build()
 
     /** Creates a call that is cancelled after [timeout]; if null, the caller of this function has to end the call. */
--- a/connection/src/main/kotlin/redwingcross/connection/http/ResponseDecoder.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/http/ResponseDecoder.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.socket.ChannelInputShutdownEvent
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 
@@ -19,6 +20,11 @@
     /** Whether received bytes have not been decoded yet. */
     val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
 
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(isStatus(initialLine[1])) { "status '${initialLine[1]}' in a response" }
+        return super.createMessage(initialLine)
+    }
+
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         if (event is ChannelInputShutdownEvent) onInputEnd()
         super.userEventTriggered(context, event)
--- a/connection/src/main/kotlin/redwingcross/connection/platform/PlatformExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/platform/PlatformExchange.kt
@@ -14,6 +14,7 @@
 import okhttp3.Response
 import okio.Buffer
 import okio.BufferedSink
+import redwingcross.connection.http.validStatusInterceptor
 import java.io.IOException
 import java.util.UUID
 import java.util.concurrent.Executors
@@ -53,6 +54,7 @@
         .retryOnConnectionFailure(false)
         .followRedirects(false)
         .eventListener(SendProgressListener)
+        .addNetworkInterceptor(validStatusInterceptor)
         .build()
     private val identity = UUID.randomUUID().toString()
     private val exchanges = AtomicLong()
--- a/connection/src/test/kotlin/redwingcross/connection/backend/ServiceClientTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/backend/ServiceClientTest.kt
@@ -124,4 +124,16 @@
         val slot = Slot(SlotId(1), BackendServer("b"), endpoint)
         http.dispatchOnce(confirm, clock)(slot, call, AttemptId("a"))
     }
+
+    @Test
+    fun `a call with a response whose status is out of range has an unknown outcome`() = eachMethod { method ->
+        for (status in listOf("000", "099", "600", "999", "+20", "0200")) {
+            RawServer { _, socket ->
+                socket.respond("HTTP/1.1 $status Other\nContent-Length: 0\n\n")
+            }.use { server ->
+                assertIs<Outcome.Unknown>(dispatch(server.endpoint, method), status)
+                assertEquals(1, server.requests.size, status)
+            }
+        }
+    }
 }
--- a/connection/src/test/kotlin/redwingcross/connection/http/HttpConnectionsTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/HttpConnectionsTest.kt
@@ -295,4 +295,27 @@
         assertEquals(-1, runCatching { socket.getInputStream().read() }.getOrDefault(-1))
         assertNull(recorded.events.poll())
     }
+
+    @Test
+    fun `a response whose status is not three digits from 100 to 599 is malformed`() {
+        val statuses = listOf("000", "0 -", "099", "20", "2000", "600", "999", "0200 OK", "+200 OK", "-200", "2x0 OK")
+        for (status in statuses) {
+            val (recorded, _) = send("a")
+            val socket = connection()
+            socket.awaitRequest()
+            socket.answer("HTTP/1.1 $status\r\nId: a\r\nContent-Length: 1\r\n\r\nx")
+            assertEquals("failure MALFORMED", recorded.next(), status)
+        }
+    }
+
+    @Test
+    fun `a response with any valid status is passed on, also without a reason`() {
+        for (status in listOf("200", "299 ", "599 Other")) {
+            val (recorded, _) = send("a")
+            val socket = connection()
+            socket.awaitRequest()
+            socket.answer("HTTP/1.1 $status\r\nId: a\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx")
+            assertEquals("head ${status.take(3)} a", recorded.next(), status)
+        }
+    }
 }
