--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -169,14 +169,18 @@
 
     private fun finishWith(step: ForwardStep, reason: String, ended: Offer? = null) {
         if (step == ForwardStep.Refuse && reason == STOPPING) exchange.closeAfterResponse()
-        response.finish(step, ended?.head, isSent = state.sends > 0) {
-            // Callers that come back within the pause of all back ends would be refused again.
-            val delay = context.retryAfter(job) + (backendPause ?: Duration.ZERO)
-            if (reason in BLOCK_REASONS) CrashSignals.BLOCKED_RETRY_DELAY else delay
-        }
+        response.finish(step, ended?.head, isSent = state.sends > 0) { retryDelay(reason) }
         finish(step.toString(), reason)
     }
 
+    private fun retryDelay(reason: String): Duration = when (reason) {
+        in BLOCK_REASONS -> CrashSignals.BLOCKED_RETRY_DELAY
+        // The other processes can serve the request now.
+        STOPPING -> Duration.ZERO
+        // Callers that come back within the pause of all back ends would be refused again.
+        else -> context.retryAfter(job) + (backendPause ?: Duration.ZERO)
+    }
+
     private fun finish(outcome: String, reason: String) {
         if (finished) return
         val total = context.clock.now() - job.arrivedAt
