--- a/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
@@ -3,6 +3,7 @@
 import redwingcross.connection.http.CallerExchange
 import redwingcross.request.GroupId
 import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -111,6 +112,69 @@
         assertGoesOn(caller, second)
     }
 
+    @Test
+    fun `a silent stream goes on at its own engine if the next one refuses it`() {
+        startEngines(2)
+        val caller = generate("p1")
+        val first = nextArrival()
+        first.beginEvents()
+        caller.readThrough("data: a\n\n")
+        checkProgressFor(LONG_SILENCE)
+        nextArrival().decline()
+        assertGoesOn(caller, first)
+    }
+
+    @Test
+    fun `a silent stream goes on at its own engine if that one does so before the next one has an event`() {
+        startEngines(2)
+        val caller = generate("p1")
+        val first = nextArrival()
+        first.beginEvents()
+        caller.readThrough("data: a\n\n")
+        checkProgressFor(LONG_SILENCE)
+        val second = nextArrival()
+        val isCancelled = LinkedBlockingQueue<Unit>()
+        onLoop {
+            second.onDisconnect = { isCancelled.put(Unit) }
+            second.beginStream(200, headers("Id" to "7", "Signed" to "2", "Content-Type" to "text/event-stream"))
+        }
+        assertGoesOn(caller, first)
+        assertNotNull(isCancelled.poll(5, TimeUnit.SECONDS), "the next engine still runs the request")
+    }
+
+    @Test
+    fun `the engine that a silent stream left stops once the next one has an event`() {
+        startEngines(2)
+        val caller = generate("p1")
+        val first = nextArrival()
+        first.beginEvents()
+        caller.readThrough("data: a\n\n")
+        val isCancelled = LinkedBlockingQueue<Unit>()
+        onLoop { first.onDisconnect = { isCancelled.put(Unit) } }
+        checkProgressFor(LONG_SILENCE)
+        val second = nextArrival()
+        onLoop {
+            second.beginStream(200, headers("Id" to "7", "Signed" to "2", "Content-Type" to "text/event-stream"))
+        }
+        assertGoesOn(caller, second)
+        assertNotNull(isCancelled.poll(5, TimeUnit.SECONDS), "the first engine still runs the request")
+    }
+
+    @Test
+    fun `both engines stop when the caller of a stream that is moving leaves`() {
+        startEngines(2)
+        val caller = generate("p1")
+        val first = nextArrival()
+        first.beginEvents()
+        caller.readThrough("data: a\n\n")
+        checkProgressFor(LONG_SILENCE)
+        val second = nextArrival()
+        val cancelled = LinkedBlockingQueue<Unit>()
+        onLoop { listOf(first, second).forEach { it.onDisconnect = { cancelled.put(Unit) } } }
+        caller.close()
+        repeat(2) { assertNotNull(cancelled.poll(5, TimeUnit.SECONDS), "an engine still runs the request") }
+    }
+
     @Test
     fun `a silent stream that can't move yet moves once another group has a place`() {
         startEngines(1)
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardContext.kt
@@ -83,6 +83,15 @@
         return crashes.blockReason(job.identity) ?: ForwardTask.STOPPING.takeUnless { canComplete }
     }
 
+    /** Delay after which the caller of [job], which is refused for [reason] while all back ends pause, may retry. */
+    fun retryDelay(job: ForwardJob, reason: String, backendPause: Duration?): Duration = when (reason) {
+        CrashSignals.BLOCKED_PART, CrashSignals.BLOCKED_REQUEST -> CrashSignals.BLOCKED_RETRY_DELAY
+        // The other processes can serve the request now.
+        ForwardTask.STOPPING -> Duration.ZERO
+        // Callers that come back within the pause of all back ends would be refused again.
+        else -> retryAfter(job) + (backendPause ?: Duration.ZERO)
+    }
+
     /** Why a request at a back end would not be sent again now if that one ended it; null if it would be. */
     fun reasonToStay(state: ForwardState, job: ForwardJob): String? = when {
         !ForwardDecision.canRedispatch(state) -> "not_repeatable"
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -10,6 +10,7 @@
 import redwingcross.request.forward.ForwardState
 import redwingcross.request.forward.ForwardStep
 import redwingcross.request.forward.OfferResult
+import redwingcross.request.stream.EventBatch
 import redwingcross.request.stream.EventSplitter
 import kotlin.time.Duration
 
@@ -23,11 +24,16 @@
     private val route = job.route
     override val isStream = route.repeatability.isStream
     private var state = ForwardState(ForwardLimits(route.repeatability, route.maximumSends, job.deadline))
-    private val splitter = EventSplitter()
     private val response = CallerResponse(exchange, context.codec.refusal)
     private val log = OfferLog(job.request.attempt, context.log)
     private val moves = MoveAttempts(this, context, log)
     private var offer: Offer? = null
+
+    /**
+     * The offer that a stream left because its back end was silent. Its exchange goes on until the next one has an
+     * event, because silence doesn't show that the back end won't go on, and the next one may refuse the stream.
+     */
+    private var left: Offer? = null
     private var timer = CancelTimer {}
     private var lastEventId: Long? = job.request.resumeAfter.takeIf { route.repeatability.isStream }
     private var firstEventAt: Duration? = null
@@ -65,7 +71,8 @@
         exchange.onFailure = {
             // The last step frees what the request holds if its answer failed.
             val endUnanswered = { finish(ForwardDecision.withoutOffer(state).toString(), HANDLER_FAILED) }
-            if (!finished) runEvery(::cancelOffer, { finishWithout(HANDLER_FAILED) }, endUnanswered)
+            val endAnswered = { finishWith(ForwardDecision.withoutOffer(state), HANDLER_FAILED) }
+            if (!finished) runEvery(::cancelOffer, endAnswered, endUnanswered)
         }
         exchange.onDisconnect = {
             offer?.pending?.cancel()
@@ -89,6 +96,7 @@
         val current = offer
         val reason = when {
             finished -> null
+            current == null && left != null -> null
             current == null -> context.reasonNotToSend(job, isResuming)
             current.isUnanswered && context.crashes.isRequestBlocked(job.identity) -> CrashSignals.BLOCKED_REQUEST
             else -> null
@@ -100,13 +108,12 @@
 
     private fun offerNow(target: ChosenBackend? = null) {
         val now = context.clock.now()
-        context.reasonNotToSend(job, isResuming)?.let { return finishWithout(it) }
+        context.reasonNotToSend(job, isResuming)?.let { return giveUp(it) }
         val choice = target?.let(BackendChoice::Chosen) ?: context.choose(choiceRequest())
         if (choice !is BackendChoice.Chosen) return noBackendChosen(choice)
         val backend = choice.backend
         state = state.copy(offered = state.offered + backend.server)
         progressAt = now
-        splitter.reset()
         response.discardCollected()
         val fields = BackendRequestFields(backend.server, job.customer, latestEnd - now, job.priority, lastEventId)
         val head = context.codec.encode(exchange.head, job.request, fields)
@@ -128,7 +135,7 @@
     /** Ends the request, because no place came free in time. */
     fun waitTimedOut() = exchange.guarded {
         waited += context.clock.now() - waitingSince
-        if (!finished) finishWithout("wait_timeout")
+        if (!finished) giveUp("wait_timeout")
     }
 
     private fun noBackendChosen(choice: BackendChoice) {
@@ -138,10 +145,12 @@
             if (context.awaitPlace(this, isResuming, latestEnd)) return
         }
         backendPause = (choice as? BackendChoice.Paused)?.let { it.until - now }
-        finishWithout(choice.reason)
+        giveUp(choice.reason)
     }
 
-    private fun finishWithout(reason: String): Unit = finishWith(ForwardDecision.withoutOffer(state), reason)
+    /** Ends a request that is at no back end, unless the back end that it left may still go on. */
+    private fun giveUp(reason: String) =
+        left?.takeBack(reason) ?: finishWith(ForwardDecision.withoutOffer(state), reason)
 
     /** [target] is the back end to which the request moves with a retry that was taken already, if it does. */
     private fun offerEnded(ended: Offer, end: OfferResult, detail: String, target: ChosenBackend? = null) {
@@ -160,7 +169,9 @@
             acquireRetry = { (target != null || context.tryAcquireRetry(job.service)).also { retry = it } },
         )
         log.ended(ended.backend, end, detail, now - ended.startedAt, lastEventId, state.sends, retry, step)
+        val previous = left
         when {
+            step !is ForwardStep.OfferAgain && previous != null -> previous.takeBack(detail)
             step !is ForwardStep.OfferAgain -> finishWith(step, detail, ended)
             target != null -> offerNow(target)
             else -> offer()
@@ -169,18 +180,10 @@
 
     private fun finishWith(step: ForwardStep, reason: String, ended: Offer? = null) {
         if (step == ForwardStep.Refuse && reason == STOPPING) exchange.closeAfterResponse()
-        response.finish(step, ended?.head, isSent = state.sends > 0) { retryDelay(reason) }
+        response.finish(step, ended?.head, isSent = state.sends > 0) { context.retryDelay(job, reason, backendPause) }
         finish(step.toString(), reason)
     }
 
-    private fun retryDelay(reason: String): Duration = when (reason) {
-        in BLOCK_REASONS -> CrashSignals.BLOCKED_RETRY_DELAY
-        // The other processes can serve the request now.
-        STOPPING -> Duration.ZERO
-        // Callers that come back within the pause of all back ends would be refused again.
-        else -> context.retryAfter(job) + (backendPause ?: Duration.ZERO)
-    }
-
     private fun finish(outcome: String, reason: String) {
         if (finished) return
         val total = context.clock.now() - job.arrivedAt
@@ -189,6 +192,7 @@
         runEvery(
             { timer.cancel() },
             { context.waitEnded(this) },
+            { left?.pending?.cancel() },
             { offer?.release() },
             { context.finished(this, ForwardOutcome(job, outcome, reason, state.sends, first, total, waited)) },
         )
@@ -243,7 +247,8 @@
     private fun leave(from: Offer, detail: String, canLeave: () -> Boolean, end: () -> OfferResult) =
         moves.attempt(from.backend, detail, { context.reasonToStay(state, job) }, canLeave) { target ->
             val result = end()
-            from.pending?.cancel()
+            val mayGoOn = isStream && !from.loss.isReported && left == null
+            if (mayGoOn) left = from else from.pending?.cancel()
             offerEnded(from, result, detail, target)
         }
 
@@ -254,6 +259,7 @@
         var isSending = false
         var head: ResponseHead? = null
         var hasEvents = false
+        private val splitter = EventSplitter()
         val mayBeSent: Boolean get() = pending?.wasSent ?: isSending
         private var isError = false
         private var showsRun = false
@@ -267,6 +273,18 @@
             context.offerReleased(backend, this@ForwardTask)
         }
 
+        /** Goes on with this offer, which the stream had left, and cancels the one after it. */
+        fun takeBack(reason: String) {
+            val next = offer
+            left = null
+            cancelOffer()
+            next?.release()
+            context.waitEnded(this@ForwardTask)
+            log.returned(backend, reason)
+            offer = this
+            context.offerStarted(backend, this@ForwardTask)
+        }
+
         override fun onHead(head: ResponseHead) {
             this.head = head
             val metadata = context.codec.metadata(job.request, head)
@@ -275,18 +293,27 @@
             val rejection = ResponseCheck.ofHead(head, metadata, state, response.begunHead)
             showsRun = ResponseCheck.showsRun(head, metadata)
             if (!isStream && showsRun) context.runBegan(job)
-            if (rejection != null) reject(rejection) else isError = !ResponseCheck.isSuccess(head)
+            if (rejection == null) {
+                isError = !ResponseCheck.isSuccess(head)
+            } else {
+                reject(rejection.result, rejection.detail)
+            }
         }
 
-        private fun reject(rejection: ResponseRejection) = reject(rejection.result, rejection.detail)
-
         private fun reject(end: OfferResult, detail: String) {
             pending?.cancel()
+            if (left === this) left = null
             offerEnded(this, end, detail)
         }
 
+        /** Whether the request is at this back end; one that left it comes back, because the back end goes on. */
+        private fun isCurrent(): Boolean {
+            if (!finished && left === this) takeBack("goes_on")
+            return !finished && offer === this
+        }
+
         override fun onData(bytes: ByteArray) {
-            if (finished || offer !== this) return
+            if (!isCurrent()) return
             if (isStream && !isError) relayEvents(bytes) else collectBody(bytes)
         }
 
@@ -309,12 +336,18 @@
             val batch = splitter.accept(bytes)
             if (CallerResponse.isTooLong(splitter.pendingBytes)) return reject(OfferResult.Lost, "event_too_long")
             if (batch == null) return
-            if (isFirst(batch.events)) context.runBegan(job)
+            if (!hasEvents && batch.events > 0) context.runBegan(job)
+            val rejection = ResponseCheck.ofEvents(batch, lastEventId, isFirst = !hasEvents)
+            if (rejection != null) reject(rejection.result, rejection.detail) else relay(batch)
+        }
+
+        private fun relay(batch: EventBatch) {
             val now = context.clock.now()
-            ResponseCheck.ofEvents(batch, lastEventId, isFirst = !hasEvents)?.let { return reject(it) }
             if (hasEvents || batch.events > 0) context.progressed(backend, now - progressAt, !hasEvents)
-            if (isFirst(batch.events)) {
+            if (!hasEvents && batch.events > 0) {
                 hasEvents = true
+                left?.pending?.cancel()
+                left = null
                 context.crashes.answerBegan(job.identity)
             }
             progressAt = now
@@ -326,8 +359,6 @@
             if (!exchange.isWritable) pending?.pauseReading()
         }
 
-        private fun isFirst(events: Int) = !hasEvents && events > 0
-
         // An engine may send comments before it ends under the request, so they don't begin the response.
         private fun holdComments(bytes: ByteArray) {
             response.collect(bytes)
@@ -341,7 +372,7 @@
         }
 
         override fun onEnd() {
-            if (finished || offer !== this) return
+            if (!isCurrent()) return
             when {
                 isError -> failed()
                 isStream -> streamEnded()
@@ -379,6 +410,7 @@
         }
 
         override fun onFailure(failure: ExchangeFailure) {
+            if (left === this) left = null
             val detail = failure.name.lowercase()
             when (failure) {
                 ExchangeFailure.NOT_CONNECTED -> offerEnded(this, OfferResult.NotSent, detail)
@@ -406,7 +438,5 @@
 
         /** Reason of the end of a request that can't be completed before the process ends. */
         const val STOPPING = "stopping"
-
-        private val BLOCK_REASONS = setOf(CrashSignals.BLOCKED_PART, CrashSignals.BLOCKED_REQUEST)
     }
 }
--- a/version/src/main/kotlin/redwingcross/version/forwarding/OfferLog.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/OfferLog.kt
@@ -43,6 +43,12 @@
         ),
     )
 
+    /** The request is at [backend] again, which it had left, because of [reason]. */
+    fun returned(backend: ChosenBackend, reason: String): Unit = log(
+        "move_reverted",
+        arrayOf("attempt" to attempt, "server" to backend.server, "group" to backend.group, "reason" to reason),
+    )
+
     /** The request stays at [backend], which it was to leave because of [detail]; not repeated for one [reason]. */
     fun stayed(backend: ChosenBackend, detail: String, reason: String) {
         val stay = Triple(backend.server, detail, reason)
