--- a/connection/src/main/kotlin/redwingcross/connection/backend/BackendHttp.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/backend/BackendHttp.kt
@@ -14,7 +14,6 @@
 import okhttp3.Request
 import okhttp3.RequestBody
 import okio.BufferedSink
-import redwingcross.connection.http.validStatusInterceptor
 import java.net.Proxy
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
--- a/connection/src/main/kotlin/redwingcross/connection/platform/PlatformExchange.kt
+++ b/connection/src/main/kotlin/redwingcross/connection/platform/PlatformExchange.kt
@@ -14,7 +14,7 @@
 import okhttp3.Response
 import okio.Buffer
 import okio.BufferedSink
-import redwingcross.connection.http.validStatusInterceptor
+import redwingcross.connection.backend.validStatusInterceptor
 import java.io.IOException
 import java.util.UUID
 import java.util.concurrent.Executors
