--- a/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
@@ -142,6 +142,34 @@
         assertNotNull(isCancelled.poll(5, TimeUnit.SECONDS), "the next engine still runs the request")
     }
 
+    @Test
+    fun `a stream that goes on at its own engine has the comments of that one only`() {
+        startEngines(2)
+        val caller = generate("p1")
+        val head = { signature: String ->
+            headers("Id" to "7", "Signed" to signature, "Content-Type" to "text/event-stream")
+        }
+        val first = nextArrival()
+        onLoop {
+            first.beginStream(200, head("1"))
+            first.write(": first\n\n".toByteArray())
+        }
+        awaitHandled(": first")
+        checkProgressFor(LONG_SILENCE)
+        val second = nextArrival()
+        onLoop {
+            second.beginStream(200, head("2"))
+            second.write(": second\n\n".toByteArray())
+        }
+        awaitHandled(": second")
+        onLoop {
+            first.write("id: 1\ndata: a\n\n".toByteArray())
+            first.endStream()
+        }
+        val answer = caller.readAnswer()
+        assertTrue("Signed: 1" in answer && ": first" in answer && "data: a" in answer && "second" !in answer, answer)
+    }
+
     @Test
     fun `the engine that a silent stream left stops once the next one has an event`() {
         startEngines(2)
--- a/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
+++ b/version/src/main/kotlin/redwingcross/version/forwarding/ForwardTask.kt
@@ -104,7 +104,8 @@
         reason?.let { endNow(it, ForwardDecision::withoutOffer) }
     }
 
-    private fun offer() = context.beforeChoice(this) { exchange.guarded { if (!finished) offerNow() } }
+    // A stream may have returned to the back end that it left while the owner of the places was asked.
+    private fun offer() = context.beforeChoice(this) { exchange.guarded { if (!finished && offer == null) offerNow() } }
 
     private fun offerNow(target: ChosenBackend? = null) {
         val now = context.clock.now()
@@ -260,6 +261,9 @@
         var head: ResponseHead? = null
         var hasEvents = false
         private val splitter = EventSplitter()
+
+        /** Comments before the first event, which are part of this back end's response only. */
+        private var heldComments = ByteArray(0)
         val mayBeSent: Boolean get() = pending?.wasSent ?: isSending
         private var isError = false
         private var showsRun = false
@@ -279,6 +283,8 @@
             left = null
             cancelOffer()
             next?.release()
+            response.discardCollected()
+            response.collect(heldComments)
             context.waitEnded(this@ForwardTask)
             log.returned(backend, reason)
             offer = this
@@ -361,6 +367,7 @@
 
         // An engine may send comments before it ends under the request, so they don't begin the response.
         private fun holdComments(bytes: ByteArray) {
+            heldComments += bytes
             response.collect(bytes)
             if (response.isTooLong) reject(OfferResult.Lost, "comments_too_long")
         }
@@ -368,6 +375,7 @@
         /** Begins the response to the caller with the bytes that were collected so far. */
         private fun startResponse() {
             response.begin(head ?: return)
+            heldComments = ByteArray(0)
             state = state.copy(answerStarted = true)
         }
 
