--- a/connection/src/test/kotlin/redwingcross/connection/http/BufferedResponseHeadersTest.kt
+++ b/connection/src/test/kotlin/redwingcross/connection/http/BufferedResponseHeadersTest.kt
@@ -29,13 +29,24 @@
 
     @Test
     fun `the headers of a response are passed on with its body`() {
+        val answered = assertIs<CallResult.Answered>(resultOf("HTTP/1.1 200 OK\r\nStore-Era: 4"))
+        assertEquals("4", answered.headers.get("store-era"))
+        assertEquals("ok", answered.body.decodeToString())
+    }
+
+    /** Guards against an order or a store call that counts as answered by bytes that are no answer. */
+    @Test
+    fun `a call whose response has an invalid status is not answered`() {
+        assertEquals(CallResult.NoAnswer(ExchangeFailure.MALFORMED), resultOf("HTTP/1.1 000"))
+    }
+
+    private fun resultOf(responseHead: String): CallResult? {
         thread(isDaemon = true) {
             server.accept().use { socket ->
                 val reader = socket.getInputStream()
                 var last = ""
                 while (!last.endsWith("\r\n\r\n")) last += reader.read().toChar()
-                val response = "HTTP/1.1 200 OK\r\nStore-Era: 4\r\nContent-Length: 2\r\n\r\nok"
-                socket.getOutputStream().write(response.encodeToByteArray())
+                socket.getOutputStream().write("$responseHead\r\nContent-Length: 2\r\n\r\nok".encodeToByteArray())
                 Thread.sleep(SETTLE_MILLIS)
             }
         }
@@ -48,9 +59,7 @@
             val head = RequestHead("GET", "/", DefaultHttpHeaders().add("Host", "h"))
             client.call(endpoint, head, ByteArray(0), 10.seconds) { results.put(it) }
         }
-        val answered = assertIs<CallResult.Answered>(results.poll(20, TimeUnit.SECONDS))
-        assertEquals("4", answered.headers.get("store-era"))
-        assertEquals("ok", answered.body.decodeToString())
+        return results.poll(20, TimeUnit.SECONDS)
     }
 
     private companion object {
--- a/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
+++ b/process/src/test/kotlin/redwingcross/process/edge/GatewaySilenceTest.kt
@@ -34,6 +34,15 @@
         write("id: 1\ndata: a\n\n".toByteArray())
     }
 
+    private fun beginStreamAtOneOfTwoEngines(): Pair<Socket, CallerExchange> {
+        startEngines(2)
+        val caller = generate("p1")
+        val first = nextArrival()
+        first.beginEvents()
+        caller.readThrough("data: a\n\n")
+        return caller to first
+    }
+
     private fun assertGoesOn(caller: Socket, arrival: CallerExchange) {
         onLoop {
             arrival.write("id: 2\ndata: b\n\n".toByteArray())
@@ -114,11 +123,7 @@
 
     @Test
     fun `a silent stream goes on at its own engine if the next one refuses it`() {
-        startEngines(2)
-        val caller = generate("p1")
-        val first = nextArrival()
-        first.beginEvents()
-        caller.readThrough("data: a\n\n")
+        val (caller, first) = beginStreamAtOneOfTwoEngines()
         checkProgressFor(LONG_SILENCE)
         nextArrival().decline()
         assertGoesOn(caller, first)
@@ -126,11 +131,7 @@
 
     @Test
     fun `a silent stream goes on at its own engine if that one does so before the next one has an event`() {
-        startEngines(2)
-        val caller = generate("p1")
-        val first = nextArrival()
-        first.beginEvents()
-        caller.readThrough("data: a\n\n")
+        val (caller, first) = beginStreamAtOneOfTwoEngines()
         checkProgressFor(LONG_SILENCE)
         val second = nextArrival()
         val isCancelled = LinkedBlockingQueue<Unit>()
@@ -172,11 +173,7 @@
 
     @Test
     fun `the engine that a silent stream left stops once the next one has an event`() {
-        startEngines(2)
-        val caller = generate("p1")
-        val first = nextArrival()
-        first.beginEvents()
-        caller.readThrough("data: a\n\n")
+        val (caller, first) = beginStreamAtOneOfTwoEngines()
         val isCancelled = LinkedBlockingQueue<Unit>()
         onLoop { first.onDisconnect = { isCancelled.put(Unit) } }
         checkProgressFor(LONG_SILENCE)
@@ -190,11 +187,7 @@
 
     @Test
     fun `both engines stop when the caller of a stream that is moving leaves`() {
-        startEngines(2)
-        val caller = generate("p1")
-        val first = nextArrival()
-        first.beginEvents()
-        caller.readThrough("data: a\n\n")
+        val (caller, first) = beginStreamAtOneOfTwoEngines()
         checkProgressFor(LONG_SILENCE)
         val second = nextArrival()
         val cancelled = LinkedBlockingQueue<Unit>()
