--- a/systemtests/src/test/kotlin/redwingcross/systemtests/platform/StoreStandin.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/platform/StoreStandin.kt
@@ -60,6 +60,9 @@
     private var historyStart = 0L
     private var era = 0L
 
+    /** Largest number of objects of one page of a list. */
+    var pageSize = 500
+
     /** Returns the fault for the next call with the given HTTP method. */
     var fault: (method: String) -> StoreFault = { StoreFault.NONE }
 
@@ -141,8 +144,8 @@
     private fun page(objects: Map<String, Stored>, after: String?): JsonObject {
         val remaining = objects.filterKeys { after == null || it > after }
         return buildJsonObject {
-            putJsonArray("items") { remaining.entries.take(PAGE_SIZE).forEach { add(json(it.key, it.value)) } }
-            put("has-more", remaining.size > PAGE_SIZE)
+            putJsonArray("items") { remaining.entries.take(pageSize).forEach { add(json(it.key, it.value)) } }
+            put("has-more", remaining.size > pageSize)
             put("current-rev", revision)
         }
     }
@@ -211,7 +214,6 @@
     private companion object {
         const val PATH = "/redwingcross/objects/"
         const val ERA_HEADER = "Store-Era"
-        const val PAGE_SIZE = 500
         const val OK = 200
         const val NOT_FOUND = 404
         const val CONFLICT = 409
--- a/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/soak/SoakDeployment.kt
@@ -32,7 +32,7 @@
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
-    private val store = StoreStandin(loop)
+    val store = StoreStandin(loop)
     private val directoryClient = HttpClient.newBuilder().connectTimeout(Duration.ofMillis(500)).build()
     private var version = 1L
     private var configuration = SoakConfiguration()
