Reset only the open connections of a link of the soak

LinkProxy.reset sets an option on all of its channels, and one that was closed stays among them until its event is handled, so a reset in between failed. The product handles the same in ChannelReset. The stand-in now resets the open ones only.

Evidence: LinkProxyTest, before: the same exception; it passes after.

--- a/systemtests/src/test/kotlin/redwingcross/systemtests/platform/LinkProxy.kt
+++ b/systemtests/src/test/kotlin/redwingcross/systemtests/platform/LinkProxy.kt
@@ -44,7 +44,8 @@
 
     /** Resets all open connections. */
     fun reset() {
-        for (channel in channels.toList()) {
+        // The event of a channel that was closed is handled later, so it may still be among the channels.
+        for (channel in channels.filter { it.isOpen }) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0)
             channel.close()
         }
