Escape line separators beyond ASCII in the log

What operators saw: nothing so far; found by reading. The name of an odd entry with U+2028 or U+2029 went into its line as it was, and readers of a log that end a line there saw a second, made-up one.

Cause: eventLine quoted all whitespace but escaped control characters only. Change: whitespace other than a blank is escaped as well.

Evidence: EventLineTest, before: the separators stand in the line; it passes after.

--- a/request/src/main/kotlin/redwingcross/request/EventLine.kt
+++ b/request/src/main/kotlin/redwingcross/request/EventLine.kt
@@ -22,6 +22,7 @@
     character == '"' -> "\\\""
     character == '\\' -> "\\\\"
     character == '\n' -> "\\n"
-    character.isISOControl() -> "\\u%04x".format(character.code)
+    // Readers of a log may end a line at a separator beyond ASCII.
+    character.isISOControl() || character.isWhitespace() && character != ' ' -> "\\u%04x".format(character.code)
     else -> character.toString()
 }
